--- /dev/null
+++ b/src/coordination/catalog.cpp
@@ -0,0 +1,54 @@
+#include "coordination/catalog.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+namespace damsonport {
+
+namespace {
+constexpr double refresh_s = 120;  // only prices change
+}
+
+Task<void> Catalog::follow(std::stop_token token) {
+  while (!token.stop_requested()) {
+    auto reply = co_await http_.request(settings_.cloud, Method::get, "/catalog", {}, 3.0);
+    auto types = reply.status == 200 ? decode_catalog(decode_map(reply.body))
+                                     : Result<std::vector<MachineType>>(Error{"status " + std::to_string(reply.status)});
+    if (types && !types->empty()) {
+      if (!known()) spdlog::info("catalogue read: {} machine types", types->size());
+      types_ = std::move(*types);
+    } else if (!known()) {
+      spdlog::warn("the catalogue can't be read yet: {}", types ? "it is empty" : types.error());
+    }
+    double pause = known() ? refresh_s : 1.0 / settings_.cloud_rps + 0.2;
+    if (!co_await Sleep(loop_, pause * loop_.uniform(0.8, 1.2), token)) co_return;
+  }
+}
+
+const MachineType* Catalog::type(const std::string& name) const {
+  for (auto& t : types_)
+    if (t.name == name) return &t;
+  return nullptr;
+}
+
+Verdict judge_job(const JobSpec& job, const Settings& settings,
+                  const std::vector<MachineType>& types) {
+  auto* team = settings.team(job.team);
+  if (!team) return Verdict::unknown_team;
+  bool fits = std::any_of(types.begin(), types.end(), [&](const MachineType& t) {
+    if (!job.types.empty() && std::find(job.types.begin(), job.types.end(), t.name) == job.types.end())
+      return false;
+    if (!job.zone.empty() && std::find(t.zones.begin(), t.zones.end(), job.zone) == t.zones.end())
+      return false;
+    return job.cpus <= t.cpus && job.gpus <= t.gpus && job.memory_gb <= t.memory_gb;
+  });
+  if (!fits) return Verdict::fits_no_type;
+  double count = job.kind == Kind::service ? job.tasks : 1;
+  if ((team->cpus_max > 0 && job.cpus * count > team->cpus_max + 1e-9) ||
+      (team->gpus_max > 0 && job.gpus * count > team->gpus_max + 1e-9))
+    return Verdict::over_limit;
+  return Verdict::ok;
+}
+
+}  // namespace damsonport
--- /dev/null
+++ b/src/coordination/catalog.hpp
@@ -0,0 +1,29 @@
+// The machine types, read from the cloud by every node: submissions are checked against them.
+#pragma once
+#include "protocol/messages.hpp"
+#include "protocol/settings.hpp"
+
+namespace damsonport {
+
+class Catalog {
+ public:
+  Catalog(Loop& loop, HttpClient& http, const Settings& settings)
+      : loop_(loop), http_(http), settings_(settings) {}
+  Task<void> follow(std::stop_token token);
+  bool known() const { return !types_.empty(); }
+  const std::vector<MachineType>& types() const { return types_; }
+  const MachineType* type(const std::string& name) const;
+
+ private:
+  Loop& loop_;
+  HttpClient& http_;
+  const Settings& settings_;
+  std::vector<MachineType> types_;
+};
+
+enum class Verdict : uint8_t { ok, unknown_team, fits_no_type, over_limit };
+// Whether the job could ever run.
+Verdict judge_job(const JobSpec& job, const Settings& settings,
+                  const std::vector<MachineType>& types);
+
+}  // namespace damsonport
--- /dev/null
+++ b/src/coordination/election.cpp
@@ -0,0 +1,80 @@
+#include "coordination/election.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+namespace damsonport {
+
+Election::Election(Loop& loop, const Settings& settings, StateClient& state, Cache& cache,
+                   uint64_t incarnation, Signal& changed)
+    : loop_(loop),
+      settings_(settings),
+      state_(state),
+      cache_(cache),
+      incarnation_(incarnation),
+      changed_(changed),
+      // Well inside the workers' lease, so that a dead leader costs no tasks, and long enough for a
+      // slow answer or two.
+      ttl_s_(std::max(settings.report_s * 1.5, settings.lease_s / 8)) {}
+
+Task<void> Election::run(std::stop_token token) {
+  while (!token.stop_requested()) {
+    if (!cache_.loaded()) {
+      if (!co_await Sleep(loop_, 0.1, token)) co_return;
+      continue;
+    }
+    bool mine = cache_.has_leader() && cache_.leader().node == settings_.node_name;
+    if (leading_ && (!mine || cache_.leader().incarnation != incarnation_)) {
+      spdlog::info("leadership lost to {}", cache_.has_leader() ? cache_.leader().node : "nobody");
+      leading_ = false;
+      lease_ = 0;
+      changed_.notify();
+    }
+    if (leading_) {
+      auto renewal = co_await state_.renew(lease_);
+      if (renewal == StateClient::Renewal::ended) {
+        spdlog::warn("the leader's lease ended");
+        leading_ = false;
+        lease_ = 0;
+        changed_.notify();
+      }
+      if (!co_await Sleep(loop_, ttl_s_ / 3.5, token)) co_return;
+      continue;
+    }
+    // A restarted node need not wait for the key of its earlier life to run out.
+    if (!cache_.has_leader() || mine) co_await campaign(token);
+    if (!leading_ && !co_await Sleep(loop_, ttl_s_ / 10 * loop_.uniform(0.5, 1.5), token)) co_return;
+  }
+}
+
+Task<void> Election::campaign(std::stop_token token) {
+  if (!lease_) lease_ = co_await state_.new_lease(ttl_s_);
+  if (!lease_ || token.stop_requested()) co_return;
+  Txn txn;
+  txn.conditions[keys::leader] = cache_.has_leader() ? cache_.leader_version() : 0;
+  txn.writes.push_back({keys::leader, encode_leader({settings_.node_name, incarnation_}), lease_});
+  auto writes = txn.writes;
+  auto reply = co_await state_.commit(std::move(txn), Importance::lease);
+  if (reply.outcome == Outcome::committed) {
+    cache_.apply_writes(writes, reply.revision);
+    leading_ = true;
+    spdlog::info("elected leader at revision {}", reply.revision);
+    changed_.notify();
+  } else if (reply.outcome == Outcome::invalid) {
+    lease_ = 0;
+  } else if (reply.outcome == Outcome::conflict || reply.outcome == Outcome::unknown) {
+    // Somebody was faster, or our own lost message was: read what stands there.
+    auto read = co_await state_.read(keys::leader, Importance::lease);
+    if (read.ok && read.found) {
+      cache_.apply(read.item);
+      auto& l = cache_.leader();
+      if (l.node == settings_.node_name && l.incarnation == incarnation_) {
+        leading_ = true;
+        changed_.notify();
+      }
+    }
+  }
+}
+
+}  // namespace damsonport
--- /dev/null
+++ b/src/coordination/election.hpp
@@ -0,0 +1,29 @@
+// The leader's key: attached to a lease of the state service, so that it goes with its owner.
+#pragma once
+#include "protocol/settings.hpp"
+#include "storage/cache.hpp"
+
+namespace damsonport {
+
+class Election {
+ public:
+  Election(Loop& loop, const Settings& settings, StateClient& state, Cache& cache,
+           uint64_t incarnation, Signal& changed);
+  Task<void> run(std::stop_token token);
+  // Our key stands, as far as is known.
+  bool leading() const { return leading_; }
+
+ private:
+  Task<void> campaign(std::stop_token token);
+  Loop& loop_;
+  const Settings& settings_;
+  StateClient& state_;
+  Cache& cache_;
+  uint64_t incarnation_;
+  Signal& changed_;
+  double ttl_s_;
+  uint64_t lease_ = 0;
+  bool leading_ = false;
+};
+
+}  // namespace damsonport
--- /dev/null
+++ b/src/coordination/fleet.cpp
@@ -0,0 +1,55 @@
+#include "coordination/fleet.hpp"
+
+namespace damsonport {
+
+void ImageCache::used(const std::string& image, double gb, double now, double cache_gb) {
+  auto& entry = images_[image];
+  entry = {std::max(entry.first, now), gb};
+  for (;;) {
+    double sum = 0;
+    auto oldest = images_.begin();
+    for (auto it = images_.begin(); it != images_.end(); ++it) {
+      sum += it->second.second;
+      if (it->second.first < oldest->second.first) oldest = it;
+    }
+    if (sum <= cache_gb || images_.size() <= 1 || oldest->first == image) return;
+    images_.erase(oldest);
+  }
+}
+
+bool take_report(Machine& m, const Report& r, double now, bool direct) {
+  // Late copies, from seconds to more than a lease, prove nothing.
+  if (!r.newer_than(m.session, m.seq)) return false;
+  if (r.session != m.session) {
+    // Everything of the older session is gone and none of its orders can arrive any more.
+    if (m.session != 0) ++m.lost_sessions;
+    m.in_flight.clear();
+    m.in_limbo.clear();
+    m.in_answer.clear();
+    m.outbox.clear();
+  }
+  m.session = r.session;
+  m.seq = r.seq;
+  m.token = std::max(m.token, r.token);
+  m.address = r.address;
+  m.type = r.type;
+  m.zone = r.zone;
+  m.spot = r.spot;
+  (direct ? m.last_direct : m.last_heard) = now;
+  if (m.first_heard == 0) m.first_heard = now;
+  if (r.notice_s) {
+    m.notice_at = now + *r.notice_s;
+  } else {
+    m.notice_at.reset();
+  }
+  m.tasks.clear();
+  for (auto& t : r.tasks) {
+    auto [it, fresh] = m.tasks.emplace(t.task, t);
+    // The same task may stand there twice: an exited attempt and a later one.
+    if (!fresh && (it->second.state == TaskState::exited || it->second.attempt < t.attempt))
+      it->second = t;
+  }
+  return true;
+}
+
+}  // namespace damsonport
--- /dev/null
+++ b/src/coordination/fleet.hpp
@@ -0,0 +1,75 @@
+// What a holder knows of its machines: hints from reports, lost with the process.
+#pragma once
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "protocol/messages.hpp"
+
+namespace damsonport {
+
+using AttemptKey = std::pair<TaskName, uint64_t>;
+
+// Images on a machine, by the order of use, as the workers are said to keep them.
+class ImageCache {
+ public:
+  void used(const std::string& image, double gb, double now, double cache_gb);
+  bool holds(const std::string& image) const { return images_.contains(image); }
+  const std::map<std::string, std::pair<double, double>>& images() const { return images_; }
+  void clear() { images_.clear(); }
+
+ private:
+  std::map<std::string, std::pair<double, double>> images_;  // -> (last use, GB)
+};
+
+// The paper's Algorithm 1 for one machine.
+struct StragglerAverage {
+  double average = 1.0;
+  int updates = 0;
+  bool flagged = false;
+};
+
+struct Machine {
+  std::string id, address, type, zone;
+  bool spot = false;
+  // Newest message taken from the worker.
+  uint64_t session = 0, seq = 0, token = 0;
+  double first_heard = 0;
+  double last_heard = 0;   // the last report
+  double last_direct = 0;  // the last answer to a direct message, which renews no lease
+  double listed_age = 0;
+  std::optional<double> notice_at;  // steady time when the cloud takes it
+  std::map<TaskName, TaskReport> tasks;
+
+  // Start orders that may yet reach the worker in this session under our term.
+  std::set<AttemptKey> in_flight;   // in a direct message that is not answered yet
+  std::set<AttemptKey> in_limbo;    // in a direct message that never was: it may come any time
+  std::set<AttemptKey> in_answer;   // in the answer to the last report
+  std::vector<Command> outbox;
+  bool sending = false;
+  int failed_sends = 0;
+  double next_send = 0;
+
+  ImageCache images;
+  std::map<std::string, double> fetching;  // image -> since
+  StragglerAverage straggler;
+  std::set<std::string> failed_jobs;  // jobs whose tasks ended in error here
+  int errors_in_row = 0;
+  bool draining = false;   // takes no new tasks
+  std::string drain_why;
+  bool replacement_asked = false;
+  int lost_sessions = 0;
+  double idle_since = 0;
+
+  bool start_outstanding(const AttemptKey& key) const {
+    return in_flight.contains(key) || in_limbo.contains(key) || in_answer.contains(key);
+  }
+};
+
+// Takes a worker's message if it is newer than what is known. False: an old copy, to be ignored.
+// `direct`: it came as the answer to a message of ours.
+bool take_report(Machine& m, const Report& r, double now, bool direct);
+
+}  // namespace damsonport
--- /dev/null
+++ b/src/coordination/holder.cpp
@@ -0,0 +1,223 @@
+#include "coordination/holder.hpp"
+
+#include <spdlog/spdlog.h>
+
+namespace damsonport {
+
+namespace {
+constexpr double clock_drift = 0.0005;  // steady clocks of different machines drift by this much
+}
+
+Holder::Holder(Parts parts)
+    : p_(parts),
+      loop_(parts.loop),
+      settings_(parts.settings),
+      tuning_(parts.settings.tuning),
+      cache_(parts.cache) {}
+
+const Grant* Holder::own_grant() const {
+  for (auto& g : cache_.blocks().grants)
+    if (g.node == settings_.node_name && g.incarnation == p_.incarnation) return &g;
+  return nullptr;
+}
+
+bool Holder::holding() const { return term_ != 0 && own_grant() != nullptr; }
+
+bool Holder::records_current() const {
+  return cache_.loaded() && cache_.revision() >= grant_version_;
+}
+
+// Past the grant's end reports are answered only in an outage that the others see too: then nobody
+// can have taken over, and running tasks are worth keeping. It is safe in any case, since silence
+// never counts as proof that a task is gone; a machine is returned first.
+bool Holder::may_answer() const {
+  if (!holding()) return false;
+  double now = loop_.now();
+  double contact_age = now - p_.state.last_contact();
+  if (contact_age < settings_.lease_s / 4) return now < grant_until_ || cache_.loaded();
+  // Alone without the state service: the workers are better off with whoever still has it.
+  if (p_.mesh.peer_has_state(settings_.lease_s / 4)) return false;
+  return p_.mesh.peer_lacks_state(settings_.lease_s / 4) || now < grant_until_;
+}
+
+void Holder::took_over() {
+  auto* g = own_grant();
+  term_ = g->term;
+  grant_version_ = cache_.blocks_version();
+  took_over_at_ = quiet_base_ = last_tick_ = loop_.now();
+  machines_.clear();
+  attempts_.clear();
+  exits_.clear();
+  stopping_.clear();
+  cancelled_at_.clear();
+  to_return_.clear();
+  returned_.clear();
+  returning_.clear();
+  booting_.clear();
+  hints_.clear();
+  place_again_ = true;
+  next_list_ = 0;
+  next_sizing_ = took_over_at_ + 2 * settings_.report_s;
+  for (auto& [id, assigned] : cache_.assignments()) machine(id);
+  // Marked by an earlier holder, who may not have got round to it.
+  for (auto& [id, version] : cache_.leaving_marks()) to_return_[id] = "marked by an earlier holder";
+  for (auto& [id, job] : cache_.jobs())
+    if (job->cancelled) cancelled_at_[id] = loop_.now();
+  spdlog::info("holding the grant with term {}: {} machines named in records, {} jobs", term_,
+               machines_.size(), cache_.jobs().size());
+}
+
+// One value says who holds what. While it names another the leader replaces it; while it names us
+// we renew it. The term is the revision of the value that was replaced when the holder changed:
+// unique and growing, because no revision occurs twice.
+Task<bool> Holder::keep_grant(std::stop_token token) {
+  const double now = loop_.now();
+  const Grant* own = own_grant();
+  if (own && term_ != own->term) took_over();
+  if (!own && term_ != 0) {
+    spdlog::info("the grant with term {} has gone to another holder", term_);
+    term_ = 0;
+  }
+  if (!p_.election.leading()) co_return term_ != 0;
+  if (own && now < next_renewal_) co_return true;
+
+  Txn txn;
+  uint64_t replaced = cache_.blocks_version();
+  Blocks next = cache_.blocks();
+  if (!own) {
+    Grant g;
+    g.node = settings_.node_name;
+    g.incarnation = p_.incarnation;
+    // The very first value replaces nothing; the leader's key is older than any later revision.
+    g.term = replaced ? replaced : cache_.leader_version();
+    g.rest = true;
+    next.grants = {g};
+  }
+  ++next.renewals;
+  txn.conditions[keys::blocks] = replaced;
+  txn.conditions[keys::leader] = cache_.leader_version();
+  txn.writes.push_back({keys::blocks, encode_blocks(next), 0});
+  auto writes = txn.writes;
+  const double asked = loop_.now();
+  auto reply = co_await p_.state.commit(std::move(txn), Importance::lease);
+  if (reply.outcome == Outcome::committed) {
+    cache_.apply_writes(writes, reply.revision);
+    // Counted from before the request, on a clock that may run fast.
+    grant_until_ = asked + tuning_.grant_s * (1 - clock_drift);
+    // Early and often: an outage must fit into what is left of the grant.
+    next_renewal_ = asked + tuning_.grant_s / 6;
+    if (!own) took_over();
+    co_return true;
+  }
+  if (reply.outcome == Outcome::conflict || reply.outcome == Outcome::unknown) {
+    for (auto& key : {keys::blocks, keys::leader}) {
+      auto read = co_await p_.state.read(key, Importance::lease);
+      if (read.ok && read.found) cache_.apply(read.item);
+    }
+  }
+  next_renewal_ = loop_.now() + 0.2;
+  if (token.stop_requested()) co_return false;
+  co_return holding();
+}
+
+void Holder::job_changed(Job* job) {
+  if (term_ != 0) {
+    place_again_ = true;
+    if (job && job->cancelled && !cancelled_at_.contains(job->spec.id)) {
+      cancelled_at_[job->spec.id] = loop_.now();
+      for (auto& [n, chunk] : job->chunks)
+        for (auto& t : chunk.record.live) {
+          auto it = machines_.find(t.machine);
+          if (it == machines_.end()) continue;
+          TaskName name{job->spec.id, n * job->chunk_size + t.index};
+          if (it->second.tasks.contains(name))
+            order(it->second, {Command::Op::stop, name, t.attempt, 0});
+        }
+    }
+  }
+  p_.changed.notify();
+}
+
+void Holder::job_gone(Job* job) {
+  hints_.erase(job->spec.id);
+  cancelled_at_.erase(job->spec.id);
+  TaskName first{job->spec.id, 0};
+  for (auto it = attempts_.lower_bound(first);
+       it != attempts_.end() && it->first.job == job->spec.id;)
+    it = attempts_.erase(it);
+}
+
+Task<void> Holder::run(std::stop_token token) {
+  while (!token.stop_requested()) {
+    if (!cache_.loaded()) {
+      if (!co_await Sleep(loop_, 0.1, token)) co_return;
+      continue;
+    }
+    bool busy = false;
+    if (co_await keep_grant(token)) {
+      busy = co_await commit_exits(token);
+      if (holding()) busy = co_await commit_finals(token) || busy;
+      if (holding()) busy = co_await commit_starts(token) || busy;
+    }
+    if (busy) continue;
+    double pause = std::min(0.25, settings_.report_s / 6);
+    co_await p_.changed.wait(pause, token);
+    // Events that come close together are decided together.
+    if (!co_await Sleep(loop_, 0.01, token)) co_return;
+  }
+}
+
+Task<void> Holder::tend(std::stop_token token) {
+  const double tick = settings_.report_s / 4;
+  while (!token.stop_requested()) {
+    if (!co_await Sleep(loop_, tick, token)) co_return;
+    if (!holding()) continue;
+    double now = loop_.now();
+    // A process that was held up, or that the state service left, heard nobody; that is no
+    // machine's fault.
+    if (now - last_tick_ > 3 * tick) quiet_base_ = now;
+    last_tick_ = now;
+    if (!records_current() || !p_.catalog.known()) continue;
+    watch_silence();
+    watch_cancelled();
+    watch_drains();
+    if (p_.election.leading()) {
+      if (now >= next_list_) {
+        next_list_ = now + settings_.list_lag_s / 2;
+        co_await read_list(token);
+      }
+      co_await return_machines(token);
+      if (holding() && loop_.now() >= next_sizing_) {
+        next_sizing_ = loop_.now() + settings_.report_s / 2;
+        co_await rent(token);
+      }
+    }
+    p_.changed.notify();
+  }
+}
+
+HttpResponse Holder::on_report(const Report& r) {
+  if (!holding()) {
+    // The node named by the records, unless it is dead or ourselves in an earlier life.
+    for (auto& g : cache_.blocks().grants)
+      if (g.rest && g.node != settings_.node_name && p_.mesh.alive(g.node))
+        return {421, encode_report_to(g.node), 0};
+    return {421, encode_report_to({}), 0};
+  }
+  // A newer holder exists: a 200 would only hold the worker here while its lease runs out.
+  if (r.token > term_) return {421, encode_report_to({}), 0};
+  if (!may_answer()) return {503, {}, 0};
+  std::vector<Command> commands;
+  Machine& m = machine(r.machine);
+  if (r.newer_than(m.session, m.seq)) {
+    // One report is in flight at a time, so the answer to the one before was taken or dropped.
+    m.in_answer.clear();
+    digest(m, r, false, commands);
+    std::erase_if(commands, [&](const Command& c) { return !still_wanted(m, c); });
+    for (auto& c : commands)
+      if (c.op == Command::Op::start) m.in_answer.insert({c.task, c.attempt});
+  }
+  return {200, encode_report_answer(term_, commands), 0};
+}
+
+}  // namespace damsonport
--- /dev/null
+++ b/src/coordination/holder.hpp
@@ -0,0 +1,157 @@
+// The holder of a grant: sole placer for its teams and sole answerer of its machines' reports.
+#pragma once
+#include <map>
+#include <set>
+#include <string>
+#include <unordered_map>
+
+#include "coordination/catalog.hpp"
+#include "coordination/election.hpp"
+#include "coordination/fleet.hpp"
+#include "coordination/mesh.hpp"
+#include "coordination/placement.hpp"
+#include "coordination/reconcile.hpp"
+#include "coordination/sizing.hpp"
+#include "coordination/straggler.hpp"
+
+namespace damsonport {
+
+class Holder {
+ public:
+  struct Parts {
+    Loop& loop;
+    const Settings& settings;
+    StateClient& state;
+    Cache& cache;
+    HttpClient& http;
+    Catalog& catalog;
+    Mesh& mesh;
+    Election& election;
+    Signal& changed;
+    uint64_t incarnation;
+  };
+  explicit Holder(Parts parts);
+
+  // Grants, commits, placement.
+  Task<void> run(std::stop_token token);
+  // Silence, drains, returns, rentals and the machine list.
+  Task<void> tend(std::stop_token token);
+
+  HttpResponse on_report(const Report& r);
+  bool holding() const;
+  uint64_t waiting_tasks() const { return waiting_tasks_; }
+  void job_changed(Job* job);
+  void job_gone(Job* job);
+
+ private:
+  struct Attempt {
+    double ordered_at = 0;
+    double running_at = 0;  // first seen running
+    bool image_cached = false;
+  };
+  struct PendingExit {
+    uint64_t attempt;
+    ExitCause cause;
+    std::string machine;
+  };
+  struct JobHints {
+    double backoff_until = 0;
+    int errors = 0;
+    std::set<std::string> error_machines;
+    RunTimes run_times;
+    double waiting_since = 0;
+  };
+  struct Stopping {
+    uint64_t attempt;
+    double grace_s;
+  };
+
+  // --- grants (holder.cpp)
+  const Grant* own_grant() const;
+  Task<bool> keep_grant(std::stop_token token);
+  void took_over();
+  bool may_answer() const;
+
+  // --- committing (holder_commit.cpp)
+  Task<bool> commit_exits(std::stop_token token);
+  Task<bool> commit_finals(std::stop_token token);
+  Task<bool> commit_starts(std::stop_token token);
+  Task<bool> settle(Txn txn, std::stop_token token);
+  Task<void> reread(std::vector<std::string> failed);
+  placing::Input placement_input(std::vector<std::string>& machine_ids,
+                                 std::vector<std::pair<std::string, uint32_t>>& live_names);
+  bool records_current() const;
+
+  // --- machines (holder_machines.cpp)
+  Machine& machine(const std::string& id);
+  void digest(Machine& m, const Report& r, bool direct, std::vector<Command>& commands);
+  std::vector<Expected> expected_on(const Machine& m) const;
+  void note_states(Machine& m);
+  void finish_exit(const PendingExit& exit, const TaskName& task);
+  void note_error(Machine& m, const JobSpec& spec);
+  void order(Machine& m, Command command);
+  void flush(const std::string& id);
+  Task<void> send(std::string id);
+  bool still_wanted(const Machine& m, const Command& c) const;
+  bool open_for_work(const Machine& m) const;
+  double silence(const Machine& m) const;
+  placing::Amounts total_of(const Machine& m) const;
+  placing::Amounts free_of(const Machine& m) const;
+  Task<void> probe(std::string id);
+
+  // --- cloud (holder_cloud.cpp)
+  Task<void> read_list(std::stop_token token);
+  void watch_silence();
+  void watch_cancelled();
+  void watch_drains();
+  Task<void> return_machines(std::stop_token token);
+  Task<void> rent(std::stop_token token);
+  Task<void> do_rental(RentalRequest request, std::stop_token token);
+  sizing::Input sizing_input() const;
+  void drain(Machine& m, const std::string& why, bool replace);
+  void want_return(const std::string& id, const std::string& why);
+
+  Parts p_;
+  Loop& loop_;
+  const Settings& settings_;
+  const Tuning& tuning_;
+  Cache& cache_;
+
+  // Of the present grant; cleared when it is taken over.
+  uint64_t term_ = 0;
+  uint64_t grant_version_ = 0;  // records must be complete up to here before anything is placed
+  double grant_until_ = 0;
+  double next_renewal_ = 0;
+  double took_over_at_ = 0;
+  double quiet_base_ = 0;  // silence is counted from here at the earliest
+  double last_tick_ = 0;
+
+  std::map<std::string, Machine> machines_;
+  std::unordered_map<std::string, JobHints> hints_;
+  std::map<TaskName, std::map<uint64_t, Attempt>> attempts_;
+  std::map<TaskName, PendingExit> exits_;
+  std::map<TaskName, Stopping> stopping_;
+  std::map<std::string, double> cancelled_at_;
+  std::map<std::string, std::string> to_return_;  // machine -> why
+  std::set<std::string> returned_;                // the cloud has confirmed it
+  std::set<std::string> returning_;
+  struct Refusal {
+    double until = 0, pause = 0;
+  };
+  std::map<std::string, Refusal> refusals_;
+  struct Booting {
+    std::string type, zone;
+    bool spot = false;
+    double since = 0;
+  };
+  std::map<std::string, Booting> booting_;
+  std::set<std::string> renting_;
+  placing::Decisions last_decisions_;
+  std::vector<sizing::Demand> unplaced_;
+  uint64_t waiting_tasks_ = 0;
+  double next_list_ = 0, next_sizing_ = 0;
+  bool place_again_ = true;
+  double next_place_ = 0;
+};
+
+}  // namespace damsonport
--- /dev/null
+++ b/src/coordination/holder_cloud.cpp
@@ -0,0 +1,342 @@
+// The holder's dealings with the cloud: what is there, what is lost, rented and given back.
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+#include "coordination/holder.hpp"
+
+namespace damsonport {
+
+namespace {
+constexpr size_t max_returned_at_once = 100;
+constexpr double slow_boot = 1.6;   // times boot_s: the room is no longer counted on
+constexpr double never_boots = 4.0; // times boot_s: returned
+// With more than this share of the fleet silent at once the fault is rather in between.
+constexpr double mass_share = 0.35;
+
+std::string kind_key(const std::string& type, const std::string& zone, bool spot) {
+  return type + "/" + zone + (spot ? "/spot" : "/ordinary");
+}
+}  // namespace
+
+Task<void> Holder::read_list(std::stop_token token) {
+  std::string after;
+  const double now = loop_.now();
+  while (!token.stop_requested()) {
+    std::string target = "/hosts?limit=500";
+    if (!after.empty()) target += "&since=" + after;
+    auto reply = co_await p_.http.request(settings_.cloud, Method::get, target, {}, 3.0);
+    if (!holding() || reply.status != 200) co_return;
+    auto list = decode_machine_list(decode_map(reply.body));
+    if (!list) co_return;
+    for (auto& l : list->machines) {
+      after = l.id;
+      if (cache_.leaving(l.id)) {
+        // The list lags, so a machine that is gone may still stand in it; asking twice is harmless.
+        if (!returned_.contains(l.id)) to_return_.try_emplace(l.id, "listed though marked");
+        continue;
+      }
+      auto* type = p_.catalog.type(l.type);
+      double boot = type ? type->boot_s : 60;
+      if (l.state == "failed") {
+        want_return(l.id, "it failed");
+      } else if (l.state == "starting") {
+        auto [b, fresh] = booting_.try_emplace(l.id, Booting{l.type, l.zone, l.spot, now - l.age_s});
+        // Older than it can be: up and not yet listed as such, or never coming.
+        if (machines_.contains(l.id) && machines_.at(l.id).session != 0) {
+          booting_.erase(b);
+        } else if (now - b->second.since > boot * never_boots) {
+          want_return(l.id, "it does not boot");
+        }
+      } else if (l.state == "running") {
+        Machine& m = machine(l.id);
+        if (m.session == 0) {
+          m.address = l.address;
+          m.type = l.type;
+          m.zone = l.zone;
+          m.spot = l.spot;
+        }
+        m.listed_age = l.age_s;
+      }
+    }
+    if (!list->more || list->machines.empty()) co_return;
+  }
+}
+
+void Holder::drain(Machine& m, const std::string& why, bool replace) {
+  if (m.draining) return;
+  m.drain_why = why;
+  m.replacement_asked = replace;
+  if (why == "straggler") {
+    // As the paper does it: the replacement first. Until it is up the machine keeps working.
+    m.draining = false;
+    return;
+  }
+  m.draining = true;
+  place_again_ = true;
+}
+
+// Marked in the state service before the return is asked for, and never used again: a return may
+// be carried out late.
+void Holder::want_return(const std::string& id, const std::string& why) {
+  if (returned_.contains(id) || !to_return_.try_emplace(id, why).second) return;
+  spdlog::info("returning {}: {}", id, why);
+}
+
+void Holder::watch_silence() {
+  const double report = settings_.report_s;
+  const double give_up = std::max(tuning_.return_reports * report,
+                                  tuning_.return_lease_share * settings_.lease_s);
+  size_t known = 0, silent = 0;
+  for (auto& [id, m] : machines_) {
+    if (cache_.leaving(id)) continue;
+    ++known;
+    silent += silence(m) > tuning_.doubt_reports * report;
+  }
+  const bool mass = silent >= 4 && static_cast<double>(silent) > mass_share * static_cast<double>(known);
+  for (auto& [id, m] : machines_) {
+    if (cache_.leaving(id) || to_return_.contains(id)) continue;
+    double quiet = silence(m);
+    if (quiet < tuning_.doubt_reports * report) continue;
+    place_again_ = true;
+    loop_.spawn("probe", probe(id));
+    double direct = loop_.now() - std::max(m.last_direct, quiet_base_);
+    // In a mass silence nothing is given up before it has lost its tasks anyway.
+    double limit = mass ? 3 * settings_.lease_s : give_up;
+    // Never heard at all: it may be booting, or only known from an old record.
+    if (m.session == 0) limit += report * 2;
+    if (quiet > limit && direct > give_up)
+      want_return(id, "silent for " + std::to_string(static_cast<int>(quiet)) + " s");
+  }
+}
+
+// A cancelled task that a machine does not let go in time goes with the machine.
+void Holder::watch_cancelled() {
+  const double limit = settings_.cancel_s * tuning_.cancel_return_share;
+  for (auto& [id, at] : cancelled_at_) {
+    if (loop_.now() - at < limit) continue;
+    Job* job = cache_.job(id);
+    if (!job) continue;
+    for (auto& [n, chunk] : job->chunks)
+      for (auto& t : chunk.record.live) want_return(t.machine, "it keeps a task of cancelled " + id);
+  }
+}
+
+void Holder::watch_drains() {
+  const double now = loop_.now();
+  for (auto& [id, m] : machines_) {
+    if (cache_.leaving(id) || to_return_.contains(id)) continue;
+    if (m.notice_at) {
+      // What can save is stopped in time to do it.
+      for (auto& [a, attempt] : cache_.assigned(id)) {
+        auto& s = a.job->spec;
+        TaskName name{s.id, a.index};
+        double left = *m.notice_at - now;
+        double grace = s.save_s * 1.2 + settings_.report_s / 10;
+        if (stopping_.contains(name)) continue;
+        bool saves = s.checkpoint_s > 0;
+        if (saves ? left < grace + 2 * settings_.report_s : left < settings_.report_s / 2) {
+          stopping_[name] = {attempt, saves ? grace : 0};
+          if (m.tasks.contains(name)) order(m, {Command::Op::stop, name, attempt, saves ? grace : 0});
+        }
+      }
+    }
+    if (m.drain_why == "straggler" && !m.draining && m.replacement_asked) {
+      // The replacement has come when some machine of its type has begun after the flag.
+      m.replacement_asked = false;
+      m.draining = true;
+    }
+    if (m.draining && cache_.assigned(id).empty() && m.tasks.empty() && m.session != 0)
+      want_return(id, "empty and drained (" + m.drain_why + ")");
+    // Its answers don't reach it: sessions end though we answer every report.
+    if (m.failed_sends >= 3 && m.lost_sessions >= 1)
+      want_return(id, "it can't be answered");
+  }
+}
+
+Task<void> Holder::return_machines(std::stop_token token) {
+  std::vector<std::string> mark, ask;
+  for (auto& [id, why] : to_return_) {
+    if (returning_.contains(id)) continue;
+    if (cache_.leaving(id)) {
+      if (ask.size() < max_returned_at_once) ask.push_back(id);
+    } else if (static_cast<int>(mark.size()) < settings_.txn_ops) {
+      mark.push_back(id);
+    }
+  }
+  if (!mark.empty()) {
+    Txn txn;
+    txn.conditions[keys::blocks] = cache_.blocks_version();
+    for (auto& id : mark) txn.writes.push_back({keys::machine(id), {{"leaving", true}}, 0});
+    auto writes = txn.writes;
+    auto reply = co_await p_.state.commit(std::move(txn), Importance::placing);
+    if (!holding()) co_return;
+    if (reply.outcome == Outcome::committed) {
+      cache_.apply_writes(writes, reply.revision);
+      for (auto& id : mark)
+        if (ask.size() < max_returned_at_once) ask.push_back(id);
+    }
+  }
+  if (ask.empty() || token.stop_requested()) co_return;
+  returning_.insert(ask.begin(), ask.end());
+  auto term = term_;
+  auto reply = co_await p_.http.request(settings_.cloud, Method::post, "/hosts/return",
+                                        encode_return(ask), 3.0);
+  if (term != term_) co_return;
+  for (auto& id : ask) returning_.erase(id);
+  if (reply.status != 200) co_return;
+  // Gone, with everything on them: the proof that lets their tasks start elsewhere.
+  for (auto& id : ask) {
+    to_return_.erase(id);
+    returned_.insert(id);
+    booting_.erase(id);
+    machines_.erase(id);
+    for (auto& [a, attempt] : cache_.assigned(id)) {
+      TaskName name{a.job->spec.id, a.index};
+      exits_[name] = {attempt, ExitCause::stopped, id};
+    }
+  }
+  spdlog::info("returned {} machine{}", ask.size(), ask.size() == 1 ? "" : "s");
+  p_.changed.notify();
+}
+
+sizing::Input Holder::sizing_input() const {
+  sizing::Input in;
+  const double now = loop_.now();
+  in.types = p_.catalog.types();
+  in.spare_share = tuning_.spare_share;
+  in.give_back_idle_s = 20 * settings_.lease_s;
+  in.demand = unplaced_;
+  for (auto& t : in.types)
+    for (auto& zone : t.zones)
+      for (bool spot : {false, true}) {
+        auto r = refusals_.find(kind_key(t.name, zone, spot));
+        bool refused = (r != refusals_.end() && r->second.until > now) ||
+                       renting_.contains(kind_key(t.name, zone, spot));
+        in.offers.push_back({t.name, zone, spot, refused});
+      }
+  for (auto& [id, m] : machines_) {
+    if (cache_.leaving(id) || to_return_.contains(id) || m.type.empty()) continue;
+    sizing::MachineState s;
+    s.id = id;
+    s.type = m.type;
+    s.zone = m.zone;
+    s.spot = m.spot;
+    s.open = open_for_work(m);
+    s.total = total_of(m);
+    s.free = free_of(m);
+    s.empty = cache_.assigned(id).empty() && m.tasks.empty();
+    s.idle_s = now - m.idle_since;
+    // Up but not heard yet counts as on its way.
+    s.booting = m.session == 0 && silence(m) < 4 * settings_.report_s;
+    in.machines.push_back(s);
+    for (auto& [a, attempt] : cache_.assigned(id)) {
+      auto& spec = a.job->spec;
+      auto& sum = spec.gpus > 0 ? in.gpu_work : in.cpu_work;
+      sum += {spec.cpus, spec.gpus, spec.memory_gb};
+      in.largest_gpus = std::max(in.largest_gpus, spec.gpus);
+    }
+  }
+  for (auto& [id, b] : booting_) {
+    if (machines_.contains(id) || to_return_.contains(id) || cache_.leaving(id)) continue;
+    auto* t = p_.catalog.type(b.type);
+    if (!t || now - b.since > t->boot_s * slow_boot) continue;
+    sizing::MachineState s;
+    s.id = id;
+    s.type = b.type;
+    s.zone = b.zone;
+    s.spot = b.spot;
+    s.booting = true;
+    s.total = s.free = {t->cpus, t->gpus, t->memory_gb};
+    in.machines.push_back(s);
+  }
+  return in;
+}
+
+Task<void> Holder::rent(std::stop_token token) {
+  // Requests that an earlier holder, or we, sent without getting an answer: the same request again
+  // rents nothing twice.
+  for (auto& [id, rental] : cache_.rentals())
+    if (!renting_.contains(kind_key(rental.request.type, rental.request.zone, rental.request.spot))) {
+      renting_.insert(kind_key(rental.request.type, rental.request.zone, rental.request.spot));
+      loop_.spawn("rental", do_rental(rental.request, token));
+    }
+  auto plan = sizing::plan(sizing_input());
+  for (auto& id : plan.give_back) want_return(id, "idle");
+  for (auto& r : plan.rent) {
+    auto key = kind_key(r.type, r.zone, r.spot);
+    if (renting_.contains(key)) continue;
+    renting_.insert(key);
+    // Unique over nodes and incarnations.
+    RentalRequest request{"r-" + std::to_string(p_.incarnation) + "-" +
+                              std::to_string(loop_.random64()),
+                          r.type, r.zone, r.spot, std::min(r.count, 50)};
+    loop_.spawn("rental", do_rental(std::move(request), token));
+  }
+  co_return;
+}
+
+Task<void> Holder::do_rental(RentalRequest request, std::stop_token token) {
+  const auto term = term_;
+  const auto key = kind_key(request.type, request.zone, request.spot);
+  // Committed before it is sent, so that what it rents is never lost sight of.
+  if (!cache_.rentals().contains(request.id)) {
+    Txn txn;
+    txn.conditions[keys::blocks] = cache_.blocks_version();
+    txn.conditions[keys::rental(request.id)] = 0;
+    txn.writes.push_back({keys::rental(request.id),
+                          {{"type", request.type},
+                           {"zone", request.zone},
+                           {"spot", request.spot},
+                           {"count", request.count}},
+                          0});
+    auto writes = txn.writes;
+    auto reply = co_await p_.state.commit(std::move(txn), Importance::placing);
+    if (reply.outcome != Outcome::committed) {
+      renting_.erase(key);
+      co_return;
+    }
+    cache_.apply_writes(writes, reply.revision);
+  }
+  HttpReply reply;
+  for (int tries = 0; term == term_ && !token.stop_requested(); ++tries) {
+    reply = co_await p_.http.request(settings_.cloud, Method::post, "/hosts",
+                                     encode_rental(request), 3.0);
+    if (reply.status == 200 || reply.status == 400) break;
+    if (reply.status == 503) {
+      auto m = decode_map(reply.body);
+      if (m.is_object() && m.value("error", std::string()) == "no capacity") break;
+    }
+    if (tries >= 5) break;
+    if (!co_await Sleep(loop_, loop_.uniform(0.3, 1.0) * (tries + 1), token)) co_return;
+  }
+  if (term != term_) co_return;
+  auto& refusal = refusals_[key];
+  size_t got = 0;
+  if (reply.status == 200) {
+    auto ids = decode_rented(decode_map(reply.body));
+    got = ids.size();
+    for (auto& id : ids)
+      if (!machines_.contains(id) && !cache_.leaving(id))
+        booting_.try_emplace(id, Booting{request.type, request.zone, request.spot, loop_.now()});
+    spdlog::info("rented {} of {} {} in {}{}", got, request.count, request.type, request.zone,
+                 request.spot ? " (spot)" : "");
+  }
+  if (static_cast<int>(got) < request.count) {
+    // Remembered, but never for good: capacity comes back.
+    double first = settings_.report_s * 2;
+    refusal.pause = refusal.pause > 0 ? std::min(refusal.pause * 2, first * 8) : first;
+    refusal.until = loop_.now() + refusal.pause * loop_.uniform(0.8, 1.2);
+    spdlog::debug("the cloud has no more {}", key);
+  } else {
+    refusal = {};
+  }
+  Txn txn;
+  txn.writes.push_back({keys::rental(request.id), Json(), 0});
+  auto writes = txn.writes;
+  auto removed = co_await p_.state.commit(std::move(txn), Importance::accepting);
+  if (removed.outcome == Outcome::committed) cache_.apply_writes(writes, removed.revision);
+  renting_.erase(key);
+}
+
+}  // namespace damsonport
--- /dev/null
+++ b/src/coordination/holder_machines.cpp
@@ -0,0 +1,267 @@
+// The holder's dealings with workers: reports, direct orders, what is learned from both.
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+#include "coordination/holder.hpp"
+
+namespace damsonport {
+
+Machine& Holder::machine(const std::string& id) {
+  auto [it, fresh] = machines_.try_emplace(id);
+  if (fresh) {
+    it->second.id = id;
+    it->second.last_heard = loop_.now();
+    it->second.idle_since = loop_.now();
+  }
+  return it->second;
+}
+
+placing::Amounts Holder::total_of(const Machine& m) const {
+  auto* t = p_.catalog.type(m.type);
+  return t ? placing::Amounts{t->cpus, t->gpus, t->memory_gb} : placing::Amounts{};
+}
+
+// Everything that is or may be there counts: what the records place, and whatever else is reported.
+placing::Amounts Holder::free_of(const Machine& m) const {
+  auto room = total_of(m);
+  auto take = [&](const JobSpec& s) { room -= {s.cpus, s.gpus, s.memory_gb}; };
+  auto& assigned = cache_.assigned(m.id);
+  for (auto& [a, attempt] : assigned) take(a.job->spec);
+  for (auto& [name, t] : m.tasks) {
+    if (t.state == TaskState::exited) continue;
+    Job* job = cache_.job(name.job);
+    if (!job) {
+      room.cpus = std::min(room.cpus, 0.0);  // its size is unknown: nothing more until it is gone
+      continue;
+    }
+    if (!assigned.contains({job, name.index})) take(job->spec);
+  }
+  return room;
+}
+
+double Holder::silence(const Machine& m) const {
+  return loop_.now() - std::max(m.last_heard, quiet_base_);
+}
+
+bool Holder::open_for_work(const Machine& m) const {
+  return m.session != 0 && !m.draining && !m.notice_at && !cache_.leaving(m.id) &&
+         !to_return_.contains(m.id) && m.failed_sends < 2 &&
+         silence(m) < tuning_.doubt_reports * settings_.report_s;
+}
+
+std::vector<Expected> Holder::expected_on(const Machine& m) const {
+  std::vector<Expected> out;
+  for (auto& [a, attempt] : cache_.assigned(m.id)) {
+    TaskName name{a.job->spec.id, a.index};
+    if (exits_.contains(name)) continue;  // proven gone, about to be committed
+    Expected e{name, attempt, a.job->cancelled, {}};
+    if (auto s = stopping_.find(name); s != stopping_.end() && s->second.attempt == attempt)
+      e.stop = s->second.grace_s;
+    out.push_back(std::move(e));
+  }
+  return out;
+}
+
+void Holder::digest(Machine& m, const Report& r, bool direct, std::vector<Command>& commands) {
+  const auto session_before = m.session;
+  if (!take_report(m, r, loop_.now(), direct)) return;
+  booting_.erase(m.id);
+  if (session_before != 0 && session_before != m.session)
+    spdlog::info("{} began session {}: what ran there is gone", m.id, m.session);
+  if (session_before == 0) place_again_ = true;
+  note_states(m);
+  auto todo = reconcile(m, expected_on(m), term_, records_current());
+  for (auto& e : todo.exits) {
+    if (exits_.contains(e.task)) continue;
+    spdlog::debug("{} attempt {} ended on {}: cause {}", e.task.text(), e.attempt, m.id,
+                  static_cast<int>(e.cause));
+    exits_[e.task] = {e.attempt, e.cause, m.id};
+    p_.changed.notify();
+  }
+  // An exit that waits for its commit is not forgotten yet, and its start not repeated.
+  std::erase_if(todo.commands, [&](const Command& c) {
+    auto it = exits_.find(c.task);
+    return it != exits_.end() && it->second.attempt == c.attempt;
+  });
+  commands = std::move(todo.commands);
+}
+
+// Which images the machine holds and fetches, and since when tasks run.
+void Holder::note_states(Machine& m) {
+  const double now = loop_.now();
+  auto* type = p_.catalog.type(m.type);
+  auto fetching = std::move(m.fetching);
+  m.fetching.clear();
+  for (auto& [name, t] : m.tasks) {
+    Job* job = cache_.job(name.job);
+    if (!job) continue;
+    auto& s = job->spec;
+    if (t.state == TaskState::fetching) {
+      auto was = fetching.find(s.image);
+      m.fetching[s.image] = was == fetching.end() ? now : was->second;
+      continue;
+    }
+    bool had_it = t.state != TaskState::exited || t.cause == ExitCause::done;
+    if (had_it && type) m.images.used(s.image, s.image_gb, now, type->cache_gb);
+    if (t.state == TaskState::running)
+      if (auto a = attempts_.find(name); a != attempts_.end())
+        if (auto i = a->second.find(t.attempt); i != a->second.end() && !i->second.running_at)
+          i->second.running_at = now;
+  }
+  if (!m.tasks.empty()) m.idle_since = now;
+}
+
+// After the exit is in the records: what it teaches about the machine and the job.
+void Holder::finish_exit(const PendingExit& exit, const TaskName& task) {
+  const double now = loop_.now();
+  stopping_.erase(task);
+  Attempt seen;
+  if (auto a = attempts_.find(task); a != attempts_.end()) {
+    if (auto i = a->second.find(exit.attempt); i != a->second.end()) seen = i->second;
+    attempts_.erase(a);
+  }
+  Job* job = cache_.job(task.job);
+  auto it = machines_.find(exit.machine);
+  if (!job || it == machines_.end()) return;
+  Machine& m = it->second;
+  // The worker can drop it from its reports now; a later report repeats this if it is lost.
+  if (auto t = m.tasks.find(task); t != m.tasks.end() && t->second.attempt == exit.attempt &&
+                                   t->second.state == TaskState::exited &&
+                                   !m.start_outstanding({task, exit.attempt}))
+    order(m, {Command::Op::forget, task, exit.attempt, 0});
+  auto& hints = hints_[task.job];
+  switch (exit.cause) {
+    case ExitCause::done: {
+      m.errors_in_row = 0;
+      if (!seen.image_cached || seen.ordered_at == 0) break;
+      double run = std::max(now - seen.ordered_at, settings_.report_s);
+      auto fraction = hints.run_times.add(run, tuning_.straggler_min_successes);
+      if (fraction && fold(m.straggler, *fraction, tuning_)) {
+        spdlog::warn("{} is a straggler: its average is {:.2f} of its jobs' medians", m.id,
+                     m.straggler.average);
+        drain(m, "straggler", true);
+      }
+      break;
+    }
+    case ExitCause::error: note_error(m, job->spec); break;
+    case ExitCause::no_room:
+    case ExitCause::busy:
+    case ExitCause::unknown:
+      spdlog::info("{} was refused by {}", task.text(), m.id);
+      hints.backoff_until = now + settings_.report_s / 2;
+      break;
+    default: break;
+  }
+}
+
+// A machine on which different jobs fail is sick; a job that fails on several machines is itself at
+// fault, and blames none of them.
+void Holder::note_error(Machine& m, const JobSpec& spec) {
+  auto& hints = hints_[spec.id];
+  hints.error_machines.insert(m.id);
+  ++hints.errors;
+  const bool job_at_fault = hints.error_machines.size() >= 3;
+  if (job_at_fault)
+    hints.backoff_until =
+        loop_.now() + std::min(settings_.report_s * (1 << std::min(hints.errors, 6)), settings_.lease_s * 2);
+  spdlog::info("a task of {} failed on {}{}", spec.id, m.id,
+               job_at_fault ? "; it fails everywhere" : "");
+  if (job_at_fault) return;
+  m.failed_jobs.insert(spec.id);
+  ++m.errors_in_row;
+  if (m.failed_jobs.size() >= 2 && m.errors_in_row >= 2 && !m.draining) {
+    spdlog::warn("{} fails the tasks of different jobs: it takes no more", m.id);
+    drain(m, "sick", true);
+  }
+}
+
+void Holder::order(Machine& m, Command command) {
+  m.outbox.push_back(std::move(command));
+  flush(m.id);
+}
+
+void Holder::flush(const std::string& id) {
+  auto& m = machines_.at(id);
+  if (m.sending || m.session == 0 || m.outbox.empty()) return;
+  m.sending = true;
+  loop_.spawn("orders", send(id));
+}
+
+// Asked again right before an order goes out: the records may have moved on since it was made.
+bool Holder::still_wanted(const Machine& m, const Command& c) const {
+  if (c.op != Command::Op::start) return true;
+  Job* job = cache_.job(c.task.job);
+  if (!job || exits_.contains(c.task)) return false;
+  auto& assigned = cache_.assigned(m.id);
+  auto it = assigned.find({job, c.task.index});
+  return it != assigned.end() && it->second == c.attempt;
+}
+
+Task<void> Holder::send(std::string id) {
+  // Lets the other orders of this turn join the message.
+  co_await Sleep(loop_, 0, {});
+  for (;;) {
+    auto it = machines_.find(id);
+    if (it == machines_.end()) co_return;
+    Machine& m = it->second;
+    auto commands = std::exchange(m.outbox, {});
+    std::erase_if(commands, [&](const Command& c) { return !still_wanted(m, c); });
+    if (commands.empty() || !holding()) {
+      m.sending = false;
+      co_return;
+    }
+    std::set<AttemptKey> starts;
+    for (auto& c : commands)
+      if (c.op == Command::Op::start) starts.insert({c.task, c.attempt});
+    m.in_flight.insert(starts.begin(), starts.end());
+    const auto session = m.session, term = term_;
+    Endpoint to;
+    HttpReply reply;
+    if (parse_endpoint(m.address, to))
+      reply = co_await p_.http.request(to, Method::post, "/commands",
+                                       encode_direct(term, session, commands),
+                                       std::max(1.0, settings_.report_s));
+    auto again = machines_.find(id);
+    if (again == machines_.end() || term != term_) co_return;
+    Machine& now = again->second;
+    if (now.session == session) {
+      for (auto& s : starts) {
+        now.in_flight.erase(s);
+        // Not answered: it may be carried out any time later in this session.
+        if (!reply.answered()) now.in_limbo.insert(s);
+      }
+    }
+    if (!reply.answered()) {
+      ++now.failed_sends;
+      now.sending = false;
+      now.outbox.clear();  // the next report makes what is still wanted anew
+      spdlog::debug("{} does not answer orders", id);
+      co_return;
+    }
+    now.failed_sends = 0;
+    if (auto report = decode_report(decode_map(reply.body)); report && report->machine == id) {
+      std::vector<Command> more;
+      digest(now, *report, true, more);
+      // A stop whose answer still shows the task saving, and the like, wait for the next report.
+      for (auto& c : more)
+        if (reply.status == 200 && c.op == Command::Op::forget) now.outbox.push_back(c);
+    }
+  }
+}
+
+Task<void> Holder::probe(std::string id) {
+  auto it = machines_.find(id);
+  Endpoint to;
+  if (it == machines_.end() || !parse_endpoint(it->second.address, to)) co_return;
+  auto term = term_;
+  auto reply = co_await p_.http.request(to, Method::get, "/show", {}, settings_.report_s);
+  it = machines_.find(id);
+  if (reply.status != 200 || it == machines_.end() || term != term_) co_return;
+  if (auto report = decode_report(decode_map(reply.body)); report && report->machine == id) {
+    std::vector<Command> more;
+    digest(it->second, *report, true, more);
+  }
+}
+
+}  // namespace damsonport
--- /dev/null
+++ b/src/coordination/mesh.cpp
@@ -0,0 +1,56 @@
+#include "coordination/mesh.hpp"
+
+#include <spdlog/spdlog.h>
+
+namespace damsonport {
+
+Mesh::Mesh(Loop& loop, const Settings& settings) : loop_(loop), period_(settings.report_s / 3) {
+  for (auto& p : settings.peers) {
+    links_.push_back(std::make_unique<StreamLink>(loop, p.mesh));
+    seen_[p.name];
+  }
+  listener_ = std::make_unique<StreamListener>(loop, settings.mesh_listen,
+                                               2 + 4 * settings.peers.size(),
+                                               [this](std::string_view b) { return take(b); });
+}
+
+long Mesh::take(std::string_view bytes) {
+  long used = 0;
+  for (;;) {
+    Beat beat;
+    size_t n = 0;
+    auto got = decode_beat(bytes.substr(static_cast<size_t>(used)), beat, n);
+    if (got == Framed::bad) return -1;
+    if (got == Framed::partial) return used;
+    used += static_cast<long>(n);
+    // Only the nodes named in the settings: nothing grows with what strangers send.
+    if (auto it = seen_.find(beat.node); it != seen_.end()) it->second = {beat, loop_.now()};
+  }
+}
+
+Task<void> Mesh::beat(std::function<Beat()> fill, std::stop_token token) {
+  while (!token.stop_requested()) {
+    auto bytes = encode_beat(fill());
+    for (auto& link : links_) link->send(bytes);
+    if (!co_await Sleep(loop_, period_ * loop_.uniform(0.9, 1.1), token)) co_return;
+  }
+}
+
+bool Mesh::alive(const std::string& node) const {
+  auto it = seen_.find(node);
+  return it != seen_.end() && loop_.now() - it->second.at < 3 * period_;
+}
+
+bool Mesh::peer_has_state(double max_age_s) const {
+  for (auto& [node, s] : seen_)
+    if (alive(node) && static_cast<double>(s.beat.state_age_ms) / 1000 < max_age_s) return true;
+  return false;
+}
+
+bool Mesh::peer_lacks_state(double max_age_s) const {
+  for (auto& [node, s] : seen_)
+    if (alive(node) && static_cast<double>(s.beat.state_age_ms) / 1000 >= max_age_s) return true;
+  return false;
+}
+
+}  // namespace damsonport
--- /dev/null
+++ b/src/coordination/mesh.hpp
@@ -0,0 +1,39 @@
+// What the other controllers say of themselves: hints for liveness and for telling a shared outage
+// of the state service from one's own.
+#pragma once
+#include <map>
+#include <memory>
+
+#include "protocol/settings.hpp"
+#include "protocol/varint.hpp"
+#include "transport/stream.hpp"
+
+namespace damsonport {
+
+class Mesh {
+ public:
+  Mesh(Loop& loop, const Settings& settings);
+  bool listening() const { return listener_ && listener_->listening(); }
+  // Sends beats until stopped; `fill` makes one.
+  Task<void> beat(std::function<Beat()> fill, std::stop_token token);
+  // Heard from within two beats.
+  bool alive(const std::string& node) const;
+  // Some live peer has contact with the state service / some live peer lacks it too.
+  bool peer_has_state(double max_age_s) const;
+  bool peer_lacks_state(double max_age_s) const;
+  double period() const { return period_; }
+
+ private:
+  struct Seen {
+    Beat beat;
+    double at = -1e9;
+  };
+  long take(std::string_view bytes);
+  Loop& loop_;
+  double period_;
+  std::map<std::string, Seen> seen_;
+  std::vector<std::unique_ptr<StreamLink>> links_;
+  std::unique_ptr<StreamListener> listener_;
+};
+
+}  // namespace damsonport
--- /dev/null
+++ b/src/coordination/node.cpp
@@ -0,0 +1,132 @@
+#include "coordination/node.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+namespace damsonport {
+
+namespace {
+constexpr size_t max_body = 64 * 1024;
+// Sockets kept free of users and workers, for state service, cloud, peers and direct orders.
+constexpr int kept_sockets = 150;
+constexpr double idle_connection_s = 45;
+
+constexpr std::string_view jobs_path = "/api/jobs";
+
+// Integers that JSON numbers of any reader can hold.
+uint64_t new_incarnation(Loop& loop) { return loop.random64() >> 12; }
+
+// The leader writes nearly everything; the others accept and confirm.
+double share_of(bool leading, int nodes) {
+  if (nodes <= 1) return 1;
+  constexpr double leader_share = 0.5;
+  return leading ? leader_share : (1 - leader_share) / (nodes - 1);
+}
+}  // namespace
+
+Node::Node(Loop& loop, const Settings& settings)
+    : loop_(loop),
+      settings_(settings),
+      incarnation_(new_incarnation(loop)),
+      http_(loop),
+      state_(loop, http_, settings.state, settings.state_rps, settings.state_write_rps),
+      changed_(loop),
+      // A tenth of the node's plain share of requests goes to watching.
+      cache_(loop, state_, 1.0 / std::max(settings.state_rps / settings.nodes * 0.2, 2.0)),
+      catalog_(loop, http_, settings),
+      mesh_(loop, settings),
+      election_(loop, settings, state_, cache_, incarnation_, changed_),
+      holder_({loop, settings, state_, cache_, http_, catalog_, mesh_, election_, changed_,
+               incarnation_}),
+      api_(loop, settings, state_, cache_, catalog_),
+      server_(loop, max_body,
+              static_cast<size_t>(std::max(settings.max_sockets - kept_sockets,
+                                           settings.max_sockets / 2)),
+              idle_connection_s, [this](HttpRequest r) { return route(std::move(r)); }) {
+  cache_.on_change = [this](Job* job) { holder_.job_changed(job); };
+  cache_.on_job_gone = [this](Job* job) { holder_.job_gone(job); };
+}
+
+bool Node::start() {
+  if (!server_.bind(settings_.listen)) {
+    spdlog::error("cannot listen on {}", settings_.listen.text());
+    return false;
+  }
+  if (!mesh_.listening()) {
+    spdlog::error("cannot listen on {} for the other controllers", settings_.mesh_listen.text());
+    return false;
+  }
+  spdlog::info("{} in {} serves on {}", settings_.node_name, settings_.zone, settings_.listen.text());
+  auto token = loop_.stop_token();
+  loop_.spawn("cache", cache_.follow(token));
+  loop_.spawn("catalogue", catalog_.follow(token));
+  loop_.spawn("mesh", mesh_.beat(
+                          [this] {
+                            double age = std::min(loop_.now() - state_.last_contact(), 1e6);
+                            return Beat{settings_.node_name, incarnation_,
+                                        static_cast<uint64_t>(age * 1000), holder_.waiting_tasks(),
+                                        cache_.loaded()};
+                          },
+                          token));
+  loop_.spawn("election", election_.run(token));
+  loop_.spawn("holder", holder_.run(token));
+  loop_.spawn("machines", holder_.tend(token));
+  loop_.spawn("accepting", api_.accept_duty(token));
+  loop_.spawn("confirming", api_.confirm_duty(token));
+  loop_.spawn("housekeeping", housekeeping(token));
+  return true;
+}
+
+Task<void> Node::housekeeping(std::stop_token token) {
+  while (co_await Sleep(loop_, settings_.report_s, token)) {
+    state_.limit().set_share(share_of(election_.leading(), settings_.nodes));
+    http_.trim(idle_connection_s);
+  }
+}
+
+// A node that has lost the state service alone should leave the rotation; in an outage that all
+// see, leaving would only make users find nobody, and coming back is made slower each time.
+HttpResponse Node::health() const {
+  if (!cache_.loaded() || !catalog_.known()) return {503, {}, 1};
+  const double limit = settings_.lease_s / 4;
+  bool contact = loop_.now() - state_.last_contact() < limit;
+  if (!contact && mesh_.peer_has_state(limit)) return {503, {}, 1};
+  return {200, {}, 0};
+}
+
+Task<HttpResponse> Node::route(HttpRequest r) {
+  const HttpResponse wrong_method{405, {}, 0};
+  std::string_view path = r.path;
+  if (path == "/hello") {
+    if (r.method != Method::post) co_return wrong_method;
+    auto report = decode_report(decode_map(r.body));
+    if (!report) co_return HttpResponse{400, encode({{"error", report.error()}}), 0};
+    co_return holder_.on_report(*report);
+  }
+  if (path == "/healthz") {
+    if (r.method != Method::get) co_return wrong_method;
+    co_return health();
+  }
+  if (path == jobs_path) {
+    if (r.method != Method::post) co_return wrong_method;
+    co_return co_await api_.submit(std::move(r.body));
+  }
+  if (path.starts_with(jobs_path) && path.size() > jobs_path.size() + 1 &&
+      path[jobs_path.size()] == '/') {
+    auto rest = path.substr(jobs_path.size() + 1);
+    auto slash = rest.find('/');
+    std::string id(rest.substr(0, slash));
+    if (slash == std::string_view::npos) {
+      if (r.method != Method::get) co_return wrong_method;
+      co_return co_await api_.poll(std::move(id));
+    }
+    if (rest.substr(slash) == "/cancel") {
+      if (r.method != Method::post) co_return wrong_method;
+      co_return co_await api_.cancel(std::move(id));
+    }
+  }
+  co_return HttpResponse{404, {}, 0};
+}
+
+}  // namespace damsonport
--- /dev/null
+++ b/src/coordination/node.hpp
@@ -0,0 +1,35 @@
+// One controller: its parts, its routes and its duties.
+#pragma once
+#include "coordination/holder.hpp"
+#include "coordination/user_api.hpp"
+
+namespace damsonport {
+
+class Node {
+ public:
+  Node(Loop& loop, const Settings& settings);
+  // False when an address can't be had.
+  bool start();
+  uint16_t port() const { return server_.port(); }
+
+ private:
+  Task<HttpResponse> route(HttpRequest request);
+  HttpResponse health() const;
+  Task<void> housekeeping(std::stop_token token);
+
+  Loop& loop_;
+  const Settings& settings_;
+  uint64_t incarnation_;
+  HttpClient http_;
+  StateClient state_;
+  Signal changed_;
+  Cache cache_;
+  Catalog catalog_;
+  Mesh mesh_;
+  Election election_;
+  Holder holder_;
+  UserApi api_;
+  HttpServer server_;
+};
+
+}  // namespace damsonport
--- /dev/null
+++ b/src/coordination/placement.cpp
@@ -0,0 +1,337 @@
+#include "coordination/placement.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+#include <map>
+#include <numeric>
+#include <unordered_map>
+
+namespace damsonport::placing {
+
+namespace {
+
+constexpr double never = std::numeric_limits<double>::infinity();
+
+bool contains(const std::vector<std::string>& list, const std::string& item) {
+  return std::find(list.begin(), list.end(), item) != list.end();
+}
+
+class Placer {
+ public:
+  explicit Placer(const Input& in) : in_(in), zone_count_(in.jobs.size()), stopped_(in.live.size()) {
+    for (size_t i = 0; i < in.teams.size(); ++i) team_index_[in.teams[i].name] = i;
+    for (auto& m : in.machines) {
+      free_.push_back(m.free);
+      future_.push_back(m.coming_free);
+      on_machine_.emplace_back();
+    }
+    for (auto& t : in.teams) used_.push_back(t.used);
+    for (size_t i = 0; i < in.live.size(); ++i) {
+      auto& l = in.live[i];
+      ++zone_count_[l.job][in.machines[l.machine].zone];
+      ++on_machine_[l.machine][l.job];
+      by_machine_[l.machine].push_back(i);
+    }
+    measure_shapes();
+    judge_guarantees();
+  }
+
+  Decisions run() {
+    std::vector<size_t> order;
+    for (size_t j = 0; j < in_.jobs.size(); ++j)
+      if (in_.jobs[j].waiting > 0 && !in_.jobs[j].cancelled) order.push_back(j);
+    std::sort(order.begin(), order.end(), [&](size_t a, size_t b) { return before(a, b); });
+    for (size_t j : order) place_job(j);
+    return std::move(out_);
+  }
+
+ private:
+  // The shapes that matter for keeping room whole: the most accelerators that one task asks for,
+  // and the CPUs that go with an accelerator.
+  void measure_shapes() {
+    for (auto& j : in_.jobs) {
+      if (j.need.gpus <= 0) continue;
+      large_gpus_ = std::max(large_gpus_, j.need.gpus);
+      cpus_per_gpu_ = std::max(cpus_per_gpu_, j.need.cpus / j.need.gpus);
+      memory_per_gpu_ = std::max(memory_per_gpu_, j.need.memory_gb / j.need.gpus);
+    }
+  }
+
+  // A job is within its team's guarantee when it fits into it with the team's earlier ones.
+  void judge_guarantees() {
+    guaranteed_.assign(in_.jobs.size(), false);
+    std::vector<size_t> order(in_.jobs.size());
+    std::iota(order.begin(), order.end(), 0);
+    std::sort(order.begin(), order.end(), [&](size_t a, size_t b) {
+      return in_.jobs[a].accepted_at < in_.jobs[b].accepted_at;
+    });
+    std::vector<Amounts> sum(in_.teams.size());
+    for (size_t j : order) {
+      auto& job = in_.jobs[j];
+      auto t = team_index_.find(job.team);
+      if (t == team_index_.end() || job.cancelled) continue;
+      auto& g = in_.teams[t->second].guaranteed;
+      auto& s = sum[t->second];
+      s.cpus += job.need.cpus * job.unfinished;
+      s.gpus += job.need.gpus * job.unfinished;
+      constexpr double eps = 1e-6;
+      guaranteed_[j] = (g.cpus > 0 || g.gpus > 0) && (g.cpus <= 0 || s.cpus <= g.cpus + eps) &&
+                       (g.gpus <= 0 || s.gpus <= g.gpus + eps);
+    }
+  }
+
+  int urgency(size_t j) const {
+    auto& job = in_.jobs[j];
+    // Services of the highest rank first, then what is guaranteed, then the rest; by priority.
+    return (job.priority >= 3 ? 200 : guaranteed_[j] ? 100 : 0) + job.priority * 10;
+  }
+
+  bool before(size_t a, size_t b) const {
+    int ua = urgency(a), ub = urgency(b);
+    if (ua != ub) return ua > ub;
+    auto &ja = in_.jobs[a], &jb = in_.jobs[b];
+    if (ja.accepted_at != jb.accepted_at) return ja.accepted_at < jb.accepted_at;
+    return ja.id < jb.id;
+  }
+
+  bool team_allows(size_t j) const {
+    auto& job = in_.jobs[j];
+    auto t = team_index_.find(job.team);
+    if (t == team_index_.end()) return false;
+    constexpr double eps = 1e-6;
+    auto& limit = in_.teams[t->second].limit;
+    auto& used = used_[t->second];
+    return (limit.cpus <= 0 || used.cpus + job.need.cpus <= limit.cpus + eps) &&
+           (limit.gpus <= 0 || used.gpus + job.need.gpus <= limit.gpus + eps);
+  }
+
+  bool zone_allows(size_t j, const std::string& zone) const {
+    auto& job = in_.jobs[j];
+    if (!job.zone.empty() && job.zone != zone) return false;
+    auto& count = zone_count_[j];
+    if (job.one_zone)
+      for (auto& [z, n] : count)
+        if (n > 0 && z != zone) return false;
+    if (job.spread) {
+      auto it = count.find(zone);
+      uint32_t here = it == count.end() ? 0 : it->second;
+      if (here + 1 > (job.tasks + 1) / 2) return false;
+    }
+    return true;
+  }
+
+  bool allowed(size_t j, size_t m) const {
+    auto& job = in_.jobs[j];
+    auto& machine = in_.machines[m];
+    return machine.open && (!machine.spot || job.spot) &&
+           (job.types.empty() || contains(job.types, machine.type)) &&
+           job.need.fits(machine.total) && zone_allows(j, machine.zone) &&
+           !contains(machine.bad_jobs, job.id);
+  }
+
+  double image_delay(const JobView& job, const MachineView& m) const {
+    if (contains(m.images, job.image)) return 0;
+    double fetch = job.image_gb / std::max(m.fetch_gb_per_s, 1e-3);
+    if (contains(m.fetching, job.image)) return fetch * 0.5;
+    return fetch * (1.0 + static_cast<double>(m.fetching.size()));
+  }
+
+  // Seconds, or what counts like them: the lower, the better the machine for this task.
+  double cost(size_t j, size_t m, const Amounts& room) const {
+    auto& job = in_.jobs[j];
+    auto& machine = in_.machines[m];
+    double c = image_delay(job, machine);
+    if (job.spot && !machine.spot) c += 3;  // what may use cheap machines leaves others free
+    c += (1.0 - std::min(machine.speed, 1.0)) * 20;
+    if (job.service) {
+      // Replicas apart, so that one machine's loss takes few of them.
+      if (auto it = on_machine_[m].find(j); it != on_machine_[m].end()) c += 2.0 * it->second;
+    }
+    if (machine.total.gpus > 0 && job.need.gpus <= 0) {
+      // Accelerators without CPUs or memory beside them are lost room.
+      c += 15;
+      double cpus_left = room.cpus - job.need.cpus, gpus_left = room.gpus;
+      double memory_left = room.memory_gb - job.need.memory_gb;
+      if (cpus_left < gpus_left * cpus_per_gpu_ - 1e-6 ||
+          memory_left < gpus_left * memory_per_gpu_ - 1e-6)
+        c += 60;
+      else
+        c += 1.0 / (1.0 + cpus_left);
+    } else if (job.need.gpus > 0 && large_gpus_ > 0) {
+      double left = room.gpus - job.need.gpus;
+      double broken = std::floor(room.gpus / large_gpus_ + 1e-6) -
+                      std::floor(left / large_gpus_ + 1e-6) - job.need.gpus / large_gpus_;
+      if (broken > 1e-6) c += 4 * broken;
+      c += 0.3 * left / std::max(machine.total.gpus, 1.0);
+    } else {
+      c += 0.5 * (room.cpus - job.need.cpus) / std::max(machine.total.cpus, 1.0);
+    }
+    return c;
+  }
+
+  void place_job(size_t j) {
+    auto& job = in_.jobs[j];
+    uint32_t left = job.waiting;
+    bool fits_now = true, can_make_room = true;
+    uint32_t coming = 0;
+    while (left > 0) {
+      if (!team_allows(j)) return note_unplaced(j, 0, coming);
+      if (fits_now) {
+        double best = never;
+        size_t where = 0;
+        for (size_t m = 0; m < in_.machines.size(); ++m) {
+          if (!job.need.fits(free_[m]) || !allowed(j, m)) continue;
+          double c = cost(j, m, free_[m]);
+          if (c < best) best = c, where = m;
+        }
+        if (best < never) {
+          occupy(j, where, free_[where]);
+          out_.starts.push_back({j, where});
+          --left;
+          continue;
+        }
+        fits_now = false;
+      }
+      // Room that is being made already serves the most urgent first.
+      if (claim_coming(j)) {
+        ++coming;
+        --left;
+        continue;
+      }
+      if (!can_make_room || !make_room(j)) {
+        can_make_room = false;
+        break;
+      }
+      ++coming;
+      --left;
+    }
+    note_unplaced(j, left, coming);
+  }
+
+  void note_unplaced(size_t j, uint32_t left, uint32_t coming) {
+    if (left) out_.unplaced.push_back({j, left, guaranteed_[j], false});
+    if (coming) out_.unplaced.push_back({j, coming, guaranteed_[j], true});
+  }
+
+  void occupy(size_t j, size_t m, Amounts& room) {
+    auto& job = in_.jobs[j];
+    room -= job.need;
+    used_[team_index_.at(job.team)] += job.need;
+    ++zone_count_[j][in_.machines[m].zone];
+    ++on_machine_[m][j];
+  }
+
+  bool claim_coming(size_t j) {
+    auto& need = in_.jobs[j].need;
+    double best = never;
+    size_t where = 0;
+    for (size_t m = 0; m < in_.machines.size(); ++m) {
+      if (future_[m].cpus <= 0 && future_[m].gpus <= 0 && future_[m].memory_gb <= 0) continue;
+      Amounts both = free_[m];
+      both += future_[m];
+      if (!need.fits(both) || !allowed(j, m)) continue;
+      double c = cost(j, m, both);
+      if (c < best) best = c, where = m;
+    }
+    if (best == never) return false;
+    take_future(j, where);
+    return true;
+  }
+
+  // Uses what is free first and takes the rest from what comes free.
+  void take_future(size_t j, size_t m) {
+    auto& need = in_.jobs[j].need;
+    auto part = [](double want, double& now, double& later) {
+      double first = std::min(want, std::max(now, 0.0));
+      now -= first;
+      later -= want - first;
+    };
+    part(need.cpus, free_[m].cpus, future_[m].cpus);
+    part(need.gpus, free_[m].gpus, future_[m].gpus);
+    part(need.memory_gb, free_[m].memory_gb, future_[m].memory_gb);
+    used_[team_index_.at(in_.jobs[j].team)] += need;
+    ++zone_count_[j][in_.machines[m].zone];
+    ++on_machine_[m][j];
+  }
+
+  bool may_stop(size_t j, const LiveView& v) const {
+    auto& job = in_.jobs[j];
+    auto& victim = in_.jobs[v.job];
+    if (v.stopping || stopped_[static_cast<size_t>(&v - in_.live.data())]) return false;
+    if (victim.priority < job.priority) return true;
+    // For its guarantee a team may take back what another team borrows; standing replicas of the
+    // same or a higher rank are left alone all the same, since each stop is seen by users.
+    return guaranteed_[j] && !guaranteed_[v.job] && victim.team != job.team && !victim.service &&
+           !job_protected(v.job);
+  }
+  bool job_protected(size_t j) const { return in_.jobs[j].priority >= 3; }
+
+  double loss(const LiveView& v) const {
+    auto& victim = in_.jobs[v.job];
+    double c = v.lost_s + v.grace_s + 2 + victim.priority * 15;
+    if (victim.service) c += 60;
+    if (v.age_s < in_.start_counts_s) c += 10;
+    if (guaranteed_[v.job]) c += 15;
+    return c;
+  }
+
+  bool make_room(size_t j) {
+    auto& job = in_.jobs[j];
+    double best = never;
+    size_t where = 0;
+    std::vector<size_t> best_set;
+    for (size_t m = 0; m < in_.machines.size(); ++m) {
+      if (!allowed(j, m)) continue;
+      auto it = by_machine_.find(m);
+      if (it == by_machine_.end()) continue;
+      std::vector<size_t> victims;
+      for (size_t i : it->second)
+        if (may_stop(j, in_.live[i])) victims.push_back(i);
+      std::sort(victims.begin(), victims.end(),
+                [&](size_t a, size_t b) { return loss(in_.live[a]) < loss(in_.live[b]); });
+      Amounts room = free_[m];
+      room += future_[m];
+      std::vector<size_t> set;
+      double c = image_delay(job, in_.machines[m]);
+      for (size_t i : victims) {
+        if (job.need.fits(room)) break;
+        auto& need = in_.jobs[in_.live[i].job].need;
+        bool helps = (need.gpus > 0 && job.need.gpus > room.gpus) ||
+                     (need.cpus > 0 && job.need.cpus > room.cpus) ||
+                     (need.memory_gb > 0 && job.need.memory_gb > room.memory_gb);
+        if (!helps) continue;
+        room += need;
+        c += loss(in_.live[i]);
+        set.push_back(i);
+      }
+      if (!set.empty() && job.need.fits(room) && c < best) best = c, where = m, best_set = set;
+    }
+    if (best == never) return false;
+    for (size_t i : best_set) {
+      auto& v = in_.live[i];
+      out_.stops.push_back({i, v.grace_s});
+      stopped_[i] = true;
+      future_[where] += in_.jobs[v.job].need;
+    }
+    take_future(j, where);
+    return true;
+  }
+
+  const Input& in_;
+  std::vector<std::map<std::string, uint32_t>> zone_count_;
+  std::vector<Amounts> free_, future_, used_;
+  std::vector<std::unordered_map<size_t, uint32_t>> on_machine_;
+  std::unordered_map<std::string, size_t> team_index_;
+  std::unordered_map<size_t, std::vector<size_t>> by_machine_;
+  std::vector<bool> stopped_;
+  std::vector<bool> guaranteed_;
+  double large_gpus_ = 0, cpus_per_gpu_ = 0, memory_per_gpu_ = 0;
+  Decisions out_;
+};
+
+}  // namespace
+
+Decisions place(const Input& in) { return Placer(in).run(); }
+
+}  // namespace damsonport::placing
--- /dev/null
+++ b/src/coordination/placement.hpp
@@ -0,0 +1,100 @@
+// Which waiting task starts where, and what is stopped for it. Pure: all that counts is passed in.
+#pragma once
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace damsonport::placing {
+
+struct Amounts {
+  double cpus = 0, gpus = 0, memory_gb = 0;
+  bool fits(const Amounts& room) const {
+    constexpr double eps = 1e-6;
+    return cpus <= room.cpus + eps && gpus <= room.gpus + eps && memory_gb <= room.memory_gb + eps;
+  }
+  Amounts& operator+=(const Amounts& o) {
+    cpus += o.cpus, gpus += o.gpus, memory_gb += o.memory_gb;
+    return *this;
+  }
+  Amounts& operator-=(const Amounts& o) {
+    cpus -= o.cpus, gpus -= o.gpus, memory_gb -= o.memory_gb;
+    return *this;
+  }
+};
+
+struct MachineView {
+  std::string id;
+  std::string type, zone;
+  bool spot = false;
+  bool open = true;    // takes new tasks now
+  Amounts total, free;
+  double fetch_gb_per_s = 1;
+  double speed = 1.0;  // straggler average
+  std::vector<std::string> images;    // held
+  std::vector<std::string> fetching;  // under way
+  std::vector<std::string> bad_jobs;  // failed here: not again
+  // Amounts of tasks that are being stopped here; they come free soon.
+  Amounts coming_free;
+};
+
+struct TeamView {
+  std::string name;
+  Amounts used, guaranteed, limit;  // 0: none
+};
+
+struct JobView {
+  std::string id, team, image;
+  double image_gb = 0;
+  bool service = false;
+  int priority = 0;  // higher is more urgent
+  Amounts need;
+  std::vector<std::string> types;
+  std::string zone;
+  bool one_zone = false, spread = false, spot = false;
+  uint32_t tasks = 1;       // in all
+  uint32_t waiting = 0;     // may be started now
+  uint32_t unfinished = 0;  // waiting, live and held back ones
+  bool cancelled = false;
+  double accepted_at = 0, deadline_at = 0;  // 0: none
+};
+
+// A task on a machine that may be stopped.
+struct LiveView {
+  size_t job = 0, machine = 0;
+  uint32_t index = 0;
+  double lost_s = 0;   // work lost by stopping it now
+  double grace_s = 0;  // what it needs to save
+  double age_s = 0;
+  bool stopping = false;
+};
+
+struct Input {
+  std::vector<MachineView> machines;
+  std::vector<TeamView> teams;
+  std::vector<JobView> jobs;
+  std::vector<LiveView> live;  // every task that is or may be on a machine
+  double start_counts_s = 30;  // a start stopped earlier than this was in vain
+};
+
+struct Start {
+  size_t job, machine;
+};
+struct Stop {
+  size_t live;
+  double grace_s;
+};
+struct Unplaced {
+  size_t job;
+  uint32_t count;
+  bool within_guarantee;
+  bool room_coming;  // room for it is already being made
+};
+struct Decisions {
+  std::vector<Start> starts;
+  std::vector<Stop> stops;
+  std::vector<Unplaced> unplaced;  // for want of room; team limits excluded
+};
+
+Decisions place(const Input& in);
+
+}  // namespace damsonport::placing
--- /dev/null
+++ b/src/coordination/reconcile.hpp
@@ -0,0 +1,36 @@
+// Compares one machine's report with the records: what to order, and which exits are proven.
+#pragma once
+#include <functional>
+#include <vector>
+
+#include "coordination/fleet.hpp"
+
+namespace damsonport {
+
+// What the records say of a task, as far as one machine is concerned.
+struct Expected {
+  TaskName task;
+  uint64_t attempt = 0;
+  bool cancelled = false;       // its job is cancelled
+  std::optional<double> stop;   // to be stopped, with this grace
+};
+
+struct Exit {
+  TaskName task;
+  uint64_t attempt = 0;
+  ExitCause cause = ExitCause::none;
+  bool saved = false;
+};
+
+struct Reconciled {
+  std::vector<Command> commands;
+  std::vector<Exit> exits;  // proven; to be committed
+};
+
+// `expected`: what the records place on this machine. `settled`: whether the records are known to
+// be past an exited attempt, so that it may be forgotten. `our_term`: only messages made after the
+// machine learned it prove anything.
+Reconciled reconcile(const Machine& m, const std::vector<Expected>& expected, uint64_t our_term,
+                     bool records_current);
+
+}  // namespace damsonport
--- /dev/null
+++ b/src/coordination/sizing.cpp
@@ -0,0 +1,192 @@
+#include "coordination/sizing.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace damsonport::sizing {
+
+namespace {
+
+constexpr int max_new_per_plan = 24;
+
+struct Room {
+  const MachineType* type;
+  std::string zone;
+  bool spot;
+  Amounts free;
+};
+
+class Planner {
+ public:
+  explicit Planner(const Input& in) : in_(in) {
+    for (auto& m : in.machines)
+      if (auto* t = type(m.type); t && m.booting) rooms_.push_back({t, m.zone, m.spot, m.total});
+  }
+
+  Plan run() {
+    for (auto& r : in_.replacements) add(best_like(r));
+    serve_demand();
+    keep_spare();
+    give_back();
+    return std::move(out_);
+  }
+
+ private:
+  const MachineType* type(const std::string& name) const {
+    for (auto& t : in_.types)
+      if (t.name == name) return &t;
+    return nullptr;
+  }
+  static Amounts whole(const MachineType& t) { return {t.cpus, t.gpus, t.memory_gb}; }
+
+  // The same kind if it can be had, else the other way of renting or another zone.
+  const Offer* best_like(const Offer& wanted) const {
+    const Offer* best = nullptr;
+    for (auto& o : in_.offers) {
+      if (o.refused || o.type != wanted.type) continue;
+      if (o.spot && !wanted.spot) continue;
+      if (o.zone == wanted.zone && o.spot == wanted.spot) return &o;
+      if (!best) best = &o;
+    }
+    return best;
+  }
+
+  int machines_in(const std::string& zone, const std::string& type) const {
+    int n = 0;
+    for (auto& m : in_.machines) n += m.zone == zone && m.type == type && (m.open || m.booting);
+    for (auto& r : out_.rent) n += r.zone == zone && r.type == type ? r.count : 0;
+    return n;
+  }
+
+  void add(const Offer* offer) {
+    if (!offer || added_ >= max_new_per_plan) return;
+    auto* t = type(offer->type);
+    if (!t) return;
+    ++added_;
+    rooms_.push_back({t, offer->zone, offer->spot, whole(*t)});
+    for (auto& r : out_.rent)
+      if (r.type == offer->type && r.zone == offer->zone && r.spot == offer->spot) {
+        ++r.count;
+        return;
+      }
+    out_.rent.push_back({offer->type, offer->zone, offer->spot, 1});
+  }
+
+  // The cheapest kind per task; among equals the zone with fewer machines, so that the fleet stays
+  // spread.
+  const Offer* best_for(const Demand& d) const {
+    const Offer* best = nullptr;
+    double best_cost = std::numeric_limits<double>::infinity();
+    for (auto& o : in_.offers) {
+      auto* t = type(o.type);
+      if (!t || o.refused || (o.spot && !d.spot)) continue;
+      if (!d.zone.empty() && d.zone != o.zone) continue;
+      if (!d.types.empty() && std::find(d.types.begin(), d.types.end(), o.type) == d.types.end())
+        continue;
+      if (!d.need.fits(whole(*t))) continue;
+      double fit = 1e6;
+      if (d.need.cpus > 0) fit = std::min(fit, t->cpus / d.need.cpus);
+      if (d.need.gpus > 0) fit = std::min(fit, t->gpus / d.need.gpus);
+      if (d.need.memory_gb > 0) fit = std::min(fit, t->memory_gb / d.need.memory_gb);
+      double price = o.spot ? t->spot_price : t->price;
+      double cost = price / std::max(1.0, std::floor(fit + 1e-6)) *
+                    (1 + 1e-3 * machines_in(o.zone, o.type));
+      if (cost < best_cost) best_cost = cost, best = &o;
+    }
+    return best;
+  }
+
+  bool take_room(const Demand& d) {
+    for (auto& r : rooms_) {
+      if (r.spot && !d.spot) continue;
+      if (!d.zone.empty() && d.zone != r.zone) continue;
+      if (!d.types.empty() &&
+          std::find(d.types.begin(), d.types.end(), r.type->name) == d.types.end())
+        continue;
+      if (!d.need.fits(r.free)) continue;
+      r.free -= d.need;
+      return true;
+    }
+    return false;
+  }
+
+  void serve_demand() {
+    for (auto& d : in_.demand) {
+      for (uint32_t left = d.count; left > 0; --left) {
+        if (take_room(d)) continue;
+        if (added_ >= max_new_per_plan) return;
+        auto* offer = best_for(d);
+        if (!offer) break;
+        add(offer);
+        if (!take_room(d)) break;
+      }
+    }
+  }
+
+  void keep_spare() {
+    double gpus = 0, cpus = 0;
+    for (auto& m : in_.machines) {
+      if (!m.open || m.spot) continue;
+      if (m.total.gpus > 0) {
+        gpus += m.free.gpus;
+      } else {
+        cpus += m.free.cpus;
+      }
+    }
+    for (auto& r : rooms_) {
+      if (r.spot) continue;
+      (r.type->gpus > 0 ? gpus : cpus) += r.type->gpus > 0 ? r.free.gpus : r.free.cpus;
+    }
+    double want_gpus = in_.gpu_work.gpus * in_.spare_share + in_.largest_gpus;
+    double want_cpus = in_.cpu_work.cpus * in_.spare_share;
+    fill(gpus, want_gpus, true);
+    fill(cpus, want_cpus, false);
+    spare_gpus_ = gpus - want_gpus;
+    spare_cpus_ = cpus - want_cpus;
+  }
+
+  void fill(double& have, double want, bool accelerators) {
+    while (have < want && added_ < max_new_per_plan) {
+      const Offer* best = nullptr;
+      double best_cost = std::numeric_limits<double>::infinity();
+      for (auto& o : in_.offers) {
+        auto* t = type(o.type);
+        if (!t || o.refused || o.spot || (t->gpus > 0) != accelerators) continue;
+        double unit = accelerators ? t->gpus : t->cpus;
+        double cost = t->price / unit * (1 + 1e-3 * machines_in(o.zone, o.type));
+        if (cost < best_cost) best_cost = cost, best = &o;
+      }
+      if (!best) return;
+      auto* t = type(best->type);
+      have += accelerators ? t->gpus : t->cpus;
+      add(best);
+    }
+  }
+
+  // Twice the spare must remain: what is given back takes a whole boot to come again.
+  void give_back() {
+    if (!out_.rent.empty()) return;
+    for (auto& m : in_.machines) {
+      if (!m.open || !m.empty || m.idle_s < in_.give_back_idle_s) continue;
+      double& spare = m.total.gpus > 0 ? spare_gpus_ : spare_cpus_;
+      double unit = m.total.gpus > 0 ? m.total.gpus : m.total.cpus;
+      double want = m.total.gpus > 0 ? in_.gpu_work.gpus : in_.cpu_work.cpus;
+      if (!m.spot && spare - unit < want * in_.spare_share + unit) continue;
+      if (!m.spot) spare -= unit;
+      out_.give_back.push_back(m.id);
+    }
+  }
+
+  const Input& in_;
+  std::vector<Room> rooms_;
+  int added_ = 0;
+  double spare_gpus_ = 0, spare_cpus_ = 0;
+  Plan out_;
+};
+
+}  // namespace
+
+Plan plan(const Input& in) { return Planner(in).run(); }
+
+}  // namespace damsonport::sizing
--- /dev/null
+++ b/src/coordination/sizing.hpp
@@ -0,0 +1,62 @@
+// How many machines to rent and which idle ones to give back. Pure.
+#pragma once
+#include <string>
+#include <vector>
+
+#include "coordination/placement.hpp"
+#include "protocol/messages.hpp"
+
+namespace damsonport::sizing {
+
+using placing::Amounts;
+
+struct MachineState {
+  std::string id, type, zone;
+  bool spot = false;
+  bool open = false;     // takes tasks
+  bool booting = false;  // expected to take tasks soon
+  bool empty = false;
+  double idle_s = 0;
+  Amounts total, free;
+};
+
+struct Demand {
+  Amounts need;
+  uint32_t count = 0;
+  std::vector<std::string> types;
+  std::string zone;
+  bool spot = false;
+};
+
+struct Offer {  // one kind of machine that the cloud may have
+  std::string type, zone;
+  bool spot = false;
+  bool refused = false;  // lately
+};
+
+struct Input {
+  std::vector<MachineType> types;
+  std::vector<Offer> offers;
+  std::vector<MachineState> machines;
+  std::vector<Demand> demand;      // could not be placed
+  std::vector<Offer> replacements;  // machines to be replaced before they are drained
+  double spare_share = 0.25;
+  double give_back_idle_s = 300;
+  Amounts gpu_work, cpu_work;  // in use by tasks with and without accelerators
+  double largest_gpus = 0;     // the largest task known
+};
+
+struct Rent {
+  std::string type, zone;
+  bool spot = false;
+  int count = 0;
+};
+
+struct Plan {
+  std::vector<Rent> rent;
+  std::vector<std::string> give_back;
+};
+
+Plan plan(const Input& in);
+
+}  // namespace damsonport::sizing
--- /dev/null
+++ b/src/coordination/user_api.cpp
@@ -0,0 +1,269 @@
+#include "coordination/user_api.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+namespace damsonport {
+
+namespace {
+constexpr size_t max_queued = 256;  // beyond that users are told to come back
+constexpr double come_back_s = 1;
+}  // namespace
+
+template <class T>
+struct UserApi::Queued {
+  std::deque<T*>& queue;
+  T& item;
+  Signal& signal;
+  bool await_ready() const { return false; }
+  void await_suspend(std::coroutine_handle<> h) {
+    item.waiter = h;
+    queue.push_back(&item);
+    signal.notify();
+  }
+  void await_resume() const {}
+};
+
+UserApi::UserApi(Loop& loop, const Settings& settings, StateClient& state, Cache& cache,
+                 Catalog& catalog)
+    : loop_(loop),
+      settings_(settings),
+      state_(state),
+      cache_(cache),
+      catalog_(catalog),
+      submitted_(loop),
+      asked_(loop) {}
+
+HttpResponse UserApi::busy() const { return {503, {}, come_back_s}; }
+
+HttpResponse UserApi::progress(const Job& job) const {
+  if (job.cancelled) return {200, encode_job_progress(job.spec.id, "aborted", job.done, 0), 0};
+  return {200,
+          encode_job_progress(job.spec.id, job.live > 0 ? "running" : "queued", job.done, job.live),
+          0};
+}
+
+// What is final can't change and is answered at once. Anything else may be older than what another
+// node has told already, so it is confirmed against the state service first.
+Task<HttpResponse> UserApi::state_of(std::string id) {
+  for (int tries = 0; tries < 3; ++tries) {
+    if (auto* f = cache_.final_state(id))
+      co_return HttpResponse{200, encode_job_status(id, *f == FinalState::done ? "done" : "aborted"), 0};
+    Job* job = cache_.job(id);
+    if (job && job->cancelled) co_return progress(*job);
+    if (questions_.size() >= max_queued) co_return busy();
+    Question q;
+    q.id = id;
+    q.version = job ? job->version : 0;
+    co_await Queued<Question>{questions_, q, asked_};
+    if (q.result == Confirmed::unavailable) co_return busy();
+    if (q.result == Confirmed::yes) {
+      if (q.version == 0) co_return HttpResponse{404, {}, 0};
+      // The record may have gone from the cache since; then look again.
+      if (Job* still = cache_.job(id); still && !still->cancelled) co_return progress(*still);
+      continue;
+    }
+    auto final_record = co_await state_.read(keys::final_state(id), Importance::polling);
+    if (!final_record.ok) co_return busy();
+    if (final_record.found) {
+      bool done = final_record.item.value.value("s", std::string()) == "done";
+      cache_.remember_final(id, done ? FinalState::done : FinalState::cancelled);
+      continue;
+    }
+    auto record = co_await state_.read(keys::job(id), Importance::polling);
+    if (!record.ok) co_return busy();
+    if (!record.found) continue;  // ended in between
+    // Read just now, so no older than any answer given before the question. The cache itself only
+    // takes changes in their order, from the watch.
+    auto spec = decode_job(record.item.value);
+    if (!spec) co_return busy();
+    if (record.item.value.value("x", 0) != 0)
+      co_return HttpResponse{200, encode_job_status(id, "aborted"), 0};
+    Job* cached = cache_.job(id);
+    co_return HttpResponse{200,
+                           encode_job_progress(id, cached && cached->live ? "running" : "queued",
+                                               cached ? cached->done : 0, cached ? cached->live : 0),
+                           0};
+  }
+  co_return busy();
+}
+
+Task<HttpResponse> UserApi::poll(std::string id) {
+  if (!valid_job_id(id)) co_return HttpResponse{404, {}, 0};
+  if (!cache_.loaded()) co_return busy();
+  co_return co_await state_of(std::move(id));
+}
+
+// Many polls share one transaction that only compares.
+Task<void> UserApi::confirm_duty(std::stop_token token) {
+  const size_t max_conditions = static_cast<size_t>(settings_.txn_ops) * 4;
+  while (!token.stop_requested()) {
+    if (questions_.empty()) {
+      co_await asked_.wait(60, token);
+      // Questions that come close together share a request.
+      if (!co_await Sleep(loop_, 0.02, token)) break;
+      if (questions_.empty()) continue;
+    }
+    Txn txn;
+    std::vector<Question*> batch;
+    while (!questions_.empty() && txn.conditions.size() + 2 <= max_conditions) {
+      auto* q = questions_.front();
+      questions_.pop_front();
+      batch.push_back(q);
+      txn.conditions[keys::job(q->id)] = q->version;
+      if (q->version == 0) txn.conditions[keys::final_state(q->id)] = 0;
+    }
+    auto reply = co_await state_.commit(std::move(txn), Importance::polling);
+    for (auto* q : batch) {
+      auto failed = [&](const std::string& key) {
+        return std::find(reply.failed.begin(), reply.failed.end(), key) != reply.failed.end();
+      };
+      if (reply.outcome == Outcome::committed) {
+        q->result = Confirmed::yes;
+      } else if (reply.outcome == Outcome::conflict) {
+        q->result = failed(keys::job(q->id)) || failed(keys::final_state(q->id))
+                        ? Confirmed::changed
+                        : Confirmed::yes;
+      }
+      q->waiter.resume();
+    }
+  }
+}
+
+Task<HttpResponse> UserApi::submit(std::string body) {
+  auto spec = decode_job(decode_map(body));
+  body.clear();
+  if (!spec) co_return HttpResponse{400, encode({{"error", spec.error()}}), 0};
+  const std::string id = spec->id;
+  if (!cache_.loaded() || !catalog_.known()) co_return busy();
+  if (cache_.job(id) || cache_.final_state(id)) co_return co_await state_of(id);
+  auto verdict = judge_job(*spec, settings_, catalog_.types());
+  if (verdict != Verdict::ok) {
+    // A job that was accepted once stays accepted, whatever the check would say now.
+    auto known = co_await state_of(id);
+    if (known.status == 404) {
+      static constexpr const char* reasons[] = {"", "unknown team", "a task fits no allowed machine type",
+                                                "more than the team's limit"};
+      co_return HttpResponse{422, encode({{"error", reasons[static_cast<size_t>(verdict)]}}), 0};
+    }
+    co_return known;
+  }
+  if (submissions_.size() >= max_queued) co_return HttpResponse{429, {}, come_back_s};
+  spec->accepted_at = loop_.wall();
+  Submission s;
+  s.spec = std::move(*spec);
+  co_await Queued<Submission>{submissions_, s, submitted_};
+  if (s.result == Accepted::fresh) co_return HttpResponse{201, encode_job_status(id, "queued"), 0};
+  if (s.result == Accepted::known) co_return co_await state_of(id);
+  co_return busy();
+}
+
+// Submissions that come close together share a transaction.
+Task<void> UserApi::accept_duty(std::stop_token token) {
+  const uint32_t chunk = chunk_size(settings_.value_kb);
+  while (!token.stop_requested()) {
+    if (submissions_.empty()) {
+      co_await submitted_.wait(60, token);
+      if (submissions_.empty()) continue;
+    }
+    std::vector<Submission*> batch;
+    std::set<std::string> ids;
+    size_t bytes = 0;
+    for (auto it = submissions_.begin();
+         it != submissions_.end() && batch.size() < static_cast<size_t>(settings_.txn_ops);) {
+      auto* s = *it;
+      size_t size = 1024 + s->spec.types.size() * 210;
+      // The same job twice: the second waits for the next transaction.
+      if (bytes + size > 48 * 1024 || !ids.insert(s->spec.id).second) {
+        ++it;
+        continue;
+      }
+      bytes += size;
+      batch.push_back(s);
+      it = submissions_.erase(it);
+    }
+    while (!batch.empty()) {
+      Txn txn;
+      for (auto* s : batch) {
+        txn.conditions[keys::job(s->spec.id)] = 0;
+        txn.conditions[keys::final_state(s->spec.id)] = 0;
+        auto value = encode_job(s->spec);
+        value["chunk"] = chunk;
+        txn.writes.push_back({keys::job(s->spec.id), std::move(value), 0});
+      }
+      auto writes = txn.writes;
+      auto reply = co_await state_.commit(std::move(txn), Importance::accepting);
+      if (reply.outcome == Outcome::conflict && !reply.failed.empty()) {
+        // Those are known already; the rest goes again.
+        std::vector<Submission*> rest, known;
+        for (auto* s : batch) {
+          bool failed = std::any_of(reply.failed.begin(), reply.failed.end(), [&](auto& key) {
+            return key == keys::job(s->spec.id) || key == keys::final_state(s->spec.id);
+          });
+          (failed ? known : rest).push_back(s);
+        }
+        if (known.empty()) rest.clear(), known = batch;
+        batch = std::move(rest);
+        for (auto* s : known) {
+          s->result = Accepted::known;
+          s->waiter.resume();
+        }
+        continue;
+      }
+      // Without a definite answer nobody is kept waiting: the same id may be sent again.
+      bool fresh = reply.outcome == Outcome::committed;
+      if (fresh) {
+        cache_.apply_writes(writes, reply.revision);
+        for (auto* s : batch)
+          spdlog::debug("accepted {}: {} x {} of {}", s->spec.id, s->spec.tasks, s->spec.cls,
+                        s->spec.team);
+      }
+      for (auto* s : batch) {
+        s->result = fresh ? Accepted::fresh : Accepted::unavailable;
+        s->waiter.resume();
+      }
+      batch.clear();
+    }
+  }
+}
+
+Task<HttpResponse> UserApi::cancel(std::string id) {
+  if (!valid_job_id(id)) co_return HttpResponse{404, {}, 0};
+  if (!cache_.loaded()) co_return busy();
+  for (int tries = 0; tries < 4; ++tries) {
+    if (auto* f = cache_.final_state(id))
+      co_return HttpResponse{200, encode_job_status(id, *f == FinalState::done ? "done" : "aborted"), 0};
+    auto record = co_await state_.read(keys::job(id), Importance::accepting);
+    if (!record.ok) co_return busy();
+    if (!record.found) {
+      auto final_record = co_await state_.read(keys::final_state(id), Importance::accepting);
+      if (!final_record.ok) co_return busy();
+      if (!final_record.found) {
+        // Accepted between the two reads, or never: the confirmed answer tells.
+        auto state = co_await state_of(id);
+        if (state.status != 200) co_return state;
+        continue;
+      }
+      bool done = final_record.item.value.value("s", std::string()) == "done";
+      cache_.remember_final(id, done ? FinalState::done : FinalState::cancelled);
+      continue;
+    }
+    if (record.item.value.value("x", 0) != 0)
+      co_return HttpResponse{200, encode_job_status(id, "aborted"), 0};
+    Txn txn;
+    txn.conditions[keys::job(id)] = record.item.version;
+    record.item.value["x"] = 1;
+    txn.writes.push_back({keys::job(id), std::move(record.item.value), 0});
+    auto reply = co_await state_.commit(std::move(txn), Importance::accepting);
+    if (reply.outcome == Outcome::committed) {
+      // The cache learns it from the watch, in order with the starts before it.
+      spdlog::info("job {} is cancelled by its user", id);
+      co_return HttpResponse{200, encode_job_status(id, "aborted"), 0};
+    }
+    if (reply.outcome == Outcome::refused) co_return busy();
+  }
+  co_return busy();
+}
+
+}  // namespace damsonport
--- /dev/null
+++ b/src/coordination/user_api.hpp
@@ -0,0 +1,49 @@
+// The users' interface: submissions, polls and cancellations.
+#pragma once
+#include <deque>
+
+#include "coordination/catalog.hpp"
+#include "storage/cache.hpp"
+
+namespace damsonport {
+
+class UserApi {
+ public:
+  UserApi(Loop& loop, const Settings& settings, StateClient& state, Cache& cache, Catalog& catalog);
+  Task<void> accept_duty(std::stop_token token);
+  Task<void> confirm_duty(std::stop_token token);
+  Task<HttpResponse> submit(std::string body);
+  Task<HttpResponse> poll(std::string id);
+  Task<HttpResponse> cancel(std::string id);
+
+ private:
+  enum class Accepted : uint8_t { fresh, known, unavailable };
+  struct Submission {
+    JobSpec spec;
+    Accepted result = Accepted::unavailable;
+    std::coroutine_handle<> waiter{};
+  };
+  enum class Confirmed : uint8_t { yes, changed, unavailable };
+  struct Question {
+    std::string id;
+    uint64_t version;  // of the job's record; 0: neither accepted nor over
+    Confirmed result = Confirmed::unavailable;
+    std::coroutine_handle<> waiter{};
+  };
+  template <class T>
+  struct Queued;  // waits in a queue for its duty's answer
+  Task<HttpResponse> state_of(std::string id);
+  HttpResponse progress(const Job& job) const;
+  HttpResponse busy() const;
+
+  Loop& loop_;
+  const Settings& settings_;
+  StateClient& state_;
+  Cache& cache_;
+  Catalog& catalog_;
+  Signal submitted_, asked_;
+  std::deque<Submission*> submissions_;
+  std::deque<Question*> questions_;
+};
+
+}  // namespace damsonport
--- /dev/null
+++ b/src/main.cpp
@@ -0,0 +1,69 @@
+#include <event2/event.h>
+#include <signal.h>
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+
+#include <CLI/CLI.hpp>
+#include <cstdlib>
+#include <iostream>
+
+#include "coordination/node.hpp"
+
+namespace {
+
+constexpr int exit_bad_settings = 2;
+
+bool set_up_logging() {
+  auto logger = spdlog::stderr_logger_st("damsonport");
+  logger->set_pattern("%H:%M:%S.%e %l %v");
+  spdlog::set_default_logger(logger);
+  const char* wanted = std::getenv("LOG_LEVEL");
+  std::string level = wanted && *wanted ? wanted : "info";
+  auto parsed = spdlog::level::from_str(level);
+  if (parsed == spdlog::level::off && level != "off") {
+    spdlog::error("LOG_LEVEL: '{}' is none of error, warn, info, debug", level);
+    return false;
+  }
+  spdlog::set_level(parsed);
+  return true;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  CLI::App app{"damsonport: schedules the replicas and batches of language models on rented fleets"};
+  std::string config;
+  bool check = false;
+  app.add_option("--config", config, "settings file (TOML) of this controller")->required();
+  app.add_flag("--check", check, "check the settings and end");
+  app.set_version_flag("--version", DAMSONPORT_VERSION);
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError& e) {
+    return app.exit(e) == 0 ? 0 : exit_bad_settings;
+  }
+  if (!set_up_logging()) return exit_bad_settings;
+  auto settings = damsonport::load_settings(config);
+  if (!settings) {
+    spdlog::error("{}", settings.error());
+    return exit_bad_settings;
+  }
+  if (check) {
+    std::cout << config << ": ok\n";
+    return 0;
+  }
+  damsonport::Loop loop;
+  damsonport::Node node(loop, *settings);
+  if (!node.start()) return 1;
+  auto on_signal = [](evutil_socket_t, short, void* l) {
+    spdlog::info("told to end");
+    static_cast<damsonport::Loop*>(l)->stop();
+  };
+  event* ends[] = {evsignal_new(loop.base(), SIGTERM, on_signal, &loop),
+                   evsignal_new(loop.base(), SIGINT, on_signal, &loop)};
+  for (auto* e : ends) event_add(e, nullptr);
+  signal(SIGPIPE, SIG_IGN);
+  loop.run();
+  for (auto* e : ends) event_free(e);
+  return 0;
+}
--- /dev/null
+++ b/src/protocol/messages.hpp
@@ -0,0 +1,120 @@
+// The published messages, decoded once into the project's own terms. Wire names live here only.
+#pragma once
+#include <cstdint>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "protocol/result.hpp"
+
+namespace damsonport {
+
+using Json = nlohmann::json;
+
+// Null when the bytes are not one CBOR map.
+Json decode_map(const std::string& body);
+std::string encode(const Json& value);
+
+enum class Kind : uint8_t { batch, service };
+// Higher is more urgent.
+enum class Priority : uint8_t { idle, normal, high, production };
+
+struct JobSpec {
+  std::string id, cls, team;
+  Kind kind = Kind::batch;
+  Priority priority = Priority::normal;
+  uint32_t tasks = 1;
+  double cpus = 0, gpus = 0, memory_gb = 0;
+  std::vector<std::string> types;  // empty: any
+  std::string zone;                // empty: any
+  bool one_zone = false, spread = false, spot = false;
+  std::string image;
+  double image_gb = 0;
+  double estimate_s = 0, checkpoint_s = 0, save_s = 0;
+  double deadline_s = -1;  // negative: none
+  // Time of day of the acceptance; ours, not in the user's message.
+  double accepted_at = 0;
+};
+
+// The user's form; `stored` also carries accepted_at.
+Result<JobSpec> decode_job(const Json& m);
+Json encode_job(const JobSpec& spec);
+bool valid_job_id(std::string_view id);
+
+enum class TaskState : uint8_t { fetching, running, saving, exited };
+enum class ExitCause : uint8_t { none, done, stopped, error, no_room, busy, unknown };
+
+// A task is named by its job and index.
+struct TaskName {
+  std::string job;
+  uint32_t index = 0;
+  std::string text() const { return job + "/" + std::to_string(index); }
+  auto operator<=>(const TaskName&) const = default;
+};
+bool parse_task_name(std::string_view text, TaskName& out);
+
+struct TaskReport {
+  TaskName task;
+  uint64_t attempt = 0;
+  TaskState state = TaskState::running;
+  ExitCause cause = ExitCause::none;
+  bool saved = false;
+};
+
+struct Report {
+  std::string machine, address, type, zone;
+  bool spot = false;
+  uint64_t session = 0, seq = 0, token = 0;
+  std::optional<double> notice_s;
+  std::vector<TaskReport> tasks;
+  bool newer_than(uint64_t other_session, uint64_t other_seq) const {
+    return session != other_session ? session > other_session : seq > other_seq;
+  }
+};
+Result<Report> decode_report(const Json& m);
+
+struct Command {
+  enum class Op : uint8_t { start, stop, forget } op = Op::start;
+  TaskName task;
+  uint64_t attempt = 0;
+  double grace_s = 0;
+};
+Json encode_commands(const std::vector<Command>& commands);
+std::string encode_report_answer(uint64_t token, const std::vector<Command>& commands);
+std::string encode_direct(uint64_t token, uint64_t session, const std::vector<Command>& commands);
+std::string encode_report_to(const std::string& node);  // empty: no node named
+
+struct MachineType {
+  std::string name;
+  double cpus = 0, gpus = 0, memory_gb = 0, cache_gb = 0, fetch_gb_per_s = 0;
+  double price = 0, spot_price = 0, boot_s = 0;
+  std::vector<std::string> zones;
+};
+Result<std::vector<MachineType>> decode_catalog(const Json& m);
+
+struct ListedMachine {
+  std::string id, address, type, zone, state;
+  bool spot = false;
+  double age_s = 0;
+};
+struct MachineList {
+  std::vector<ListedMachine> machines;
+  bool more = false;
+};
+Result<MachineList> decode_machine_list(const Json& m);
+
+struct RentalRequest {
+  std::string id, type, zone;
+  bool spot = false;
+  int count = 0;
+};
+std::string encode_rental(const RentalRequest& r);
+std::vector<std::string> decode_rented(const Json& m);
+std::string encode_return(const std::vector<std::string>& machines);
+
+std::string encode_job_status(const std::string& id, std::string_view status);
+std::string encode_job_progress(const std::string& id, std::string_view status, uint64_t done,
+                                uint64_t running);
+
+}  // namespace damsonport
--- /dev/null
+++ b/src/protocol/settings.hpp
@@ -0,0 +1,51 @@
+// The settings file that the platform hands over, and the operators' own optional file.
+#pragma once
+#include <string>
+#include <vector>
+
+#include "protocol/result.hpp"
+#include "protocol/tuning.hpp"
+#include "transport/http.hpp"
+
+namespace damsonport {
+
+struct Peer {
+  std::string name;
+  std::string zone;
+  Endpoint mesh;
+};
+
+struct TeamSettings {
+  std::string name;
+  double cpus = 0, cpus_max = 0, gpus = 0, gpus_max = 0;  // 0: none
+};
+
+struct Objective {
+  std::string kind;  // wait, deadline, guarantee, ...
+  std::string cls;
+  double within_s = 0;
+};
+
+struct Settings {
+  std::string node_name, zone;
+  Endpoint listen, mesh_listen;
+  std::vector<Peer> peers;
+  Endpoint cloud, state;
+  int nodes = 1;
+  std::vector<std::string> zones;
+  std::vector<TeamSettings> teams;
+  std::vector<Objective> objectives;
+  double report_s = 0, lease_s = 0, cancel_s = 0;
+  double state_rps = 0, state_write_rps = 0, value_kb = 0;
+  int txn_ops = 0;
+  double cloud_rps = 0, list_lag_s = 0;
+  int max_sockets = 0;
+  Tuning tuning;
+
+  const TeamSettings* team(const std::string& name) const;
+};
+
+Result<Settings> parse_settings(const std::string& toml_text);
+Result<Settings> load_settings(const std::string& path);
+
+}  // namespace damsonport
--- /dev/null
+++ b/src/protocol/tuning.hpp
@@ -0,0 +1,33 @@
+// Operators' own knobs. Times are ratios to figures of the platform's settings, so that one file
+// fits every deployment.
+#pragma once
+#include <string>
+
+#include "protocol/result.hpp"
+
+namespace damsonport {
+
+struct Tuning {
+  // Straggler average, after the paper's Algorithm 1.
+  double straggler_alpha = 0.1;
+  double straggler_bar = 0.8;
+  int straggler_test_every = 10;
+  int straggler_min_successes = 5;
+  // Seconds that a block is granted for.
+  double grant_s = 30.0;
+  // No new tasks on a machine silent for this many report periods.
+  double doubt_reports = 2.5;
+  // A silent machine is returned after the larger of these two.
+  double return_reports = 4.0;
+  double return_lease_share = 0.35;
+  // Share of cancel_s after which a machine that still holds a cancelled task is returned.
+  double cancel_return_share = 0.5;
+  // Spare room to keep rented, as a share of what is in use.
+  double spare_share = 0.25;
+};
+
+// (damsonport (straggler-bar 0.8) (grant-s 30) ...); unknown or bad entries are errors that name
+// the line.
+Result<Tuning> parse_tuning(const std::string& text);
+
+}  // namespace damsonport
--- /dev/null
+++ b/src/storage/cache.cpp
@@ -0,0 +1,258 @@
+#include "storage/cache.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <charconv>
+
+namespace damsonport {
+
+namespace {
+constexpr size_t max_finals = 8192;     // the rest is read back on demand
+constexpr size_t max_removed = 4096;    // removals remembered against late copies of our own reads
+const std::map<Assignment, uint64_t> no_assignments;
+}  // namespace
+
+Cache::Cache(Loop& loop, StateClient& state, double min_watch_gap_s)
+    : loop_(loop), state_(state), min_watch_gap_s_(min_watch_gap_s) {}
+
+Job* Cache::job(const std::string& id) {
+  auto it = jobs_.find(id);
+  return it == jobs_.end() ? nullptr : it->second.get();
+}
+
+const FinalState* Cache::final_state(const std::string& id) const {
+  auto it = finals_.find(id);
+  return it == finals_.end() ? nullptr : &it->second;
+}
+
+void Cache::remember_final(const std::string& id, FinalState state) {
+  if (!finals_.emplace(id, state).second) return;
+  if (final_order_.size() < max_finals) {
+    final_order_.push_back(id);
+    return;
+  }
+  finals_.erase(final_order_[final_next_]);
+  final_order_[final_next_] = id;
+  final_next_ = (final_next_ + 1) % max_finals;
+}
+
+const std::map<Assignment, uint64_t>& Cache::assigned(const std::string& machine) const {
+  auto it = assigned_.find(machine);
+  return it == assigned_.end() ? no_assignments : it->second;
+}
+
+uint64_t Cache::chunk_version(const std::string& id, uint32_t chunk) const {
+  auto it = jobs_.find(id);
+  if (it == jobs_.end()) return 0;
+  auto c = it->second->chunks.find(chunk);
+  return c == it->second->chunks.end() ? 0 : c->second.version;
+}
+
+void Cache::apply_writes(const std::vector<Write>& writes, uint64_t revision) {
+  for (auto& w : writes)
+    if (w.key.starts_with(keys::cached)) apply({w.key, w.value, revision, w.lease});
+}
+
+void Cache::apply(const Item& item) {
+  const std::string& key = item.key;
+  if (auto it = removed_.find(key); it != removed_.end()) {
+    if (item.version <= it->second) return;
+    removed_.erase(it);
+  }
+  auto tail = [&](const std::string& prefix) { return key.substr(prefix.size()); };
+  if (key.starts_with(keys::jobs)) {
+    apply_job(tail(keys::jobs), item);
+  } else if (key.starts_with(keys::chunks)) {
+    apply_chunk(tail(keys::chunks), item);
+  } else if (key == keys::blocks) {
+    if (item.version <= blocks_version_) return;
+    blocks_ = item.value.is_null() ? Blocks{} : decode_blocks(item.value);
+    blocks_version_ = item.version;
+  } else if (key == keys::leader) {
+    if (item.version <= leader_version_) return;
+    has_leader_ = !item.value.is_null();
+    if (has_leader_) leader_ = decode_leader(item.value);
+    leader_version_ = item.version;
+  } else if (key.starts_with(keys::machines)) {
+    if (item.value.is_null()) {
+      leaving_.erase(tail(keys::machines));
+    } else {
+      leaving_[tail(keys::machines)] = item.version;
+    }
+  } else if (key.starts_with(keys::rentals)) {
+    auto id = tail(keys::rentals);
+    if (item.value.is_null()) {
+      rentals_.erase(id);
+    } else {
+      auto& v = item.value;
+      rentals_[id] = {{id, v.value("type", std::string()), v.value("zone", std::string()),
+                       v.value("spot", false), v.value("count", 0)},
+                      item.version};
+    }
+  } else if (key == keys::hints) {
+    hints_ = item.value;
+  }
+  if (item.value.is_null() && item.version) {
+    if (removed_.size() >= max_removed) removed_.clear();
+    removed_[key] = item.version;
+  }
+}
+
+void Cache::apply_job(const std::string& id, const Item& item) {
+  if (item.value.is_null()) {
+    // A job's record goes only when it is over. That it is done is not inferred from that: a
+    // cancellation may have been missed between two loads. The final state is read on demand.
+    if (auto* gone = job(id); gone && item.version > gone->version) {
+      if (gone->cancelled) remember_final(id, FinalState::cancelled);
+      drop_job(id);
+    }
+    return;
+  }
+  auto& slot = jobs_[id];
+  if (slot && item.version <= slot->version) return;
+  if (!slot) {
+    auto spec = decode_job(item.value);
+    if (!spec) {
+      spdlog::error("the record of {} can't be read: {}", id, spec.error());
+      jobs_.erase(id);
+      return;
+    }
+    slot = std::make_unique<Job>();
+    slot->spec = std::move(*spec);
+    slot->chunk_size = std::max(1u, item.value.value("chunk", 1u));
+  }
+  slot->version = item.version;
+  slot->cancelled = item.value.value("x", 0) != 0;
+  Job* added = slot.get();
+  for (uint32_t n = 0; n < added->chunk_count() && !loose_chunks_.empty(); ++n) {
+    auto loose = loose_chunks_.find(keys::chunk(id, n));
+    if (loose == loose_chunks_.end()) continue;
+    orphans_.erase(loose->first);
+    set_chunk(*added, n, decode_chunk(loose->second.value), loose->second.version);
+    loose_chunks_.erase(loose);
+  }
+  if (on_change) on_change(added);
+}
+
+void Cache::apply_chunk(const std::string& rest, const Item& item) {
+  auto slash = rest.rfind('/');
+  uint32_t n = 0;
+  if (slash == std::string::npos) return;
+  std::from_chars(rest.data() + slash + 1, rest.data() + rest.size(), n);
+  auto* owner = job(rest.substr(0, slash));
+  if (!owner) {
+    if (item.value.is_null()) {
+      loose_chunks_.erase(item.key);
+      orphans_.erase(item.key);
+    } else {
+      loose_chunks_[item.key] = item;
+      orphans_.insert(item.key);
+    }
+    return;
+  }
+  auto it = owner->chunks.find(n);
+  if (it != owner->chunks.end() && item.version <= it->second.version) return;
+  // A chunk is removed only together with or after its job.
+  if (item.value.is_null()) return;
+  set_chunk(*owner, n, decode_chunk(item.value), item.version);
+  if (on_change) on_change(owner);
+}
+
+void Cache::set_chunk(Job& job, uint32_t n, ChunkRecord record, uint64_t version) {
+  auto& chunk = job.chunks[n];
+  uint32_t base = n * job.chunk_size;
+  for (auto& t : chunk.record.live) {
+    auto it = assigned_.find(t.machine);
+    if (it == assigned_.end()) continue;
+    it->second.erase({&job, base + t.index});
+    if (it->second.empty()) assigned_.erase(it);
+  }
+  job.live -= chunk.record.live.size();
+  job.done -= chunk.record.done_count();
+  chunk.record = std::move(record);
+  chunk.version = version;
+  job.live += chunk.record.live.size();
+  job.done += chunk.record.done_count();
+  for (auto& t : chunk.record.live) assigned_[t.machine][{&job, base + t.index}] = t.attempt;
+}
+
+void Cache::drop_job(const std::string& id) {
+  auto it = jobs_.find(id);
+  Job& job = *it->second;
+  for (auto& [n, chunk] : job.chunks) {
+    uint64_t version = chunk.version;
+    ChunkRecord left = chunk.record;
+    set_chunk(job, n, {}, version);
+    loose_chunks_[keys::chunk(id, n)] = {keys::chunk(id, n), encode_chunk(left), version, 0};
+    orphans_.insert(keys::chunk(id, n));
+  }
+  if (on_job_gone) on_job_gone(&job);
+  jobs_.erase(it);
+  if (on_change) on_change(nullptr);
+}
+
+Task<bool> Cache::load(std::stop_token token) {
+  std::string after;
+  uint64_t first = 0;
+  std::set<std::string> seen;
+  for (;;) {
+    auto page = co_await state_.list(keys::cached, after, Importance::placing);
+    if (!page.ok) {
+      if (!co_await Sleep(loop_, loop_.uniform(0.1, 0.4), token)) co_return false;
+      continue;
+    }
+    // The watch starts from the first page: what changes while the others are read comes again.
+    if (!first) first = page.revision;
+    for (auto& item : page.items) {
+      seen.insert(item.key);
+      apply(item);
+      after = item.key;
+    }
+    if (!page.more || page.items.empty()) break;
+  }
+  // After a gap in the watch, what is gone from the listing was removed meanwhile.
+  std::vector<std::string> gone;
+  for (auto& [id, job] : jobs_)
+    if (!seen.contains(keys::job(id)) && job->version <= first) gone.push_back(keys::job(id));
+  for (auto& [id, version] : leaving_)
+    if (!seen.contains(keys::machine(id)) && version <= first) gone.push_back(keys::machine(id));
+  for (auto& [id, rental] : rentals_)
+    if (!seen.contains(keys::rental(id)) && rental.version <= first) gone.push_back(keys::rental(id));
+  for (auto& key : orphans_)
+    if (!seen.contains(key)) gone.push_back(key);
+  for (auto& key : gone) apply({key, Json(), first, 0});
+  if (!seen.contains(keys::leader)) apply({keys::leader, Json(), first, 0});
+  revision_ = first;
+  co_return true;
+}
+
+Task<void> Cache::follow(std::stop_token token) {
+  while (!token.stop_requested()) {
+    if (!loaded_) {
+      if (!co_await load(token)) co_return;
+      loaded_ = true;
+      spdlog::info("state loaded up to revision {}: {} jobs", revision_, jobs_.size());
+      if (on_change) on_change(nullptr);
+    }
+    double opened = loop_.now();
+    auto news = co_await state_.watch(keys::cached, revision_, 10.0);
+    if (token.stop_requested()) co_return;
+    if (news.ok) {
+      for (auto& item : news.items) {
+        // All the changes of one transaction share a revision; none may be skipped half-way.
+        apply(item);
+      }
+      revision_ = std::max(revision_, news.revision);
+      if (!news.items.empty() && on_change) on_change(nullptr);
+    } else if (news.too_old) {
+      spdlog::info("the watch fell behind at revision {}: loading anew", revision_);
+      loaded_ = false;
+    }
+    // Changes that come close together arrive in one answer.
+    double gap = news.ok ? min_watch_gap_s_ : loop_.uniform(0.1, 0.3);
+    double rest = opened + gap - loop_.now();
+    if (rest > 0 && !co_await Sleep(loop_, rest, token)) co_return;
+  }
+}
+
+}  // namespace damsonport
--- /dev/null
+++ b/src/storage/cache.hpp
@@ -0,0 +1,128 @@
+// Every node's copy of the shared records, fed by one watch. A copy may lag; nothing is decided on
+// it alone: writes are conditional on versions, and answers to users are confirmed.
+#pragma once
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <unordered_map>
+
+#include "storage/records.hpp"
+#include "storage/state_client.hpp"
+
+namespace damsonport {
+
+struct Job {
+  JobSpec spec;
+  uint64_t version = 0;
+  bool cancelled = false;
+  uint32_t chunk_size = 1;
+  struct Chunk {
+    ChunkRecord record;
+    uint64_t version = 0;
+  };
+  std::map<uint32_t, Chunk> chunks;  // those that were written
+  uint64_t live = 0, done = 0;       // sums over the chunks
+
+  uint32_t chunk_count() const { return (spec.tasks + chunk_size - 1) / chunk_size; }
+  uint32_t size_of(uint32_t chunk) const {
+    return std::min(chunk_size, spec.tasks - chunk * chunk_size);
+  }
+  bool finished() const { return done == spec.tasks; }
+  // Tasks neither live nor done.
+  uint64_t unstarted() const { return spec.tasks - live - done; }
+};
+
+// A task on a machine, according to the records.
+struct Assignment {
+  Job* job;
+  uint32_t index;  // in the job
+  bool operator<(const Assignment& o) const {
+    return job != o.job ? job < o.job : index < o.index;
+  }
+};
+
+enum class FinalState : uint8_t { done, cancelled };
+
+class Cache {
+ public:
+  Cache(Loop& loop, StateClient& state, double min_watch_gap_s);
+
+  // The long-lived duty: loads everything, then follows the watch.
+  Task<void> follow(std::stop_token token);
+  bool loaded() const { return loaded_; }
+  // The cache holds every change up to this revision.
+  uint64_t revision() const { return revision_; }
+
+  // Applies one key as read or written by us; older versions are ignored.
+  void apply(const Item& item);
+  // Our own committed writes, all at one revision.
+  void apply_writes(const std::vector<Write>& writes, uint64_t revision);
+
+  Job* job(const std::string& id);
+  const std::unordered_map<std::string, std::unique_ptr<Job>>& jobs() const { return jobs_; }
+  const FinalState* final_state(const std::string& id) const;
+  void remember_final(const std::string& id, FinalState state);
+  const std::map<Assignment, uint64_t>& assigned(const std::string& machine) const;
+  // Machines that some record names.
+  const std::unordered_map<std::string, std::map<Assignment, uint64_t>>& assignments() const {
+    return assigned_;
+  }
+  uint64_t chunk_version(const std::string& id, uint32_t chunk) const;
+  // Chunks whose job is gone: left over after a job's end, to be removed.
+  const std::set<std::string>& orphans() const { return orphans_; }
+
+  const Blocks& blocks() const { return blocks_; }
+  uint64_t blocks_version() const { return blocks_version_; }
+  const LeaderRecord& leader() const { return leader_; }
+  uint64_t leader_version() const { return leader_version_; }
+  bool has_leader() const { return has_leader_; }
+  // Machines being returned, or returned: never used again.
+  bool leaving(const std::string& machine) const { return leaving_.contains(machine); }
+  const std::map<std::string, uint64_t>& leaving_marks() const { return leaving_; }
+  struct Rental {
+    RentalRequest request;
+    uint64_t version = 0;
+  };
+  const std::map<std::string, Rental>& rentals() const { return rentals_; }
+  const Json& hints() const { return hints_; }
+
+  // Called after every applied change; the argument is the job concerned, or null.
+  std::function<void(Job*)> on_change;
+  // Called before a job's object goes away.
+  std::function<void(Job*)> on_job_gone;
+
+ private:
+  Task<bool> load(std::stop_token token);
+  void apply_job(const std::string& id, const Item& item);
+  void apply_chunk(const std::string& rest, const Item& item);
+  void set_chunk(Job& job, uint32_t n, ChunkRecord record, uint64_t version);
+  void drop_job(const std::string& id);
+
+  Loop& loop_;
+  StateClient& state_;
+  double min_watch_gap_s_;
+  bool loaded_ = false;
+  uint64_t revision_ = 0;
+  std::unordered_map<std::string, std::unique_ptr<Job>> jobs_;
+  // Chunks read before their job: a listing comes in order of keys, a watch in order of changes.
+  std::map<std::string, Item> loose_chunks_;
+  std::set<std::string> orphans_;
+  std::unordered_map<std::string, std::map<Assignment, uint64_t>> assigned_;
+  std::unordered_map<std::string, FinalState> finals_;
+  std::vector<std::string> final_order_;
+  size_t final_next_ = 0;
+  // Versions of keys removed lately, so that an older copy does not bring them back.
+  std::unordered_map<std::string, uint64_t> removed_;
+  Blocks blocks_;
+  uint64_t blocks_version_ = 0;
+  LeaderRecord leader_;
+  uint64_t leader_version_ = 0;
+  bool has_leader_ = false;
+  std::map<std::string, uint64_t> leaving_;
+  std::map<std::string, Rental> rentals_;
+  Json hints_;
+};
+
+}  // namespace damsonport
--- /dev/null
+++ b/src/storage/rate_limit.cpp
@@ -0,0 +1,91 @@
+#include "storage/rate_limit.hpp"
+
+#include <event2/event.h>
+
+#include <algorithm>
+
+namespace damsonport {
+
+namespace {
+// Stays a little under the published limit: clocks drift and both limits are shared.
+constexpr double safety = 0.92;
+}  // namespace
+
+RateLimit::RateLimit(Loop& loop, double requests_per_s, double writes_per_s)
+    : loop_(loop),
+      all_requests_(requests_per_s * safety),
+      all_writes_(writes_per_s * safety),
+      request_rate_(all_requests_),
+      write_rate_(all_writes_),
+      requests_(0),
+      writes_(0),
+      last_(loop.now()) {
+  timer_ = evtimer_new(
+      loop.base(), [](evutil_socket_t, short, void* self) { static_cast<RateLimit*>(self)->pump(); },
+      this);
+}
+
+RateLimit::~RateLimit() { event_free(timer_); }
+
+void RateLimit::set_share(double share) {
+  refill();
+  request_rate_ = all_requests_ * share;
+  write_rate_ = all_writes_ * share;
+}
+
+void RateLimit::refill() {
+  double now = loop_.now();
+  // Bursts of one second's worth, as the service allows.
+  requests_ = std::min(request_rate_, requests_ + (now - last_) * request_rate_);
+  writes_ = std::min(write_rate_, writes_ + (now - last_) * write_rate_);
+  last_ = now;
+}
+
+bool RateLimit::spend(int writes) {
+  // A transaction larger than the whole bucket goes when the bucket is full, on credit.
+  if (requests_ < 1 || (writes > 0 && writes_ < std::min<double>(writes, write_rate_ * 0.99)))
+    return false;
+  requests_ -= 1;
+  writes_ -= writes;
+  return true;
+}
+
+void RateLimit::pump() {
+  refill();
+  for (auto& queue : queues_) {
+    while (!queue.empty()) {
+      if (!spend(queue.front().writes)) return arm();
+      auto next = queue.front().handle;
+      queue.pop_front();
+      next.resume();
+    }
+  }
+}
+
+void RateLimit::arm() {
+  double missing = std::max(1 - requests_, 0.0) / request_rate_;
+  for (auto& queue : queues_) {
+    if (queue.empty()) continue;
+    double need = std::min<double>(queue.front().writes, write_rate_ * 0.99);
+    missing = std::max(missing, (need - writes_) / write_rate_);
+    break;
+  }
+  missing = std::clamp(missing, 0.002, 1.0);
+  timeval tv{static_cast<time_t>(missing),
+             static_cast<suseconds_t>((missing - static_cast<time_t>(missing)) * 1e6)};
+  event_add(timer_, &tv);
+}
+
+bool RateLimit::Turn::await_ready() {
+  limit.refill();
+  for (size_t i = 0; i <= static_cast<size_t>(importance); ++i)
+    if (!limit.queues_[i].empty()) return false;
+  return limit.spend(writes);
+}
+
+void RateLimit::Turn::await_suspend(std::coroutine_handle<> h) {
+  limit.queues_[static_cast<size_t>(importance)].push_back({h, writes});
+  limit.arm();
+}
+
+}  // namespace damsonport
--- /dev/null
+++ b/src/storage/rate_limit.hpp
@@ -0,0 +1,55 @@
+// This node's share of the state service's published limits, handed out by importance.
+#pragma once
+#include <array>
+#include <coroutine>
+#include <deque>
+
+#include "transport/loop.hpp"
+
+struct event;
+
+namespace damsonport {
+
+// Lower is served first.
+enum class Importance : uint8_t { lease, placing, accepting, watching, polling };
+
+class RateLimit {
+ public:
+  RateLimit(Loop& loop, double requests_per_s, double writes_per_s);
+  ~RateLimit();
+  RateLimit(const RateLimit&) = delete;
+  RateLimit& operator=(const RateLimit&) = delete;
+  // The share of the limits, 0 to 1; the leader does most of the writing.
+  void set_share(double share);
+  // Waiting users of one importance; callers refuse new work over a bound instead of queueing it.
+  size_t waiting(Importance i) const { return queues_[static_cast<size_t>(i)].size(); }
+
+  struct Turn {
+    RateLimit& limit;
+    Importance importance;
+    int writes;
+    bool await_ready();
+    void await_suspend(std::coroutine_handle<> h);
+    void await_resume() const {}
+  };
+  Turn take(Importance importance, int writes) { return {*this, importance, writes}; }
+
+ private:
+  struct Waiter {
+    std::coroutine_handle<> handle;
+    int writes;
+  };
+  void refill();
+  bool spend(int writes);
+  void pump();
+  void arm();
+  Loop& loop_;
+  double all_requests_, all_writes_;
+  double request_rate_, write_rate_;
+  double requests_, writes_;
+  double last_;
+  std::array<std::deque<Waiter>, 5> queues_;
+  event* timer_;
+};
+
+}  // namespace damsonport
--- /dev/null
+++ b/src/storage/records.cpp
@@ -0,0 +1,116 @@
+#include "storage/records.hpp"
+
+#include <algorithm>
+
+namespace damsonport {
+
+LiveTask* ChunkRecord::find_live(uint32_t index) {
+  auto it = std::lower_bound(live.begin(), live.end(), index,
+                             [](const LiveTask& t, uint32_t i) { return t.index < i; });
+  return it != live.end() && it->index == index ? &*it : nullptr;
+}
+
+bool ChunkRecord::peek_startable(uint32_t size, uint32_t skip, uint32_t& index,
+                                 uint64_t& attempt) const {
+  if (skip < waiting.size()) {
+    index = waiting[skip].index;
+    attempt = waiting[skip].attempt + 1;
+    return true;
+  }
+  skip -= static_cast<uint32_t>(waiting.size());
+  if (next + skip >= size) return false;
+  index = next + skip;
+  attempt = 1;
+  return true;
+}
+
+void ChunkRecord::start(uint32_t index, uint64_t attempt, const std::string& machine) {
+  std::erase_if(waiting, [&](const WaitingTask& w) { return w.index == index; });
+  // Untouched tasks that are passed over become waiting ones that never ran.
+  while (next <= index) {
+    if (next != index) waiting.push_back({next, 0});
+    ++next;
+  }
+  std::sort(waiting.begin(), waiting.end(),
+            [](const WaitingTask& a, const WaitingTask& b) { return a.index < b.index; });
+  auto at = std::lower_bound(live.begin(), live.end(), index,
+                             [](const LiveTask& t, uint32_t i) { return t.index < i; });
+  live.insert(at, {index, attempt, machine});
+}
+
+void ChunkRecord::end(uint32_t index, bool done) {
+  auto* task = find_live(index);
+  if (!task) return;
+  uint64_t attempt = task->attempt;
+  live.erase(live.begin() + (task - live.data()));
+  if (done) return;
+  auto at = std::lower_bound(waiting.begin(), waiting.end(), index,
+                             [](const WaitingTask& t, uint32_t i) { return t.index < i; });
+  waiting.insert(at, {index, attempt});
+}
+
+Json encode_chunk(const ChunkRecord& c) {
+  Json m = {{"n", c.next}};
+  if (!c.live.empty()) {
+    auto& list = m["l"] = Json::array();
+    for (auto& t : c.live) list.push_back({t.index, t.attempt, t.machine});
+  }
+  if (!c.waiting.empty()) {
+    auto& list = m["w"] = Json::array();
+    for (auto& t : c.waiting) list.push_back({t.index, t.attempt});
+  }
+  return m;
+}
+
+ChunkRecord decode_chunk(const Json& m) {
+  ChunkRecord c;
+  c.next = m.value("n", 0u);
+  if (m.contains("l"))
+    for (auto& t : m["l"])
+      c.live.push_back({t.at(0).get<uint32_t>(), t.at(1).get<uint64_t>(), t.at(2).get<std::string>()});
+  if (m.contains("w"))
+    for (auto& t : m["w"]) c.waiting.push_back({t.at(0).get<uint32_t>(), t.at(1).get<uint64_t>()});
+  return c;
+}
+
+uint32_t chunk_size(double value_kb) {
+  // The longest entry in text: [9999,1844674407370955161,"i-0000000000"], with room to spare.
+  constexpr double entry_bytes = 48, head_bytes = 64;
+  double fits = (value_kb * 1024 - head_bytes) / entry_bytes;
+  return static_cast<uint32_t>(std::clamp(fits, 1.0, 1024.0));
+}
+
+Json encode_blocks(const Blocks& b) {
+  Json grants = Json::array();
+  for (auto& g : b.grants) {
+    Json m = {{"node", g.node}, {"inc", g.incarnation}, {"term", g.term}};
+    if (g.rest) m["rest"] = true;
+    if (!g.machines.empty()) m["machines"] = g.machines;
+    grants.push_back(std::move(m));
+  }
+  return {{"grants", std::move(grants)}, {"renewals", b.renewals}};
+}
+
+Blocks decode_blocks(const Json& m) {
+  Blocks b;
+  b.renewals = m.value("renewals", uint64_t{0});
+  if (m.contains("grants"))
+    for (auto& g : m["grants"]) {
+      Grant out;
+      out.node = g.value("node", std::string());
+      out.incarnation = g.value("inc", uint64_t{0});
+      out.term = g.value("term", uint64_t{0});
+      out.rest = g.value("rest", false);
+      if (g.contains("machines")) out.machines = g["machines"].get<std::vector<std::string>>();
+      b.grants.push_back(std::move(out));
+    }
+  return b;
+}
+
+Json encode_leader(const LeaderRecord& l) { return {{"node", l.node}, {"inc", l.incarnation}}; }
+
+LeaderRecord decode_leader(const Json& m) {
+  return {m.value("node", std::string()), m.value("inc", uint64_t{0})};
+}
+
+}  // namespace damsonport
--- /dev/null
+++ b/src/storage/records.hpp
@@ -0,0 +1,86 @@
+// What is kept in the state service: key names, values and their bounds.
+#pragma once
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "protocol/messages.hpp"
+
+namespace damsonport {
+
+// Everything under one prefix is cached by every node; final states are read on demand.
+namespace keys {
+inline const std::string cached = "d/";
+inline const std::string blocks = "d/b";
+inline const std::string leader = "d/l";
+inline const std::string jobs = "d/j/";
+inline const std::string chunks = "d/t/";
+inline const std::string machines = "d/m/";
+inline const std::string rentals = "d/r/";
+inline const std::string hints = "d/h";
+inline std::string job(const std::string& id) { return jobs + id; }
+inline std::string chunk(const std::string& id, uint32_t n) {
+  return chunks + id + "/" + std::to_string(n);
+}
+inline std::string machine(const std::string& id) { return machines + id; }
+inline std::string rental(const std::string& id) { return rentals + id; }
+inline std::string final_state(const std::string& id) { return "f/" + id; }
+}  // namespace keys
+
+// The tasks [first, first + size) of a job. Tasks below `next` that are neither waiting nor live
+// are done; those from `next` on were never started. So the record's size is bounded by the
+// chunk's size, however many tasks are done.
+struct LiveTask {
+  uint32_t index;
+  uint64_t attempt;
+  std::string machine;
+};
+struct WaitingTask {
+  uint32_t index;
+  uint64_t attempt;  // the last one used
+};
+struct ChunkRecord {
+  uint32_t next = 0;  // relative to the chunk
+  std::vector<LiveTask> live;        // by index
+  std::vector<WaitingTask> waiting;  // by index
+
+  LiveTask* find_live(uint32_t index);
+  // Index of the next task to start, and its next attempt; false when none is left.
+  bool peek_startable(uint32_t size, uint32_t skip, uint32_t& index, uint64_t& attempt) const;
+  void start(uint32_t index, uint64_t attempt, const std::string& machine);
+  // The attempt is proven gone: to be started again, or done.
+  void end(uint32_t index, bool done);
+  bool finished(uint32_t size) const { return next == size && live.empty() && waiting.empty(); }
+  uint32_t done_count() const {
+    return next - static_cast<uint32_t>(live.size() + waiting.size());
+  }
+};
+Json encode_chunk(const ChunkRecord& c);
+ChunkRecord decode_chunk(const Json& m);
+// Tasks in one chunk so that its record stays below `value_kb` whatever its state.
+uint32_t chunk_size(double value_kb);
+
+// Who may place and answer. `rest` is the grant of every machine and team not named in another.
+struct Grant {
+  std::string node;
+  uint64_t incarnation = 0;
+  uint64_t term = 0;  // the token of this grant's workers
+  std::vector<std::string> machines;
+  bool rest = false;
+};
+struct Blocks {
+  std::vector<Grant> grants;
+  uint64_t renewals = 0;
+};
+Json encode_blocks(const Blocks& b);
+Blocks decode_blocks(const Json& m);
+
+struct LeaderRecord {
+  std::string node;
+  uint64_t incarnation = 0;
+};
+Json encode_leader(const LeaderRecord& l);
+LeaderRecord decode_leader(const Json& m);
+
+}  // namespace damsonport
--- /dev/null
+++ b/src/storage/state_client.hpp
@@ -0,0 +1,87 @@
+// Client of the state service: transactions, reads, watches and leases, inside this node's limits.
+#pragma once
+#include <map>
+#include <string>
+#include <vector>
+
+#include "protocol/messages.hpp"
+#include "storage/rate_limit.hpp"
+#include "transport/http.hpp"
+
+namespace damsonport {
+
+struct Write {
+  std::string key;
+  Json value;  // null: delete
+  uint64_t lease = 0;
+};
+
+struct Txn {
+  std::map<std::string, uint64_t> conditions;  // key -> version, 0: absent
+  std::vector<Write> writes;
+};
+
+enum class Outcome : uint8_t {
+  committed,
+  conflict,  // definite: not applied
+  refused,   // definite: not executed (429, 503)
+  invalid,   // definite: 400, for example an ended lease
+  unknown,   // may have been, or may yet be, applied
+};
+
+struct TxnReply {
+  Outcome outcome = Outcome::unknown;
+  uint64_t revision = 0;
+  std::vector<std::string> failed;
+};
+
+struct Item {
+  std::string key;
+  Json value;  // null: deleted
+  uint64_t version = 0;
+  uint64_t lease = 0;
+};
+
+struct ReadReply {
+  bool ok = false;
+  bool found = false;
+  Item item;
+};
+
+struct ListReply {
+  bool ok = false;
+  bool more = false;
+  bool too_old = false;  // watches only
+  uint64_t revision = 0;
+  std::vector<Item> items;
+};
+
+class StateClient {
+ public:
+  StateClient(Loop& loop, HttpClient& http, Endpoint endpoint, double rps, double write_rps);
+  Task<TxnReply> commit(Txn txn, Importance importance);
+  // Repeats until the outcome is definite: see the reasoning at its definition.
+  Task<TxnReply> commit_surely(Txn txn, Importance importance, std::stop_token token);
+  Task<ReadReply> read(std::string key, Importance importance);
+  Task<ListReply> list(std::string prefix, std::string after, Importance importance);
+  Task<ListReply> watch(std::string prefix, uint64_t after, double wait_s);
+  // 0: none could be had.
+  Task<uint64_t> new_lease(double ttl_s);
+  enum class Renewal : uint8_t { renewed, ended, unknown };
+  Task<Renewal> renew(uint64_t lease);
+
+  RateLimit& limit() { return limit_; }
+  // Steady time of the last definite answer that was not a refusal for an outage.
+  double last_contact() const { return last_contact_; }
+
+ private:
+  Task<HttpReply> call(Method method, std::string target, std::string body, Importance importance,
+                       int writes, double timeout_s);
+  Loop& loop_;
+  HttpClient& http_;
+  Endpoint endpoint_;
+  RateLimit limit_;
+  double last_contact_ = -1e9;
+};
+
+}  // namespace damsonport
--- /dev/null
+++ b/src/transport/http_client.cpp
@@ -0,0 +1,133 @@
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/http_struct.h>
+
+#include "transport/http.hpp"
+
+namespace damsonport {
+
+struct HttpClient::Call {
+  HttpClient& client;
+  Endpoint to;
+  Method method;
+  std::string target;
+  std::string body;
+  double timeout_s;
+  HttpReply reply;
+  std::coroutine_handle<> waiter;
+  evhttp_connection* connection = nullptr;
+  evhttp_request* request = nullptr;
+  event* timer = nullptr;
+  bool done = false;
+
+  ~Call() {
+    if (timer) event_free(timer);
+  }
+  bool await_ready() const { return false; }
+  void await_suspend(std::coroutine_handle<> h) {
+    waiter = h;
+    start();
+  }
+  HttpReply await_resume() { return std::move(reply); }
+
+  void start() {
+    connection = client.take(to);
+    timer = evtimer_new(
+        client.loop_.base(),
+        [](evutil_socket_t, short, void* self) { static_cast<Call*>(self)->expire(); }, this);
+    timeval tv{static_cast<time_t>(timeout_s),
+               static_cast<suseconds_t>((timeout_s - static_cast<time_t>(timeout_s)) * 1e6)};
+    event_add(timer, &tv);
+    if (!connection) return;  // the timer reports it: never resume from inside await_suspend
+    request = evhttp_request_new(
+        [](evhttp_request* r, void* self) { static_cast<Call*>(self)->complete(r); }, this);
+    auto* headers = evhttp_request_get_output_headers(request);
+    evhttp_add_header(headers, "Host", to.text().c_str());
+    if (!body.empty()) {
+      evhttp_add_header(headers, "Content-Type", "application/cbor");
+      evbuffer_add(evhttp_request_get_output_buffer(request), body.data(), body.size());
+    }
+    auto command = method == Method::get    ? EVHTTP_REQ_GET
+                   : method == Method::post ? EVHTTP_REQ_POST
+                                            : EVHTTP_REQ_DELETE;
+    if (evhttp_make_request(connection, request, command, target.c_str()) != 0) {
+      // evhttp has freed the request and may not have called back.
+      request = nullptr;
+    }
+  }
+  void complete(evhttp_request* r) {
+    if (done) return;
+    if (r) {
+      reply.status = evhttp_request_get_response_code(r);
+      evbuffer* input = evhttp_request_get_input_buffer(r);
+      if (reply.status != 0) {
+        reply.body.resize(evbuffer_get_length(input));
+        evbuffer_remove(input, reply.body.data(), reply.body.size());
+      }
+    }
+    request = nullptr;
+    done = true;
+    // Resumed from the loop, not from evhttp's stack, which still uses the connection.
+    event_active(timer, EV_TIMEOUT, 0);
+  }
+  void expire() {
+    if (!done) {
+      done = true;
+      if (request) evhttp_cancel_request(request);
+      request = nullptr;
+    }
+    if (connection) {
+      if (reply.answered()) {
+        client.give_back(to.text(), connection);
+      } else {
+        client.discard(connection);
+      }
+    }
+    connection = nullptr;
+    waiter.resume();
+  }
+};
+
+HttpClient::~HttpClient() {
+  for (auto& [to, list] : idle_)
+    for (auto& idle : list) evhttp_connection_free(idle.connection);
+}
+
+evhttp_connection* HttpClient::take(const Endpoint& to) {
+  auto& list = idle_[to.text()];
+  if (!list.empty()) {
+    auto* connection = list.back().connection;
+    list.pop_back();
+    return connection;
+  }
+  auto* connection = evhttp_connection_base_new(loop_.base(), nullptr, to.host.c_str(), to.port);
+  if (connection) evhttp_connection_set_timeout(connection, 120);
+  return connection;
+}
+
+void HttpClient::give_back(const std::string& to, evhttp_connection* connection) {
+  idle_[to].push_back({connection, loop_.now()});
+}
+
+void HttpClient::discard(evhttp_connection* connection) { evhttp_connection_free(connection); }
+
+void HttpClient::trim(double idle_s) {
+  double before = loop_.now() - idle_s;
+  for (auto it = idle_.begin(); it != idle_.end();) {
+    std::erase_if(it->second, [&](const Idle& idle) {
+      if (idle.since >= before) return false;
+      evhttp_connection_free(idle.connection);
+      return true;
+    });
+    it = it->second.empty() ? idle_.erase(it) : std::next(it);
+  }
+}
+
+Task<HttpReply> HttpClient::request(Endpoint to, Method method, std::string target,
+                                    std::string body, double timeout_s) {
+  Call call{*this, std::move(to), method, std::move(target), std::move(body), timeout_s, {}, {}};
+  co_return co_await call;
+}
+
+}  // namespace damsonport
--- /dev/null
+++ b/src/transport/stream.cpp
@@ -0,0 +1,110 @@
+#include "transport/stream.hpp"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+#include <netinet/in.h>
+
+namespace damsonport {
+
+namespace {
+constexpr size_t max_unsent = 4096;
+constexpr timeval idle{10, 0};
+
+sockaddr_in address_of(const Endpoint& e) {
+  sockaddr_in a{};
+  a.sin_family = AF_INET;
+  a.sin_port = htons(e.port);
+  evutil_inet_pton(AF_INET, e.host.c_str(), &a.sin_addr);
+  return a;
+}
+}  // namespace
+
+void StreamLink::close() {
+  if (stream_) bufferevent_free(stream_);
+  stream_ = nullptr;
+  up_ = false;
+}
+
+void StreamLink::send(const std::string& bytes) {
+  if (!stream_) {
+    stream_ = bufferevent_socket_new(loop_.base(), -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+    if (!stream_) return;
+    bufferevent_setcb(
+        stream_, nullptr, nullptr,
+        [](bufferevent*, short what, void* arg) {
+          auto* self = static_cast<StreamLink*>(arg);
+          if (what & BEV_EVENT_CONNECTED) {
+            self->up_ = true;
+          } else {
+            self->close();
+          }
+        },
+        this);
+    // A link that takes nothing for a while is cut off or dead: connect anew.
+    bufferevent_set_timeouts(stream_, nullptr, &idle);
+    bufferevent_enable(stream_, EV_READ | EV_WRITE);
+    auto a = address_of(to_);
+    if (bufferevent_socket_connect(stream_, reinterpret_cast<sockaddr*>(&a), sizeof a) != 0) {
+      close();
+      return;
+    }
+  }
+  auto* out = bufferevent_get_output(stream_);
+  if (!up_ && evbuffer_get_length(out) > 0) return;
+  if (evbuffer_get_length(out) + bytes.size() > max_unsent) return;
+  bufferevent_write(stream_, bytes.data(), bytes.size());
+}
+
+struct StreamListener::Incoming {
+  StreamListener* owner;
+  bufferevent* stream;
+  ~Incoming() {
+    --owner->open_;
+    bufferevent_free(stream);
+  }
+  void read() {
+    auto* in = bufferevent_get_input(stream);
+    size_t size = evbuffer_get_length(in);
+    auto* data = reinterpret_cast<const char*>(evbuffer_pullup(in, -1));
+    long used = owner->on_bytes_({data, size});
+    if (used < 0) {
+      delete this;
+    } else {
+      evbuffer_drain(in, static_cast<size_t>(used));
+    }
+  }
+};
+
+StreamListener::StreamListener(Loop& loop, const Endpoint& at, size_t max_streams, OnBytes on_bytes)
+    : loop_(loop), max_streams_(max_streams), on_bytes_(std::move(on_bytes)) {
+  auto a = address_of(at);
+  listener_ = evconnlistener_new_bind(
+      loop.base(),
+      [](evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* arg) {
+        auto* self = static_cast<StreamListener*>(arg);
+        if (self->open_ >= self->max_streams_) {
+          evutil_closesocket(fd);
+          return;
+        }
+        auto* stream = bufferevent_socket_new(self->loop_.base(), fd, BEV_OPT_CLOSE_ON_FREE);
+        if (!stream) {
+          evutil_closesocket(fd);
+          return;
+        }
+        ++self->open_;
+        auto* incoming = new Incoming{self, stream};
+        bufferevent_setcb(
+            stream, [](bufferevent*, void* i) { static_cast<Incoming*>(i)->read(); }, nullptr,
+            [](bufferevent*, short, void* i) { delete static_cast<Incoming*>(i); }, incoming);
+        bufferevent_set_timeouts(stream, &idle, &idle);
+        bufferevent_enable(stream, EV_READ);
+      },
+      this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, 16, reinterpret_cast<sockaddr*>(&a), sizeof a);
+}
+
+StreamListener::~StreamListener() {
+  if (listener_) evconnlistener_free(listener_);
+}
+
+}  // namespace damsonport
