--- a/src/main.cpp
+++ b/src/main.cpp
@@ -15,7 +15,7 @@
 
 bool set_up_logging() {
   auto logger = spdlog::stderr_logger_st("damsonport");
-  logger->set_pattern("%H:%M:%S.%e %l %v");
+  logger->set_pattern("%H:%M:%S.%e %l %v", spdlog::pattern_time_type::utc);
   spdlog::set_default_logger(logger);
   const char* wanted = std::getenv("LOG_LEVEL");
   std::string level = wanted && *wanted ? wanted : "info";
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -102,7 +102,16 @@
 HttpServer::~HttpServer() { evhttp_free(http_); }
 
 bool HttpServer::bind(const Endpoint& at) {
-  socket_ = evhttp_bind_socket_with_handle(http_, at.host.c_str(), at.port);
+  // Bound here and not by evhttp, which would look the address up.
+  sockaddr_in a{};
+  a.sin_family = AF_INET;
+  a.sin_port = htons(at.port);
+  evutil_inet_pton(AF_INET, at.host.c_str(), &a.sin_addr);
+  auto* listener = evconnlistener_new_bind(loop_.base(), nullptr, nullptr,
+                                           LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, 128,
+                                           reinterpret_cast<sockaddr*>(&a), sizeof a);
+  if (!listener) return false;
+  socket_ = evhttp_bind_listener(http_, listener);
   return socket_ != nullptr;
 }
 
