--- a/src/main.cpp
+++ b/src/main.cpp
@@ -14,6 +14,9 @@
 constexpr int exit_bad_settings = 2;
 
 bool set_up_logging() {
+  // UTC without a time zone file: where no file system is to be had, reading one late, once the
+  // loop was there, ended the process.
+  setenv("TZ", "UTC0", 1);
   auto logger = spdlog::stderr_logger_st("damsonport");
   logger->set_pattern("%H:%M:%S.%e %l %v", spdlog::pattern_time_type::utc);
   spdlog::set_default_logger(logger);
@@ -48,6 +51,7 @@
     spdlog::error("{}", settings.error());
     return exit_bad_settings;
   }
+  spdlog::info("damsonport {} starts as {}", DAMSONPORT_VERSION, settings->node_name);
   if (check) {
     std::cout << config << ": ok\n";
     return 0;
