--- a/src/coordination/node.cpp
+++ b/src/coordination/node.cpp
@@ -79,11 +79,12 @@
 }
 
 Task<void> Node::housekeeping(std::stop_token token) {
-  // Not awaited in the loop's condition: gcc 12 miscompiles that.
+  const double period = settings_.report_s;
   while (!token.stop_requested()) {
-    if (!co_await Sleep(loop_, settings_.report_s, token)) co_return;
     state_.limit().set_share(share_of(election_.leading(), settings_.nodes));
     http_.trim(idle_connection_s);
+    server_.tidy();
+    if (!co_await Sleep(loop_, period, token)) co_return;
   }
 }
 
--- a/src/transport/http.hpp
+++ b/src/transport/http.hpp
@@ -49,7 +49,8 @@
   HttpServer& operator=(const HttpServer&) = delete;
   bool bind(const Endpoint& at);
   uint16_t port() const;
-  size_t connections() const { return open_.size(); }
+  // Takes connections again when enough have gone; to be called now and then.
+  void tidy() { bound_connections(); }
 
  private:
   struct Exchange;
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -67,14 +67,14 @@
 // tells of a connection only with its first request, so until then it counts as silent, and a
 // silent one is closed by evhttp after the idle time.
 void HttpServer::accepted() {
-  const double now = loop_.now();
-  std::erase_if(silent_since_, [&](double since) { return now - since > idle_s_ + 1; });
-  silent_since_.push_back(now);
+  silent_since_.push_back(loop_.now());
   bound_connections();
 }
 
 void HttpServer::bound_connections() {
   if (!socket_) return;
+  const double now = loop_.now();
+  std::erase_if(silent_since_, [&](double since) { return now - since > idle_s_ + 1; });
   auto* listener = evhttp_bound_socket_get_listener(socket_);
   if (open_.size() + silent_since_.size() >= max_connections_) {
     evconnlistener_disable(listener);
