--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -99,7 +99,11 @@
       this);
 }
 
-HttpServer::~HttpServer() { evhttp_free(http_); }
+HttpServer::~HttpServer() {
+  // Freed with the rest, and connections closing meanwhile must not touch it.
+  socket_ = nullptr;
+  evhttp_free(http_);
+}
 
 bool HttpServer::bind(const Endpoint& at) {
   // Bound here and not by evhttp, which would look the address up.
--- /dev/null
+++ b/tests/protocol_test.cpp
@@ -0,0 +1,123 @@
+#include <gtest/gtest.h>
+
+#include "coordination/catalog.hpp"
+#include "protocol/messages.hpp"
+#include "protocol/settings.hpp"
+#include "protocol/varint.hpp"
+
+namespace damsonport {
+namespace {
+
+Json job_message() {
+  return {{"ref", "run-1"},    {"berth", "c"},       {"owner", "t"},     {"shape", "batch"},
+          {"rank", "high"},    {"hands", 4},         {"cores", 2.0},     {"accelerators", 1.0},
+          {"memory_gb", 8.0},  {"cargo", "img"},     {"size_gb", 3.0},   {"hulls", nullptr},
+          {"dock", nullptr},   {"same_place", false}, {"spread", false}, {"tender", true},
+          {"voyage_s", 60.0},  {"moor_s", 10.0},     {"stow_s", 2.0},    {"due_s", nullptr}};
+}
+
+TEST(Job, KeepsItsFieldsThroughTheRecord) {
+  auto spec = decode_job(job_message());
+  ASSERT_TRUE(spec);
+  auto back = decode_job(encode_job(*spec));
+  ASSERT_TRUE(back);
+  EXPECT_EQ(back->priority, Priority::high);
+  EXPECT_EQ(back->tasks, 4u);
+  EXPECT_TRUE(back->spot);
+  EXPECT_EQ(back->checkpoint_s, 10.0);
+  EXPECT_LT(back->deadline_s, 0);
+}
+
+TEST(Job, MissingOrInvalidFieldsAreRefusedByName) {
+  for (const char* field : {"ref", "berth", "owner", "shape", "rank", "hands", "cores", "cargo"}) {
+    auto m = job_message();
+    m.erase(field);
+    auto spec = decode_job(m);
+    ASSERT_FALSE(spec);
+    EXPECT_NE(spec.error().find(field), std::string::npos);
+  }
+  auto bad = [](const char* key, Json value) {
+    auto m = job_message();
+    m[key] = std::move(value);
+    return !decode_job(m);
+  };
+  EXPECT_TRUE(bad("hands", 0));
+  EXPECT_TRUE(bad("hands", 100001));
+  EXPECT_TRUE(bad("hands", 2.5));
+  EXPECT_TRUE(bad("cores", -1.0));
+  EXPECT_TRUE(bad("cores", "4"));
+  EXPECT_TRUE(bad("rank", "urgent"));
+  EXPECT_TRUE(bad("ref", "job 1"));
+  EXPECT_TRUE(bad("tender", 1));
+  EXPECT_TRUE(bad("hulls", Json::array({1})));
+}
+
+TEST(Body, OnlyWholeMapsAreTaken) {
+  EXPECT_TRUE(decode_map("").is_null());
+  EXPECT_TRUE(decode_map("\xff\x00").is_null());
+  EXPECT_TRUE(decode_map(encode(Json::array({1}))).is_null());
+  EXPECT_TRUE(decode_map(encode(job_message()).substr(0, 20)).is_null());
+}
+
+TEST(Judgement, FollowsTeamsTypesAndLimits) {
+  Settings s;
+  s.teams.push_back({"t", 0, 0, 4, 8});
+  MachineType g;
+  g.name = "g", g.cpus = 48, g.gpus = 8, g.memory_gb = 100, g.zones = {"a"};
+  auto spec = *decode_job(job_message());
+  EXPECT_EQ(judge_job(spec, s, {g}), Verdict::ok);
+  auto other = spec;
+  other.team = "nobody";
+  EXPECT_EQ(judge_job(other, s, {g}), Verdict::unknown_team);
+  other = spec;
+  other.zone = "b";
+  EXPECT_EQ(judge_job(other, s, {g}), Verdict::fits_no_type);
+  other = spec;
+  other.tasks = 9;
+  EXPECT_EQ(judge_job(other, s, {g}), Verdict::ok) << "of an array one task has to fit";
+  other.kind = Kind::service;
+  EXPECT_EQ(judge_job(other, s, {g}), Verdict::over_limit);
+}
+
+TEST(Varint, BeatsComeBackAndBadFramesAreTold) {
+  Beat b{"n-1", 1ull << 51, 300, 77, true};
+  auto bytes = encode_beat(b);
+  Beat back;
+  size_t used = 0;
+  ASSERT_EQ(decode_beat(bytes, back, used), Framed::whole);
+  EXPECT_EQ(used, bytes.size());
+  EXPECT_EQ(back.incarnation, b.incarnation);
+  EXPECT_EQ(back.waiting, 77u);
+  EXPECT_TRUE(back.loaded);
+  for (size_t n = 0; n < bytes.size(); ++n)
+    EXPECT_EQ(decode_beat(bytes.substr(0, n), back, used), Framed::partial);
+  EXPECT_EQ(decode_beat(std::string(16, '\xff'), back, used), Framed::bad);
+  std::string wrong_version = bytes;
+  wrong_version[1] = 9;
+  EXPECT_EQ(decode_beat(wrong_version, back, used), Framed::bad);
+}
+
+TEST(Settings, ProblemsAreNamed) {
+  auto r = parse_settings("node_name = \"a\"\n");
+  ASSERT_FALSE(r);
+  EXPECT_NE(r.error().find("location"), std::string::npos);
+  auto broken = parse_settings("node_name = \n");
+  ASSERT_FALSE(broken);
+  EXPECT_NE(broken.error().find("line 1"), std::string::npos);
+}
+
+TEST(Tuning, IsReadAndCheckedWithThePlaceOfTheError) {
+  auto t = parse_tuning("; ours\n(damsonport (straggler-bar 0.7)\n (grant-s 20))");
+  ASSERT_TRUE(t);
+  EXPECT_EQ(t->straggler_bar, 0.7);
+  EXPECT_EQ(t->grant_s, 20);
+  for (const char* text : {"(damsonport\n (nonsense 1))", "(damsonport\n (grant-s x))",
+                           "(damsonport\n (grant-s 0))", "(damsonport\n (grant-s 1)"}) {
+    auto bad = parse_tuning(text);
+    ASSERT_FALSE(bad) << text;
+    EXPECT_NE(bad.error().find("line 2"), std::string::npos) << bad.error();
+  }
+}
+
+}  // namespace
+}  // namespace damsonport
--- /dev/null
+++ b/tests/trace_test.cpp
@@ -0,0 +1,204 @@
+// Plays the kept traces: text files with events in and the decisions expected. See traces/README.
+#include <gtest/gtest.h>
+
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+#include "coordination/placement.hpp"
+#include "coordination/reconcile.hpp"
+#include "coordination/straggler.hpp"
+
+namespace damsonport {
+namespace {
+
+using Words = std::map<std::string, std::string>;
+
+// "key=value" words of a line, after its leading ones.
+Words pairs(std::istringstream& in) {
+  Words out;
+  for (std::string word; in >> word;) {
+    auto eq = word.find('=');
+    out[word.substr(0, eq)] = eq == std::string::npos ? "yes" : word.substr(eq + 1);
+  }
+  return out;
+}
+double num(const Words& w, const char* key, double otherwise = 0) {
+  auto it = w.find(key);
+  return it == w.end() ? otherwise : std::stod(it->second);
+}
+std::string str(const Words& w, const char* key) {
+  auto it = w.find(key);
+  return it == w.end() ? "" : it->second;
+}
+std::vector<std::string> list(const Words& w, const char* key) {
+  std::vector<std::string> out;
+  std::istringstream in(str(w, key));
+  for (std::string item; std::getline(in, item, ',');) out.push_back(item);
+  return out;
+}
+
+class Trace {
+ public:
+  void line(const std::string& text) {
+    std::istringstream in(text);
+    std::string verb, name;
+    in >> verb;
+    if (verb.empty() || verb[0] == '#') return;
+    if (verb == "expect") {
+      std::string rest;
+      std::getline(in >> std::ws, rest);
+      expected_.push_back(rest);
+      return;
+    }
+    if (verb == "place") return run_place();
+    if (verb == "reconcile") return run_reconcile(pairs(in));
+    in >> name;
+    auto w = pairs(in);
+    if (verb == "machine") {
+      placing::MachineView m;
+      m.id = name, m.type = str(w, "type"), m.zone = str(w, "zone");
+      m.spot = w.contains("spot");
+      m.open = !w.contains("closed");
+      m.total = m.free = {num(w, "cpus"), num(w, "gpus"), num(w, "memory", 1e6)};
+      m.images = list(w, "images");
+      m.fetch_gb_per_s = num(w, "fetch", 1);
+      m.speed = num(w, "speed", 1);
+      m.bad_jobs = list(w, "failed");
+      input_.machines.push_back(m);
+    } else if (verb == "team") {
+      input_.teams.push_back({name, {}, {num(w, "cpus"), num(w, "gpus"), 0},
+                              {num(w, "cpus_max"), num(w, "gpus_max"), 0}});
+    } else if (verb == "job") {
+      placing::JobView j;
+      j.id = name, j.team = str(w, "team"), j.image = str(w, "image"), j.image_gb = num(w, "gb");
+      j.service = w.contains("service");
+      j.priority = static_cast<int>(num(w, "priority", 1));
+      j.need = {num(w, "cpus"), num(w, "gpus"), num(w, "memory")};
+      j.zone = str(w, "zone"), j.types = list(w, "types");
+      j.one_zone = w.contains("one_zone"), j.spread = w.contains("spread");
+      j.spot = w.contains("spot"), j.cancelled = w.contains("cancelled");
+      j.tasks = static_cast<uint32_t>(num(w, "tasks", 1));
+      j.waiting = static_cast<uint32_t>(num(w, "waiting", j.tasks));
+      j.unfinished = j.tasks;
+      j.accepted_at = static_cast<double>(input_.jobs.size());
+      input_.jobs.push_back(j);
+    } else if (verb == "live") {  // live JOB machine=M [lost=S] [grace=S] [age=S] [stopping]
+      placing::LiveView l;
+      for (size_t i = 0; i < input_.jobs.size(); ++i)
+        if (input_.jobs[i].id == name) l.job = i;
+      for (size_t i = 0; i < input_.machines.size(); ++i)
+        if (input_.machines[i].id == str(w, "machine")) l.machine = i;
+      l.index = static_cast<uint32_t>(input_.live.size());
+      l.lost_s = num(w, "lost"), l.grace_s = num(w, "grace"), l.age_s = num(w, "age", 100);
+      l.stopping = w.contains("stopping");
+      auto& need = input_.jobs[l.job].need;
+      input_.machines[l.machine].free -= need;
+      if (l.stopping) input_.machines[l.machine].coming_free += need;
+      for (auto& t : input_.teams)
+        if (t.name == input_.jobs[l.job].team) t.used += need;
+      input_.live.push_back(l);
+    } else if (verb == "report") {  // report M session=N seq=N token=N [late]
+      Report r;
+      r.machine = name;
+      r.session = static_cast<uint64_t>(num(w, "session", 1));
+      r.seq = static_cast<uint64_t>(num(w, "seq", 1));
+      r.token = static_cast<uint64_t>(num(w, "token"));
+      for (auto& item : list(w, "tasks")) {  // JOB/INDEX:ATTEMPT:STATE
+        TaskReport t;
+        auto a = item.find(':'), b = item.rfind(':');
+        ASSERT_TRUE(parse_task_name(item.substr(0, a), t.task));
+        t.attempt = std::stoull(item.substr(a + 1, b - a - 1));
+        auto state = item.substr(b + 1);
+        t.state = state == "running"    ? TaskState::running
+                  : state == "fetching" ? TaskState::fetching
+                  : state == "saving"   ? TaskState::saving
+                                        : TaskState::exited;
+        t.cause = state == "done" ? ExitCause::done : ExitCause::stopped;
+        r.tasks.push_back(t);
+      }
+      if (!take_report(machine_, r, 0, false)) actual_.push_back("ignored " + std::to_string(r.seq));
+    } else if (verb == "record") {  // record TASK attempt=N [cancelled] [stop=S]
+      Expected e;
+      ASSERT_TRUE(parse_task_name(name, e.task));
+      e.attempt = static_cast<uint64_t>(num(w, "attempt", 1));
+      e.cancelled = w.contains("cancelled");
+      if (w.contains("stop")) e.stop = num(w, "stop");
+      records_.push_back(e);
+    } else if (verb == "sent") {  // sent TASK attempt=N how=flight|limbo|answer
+      AttemptKey key;
+      ASSERT_TRUE(parse_task_name(name, key.first));
+      key.second = static_cast<uint64_t>(num(w, "attempt", 1));
+      auto how = str(w, "how");
+      (how == "flight" ? machine_.in_flight : how == "limbo" ? machine_.in_limbo : machine_.in_answer)
+          .insert(key);
+    } else if (verb == "successes") {  // successes MACHINE run=S median=S count=N
+      StragglerAverage s;
+      RunTimes times;
+      Tuning tuning;
+      for (int i = 0; i < 50; ++i) times.add(num(w, "median"), tuning.straggler_min_successes);
+      int n = static_cast<int>(num(w, "count")), at = 0;
+      for (int i = 1; i <= n && !at; ++i)
+        if (fold(s, *times.add(num(w, "run"), tuning.straggler_min_successes), tuning)) at = i;
+      actual_.push_back(at ? "straggler " + name + " after " + std::to_string(at) : "sound " + name);
+    } else {
+      FAIL() << "unknown line: " << text;
+    }
+  }
+  void check() const { EXPECT_EQ(expected_, actual_); }
+
+ private:
+  void run_place() {
+    auto d = placing::place(input_);
+    for (auto& s : d.starts)
+      actual_.push_back("start " + input_.jobs[s.job].id + " on " + input_.machines[s.machine].id);
+    for (auto& s : d.stops) {
+      auto& l = input_.live[s.live];
+      std::ostringstream grace;
+      grace << s.grace_s;
+      actual_.push_back("stop " + input_.jobs[l.job].id + " on " + input_.machines[l.machine].id +
+                        " grace " + grace.str());
+    }
+    for (auto& u : d.unplaced)
+      actual_.push_back("wait " + input_.jobs[u.job].id + " " + std::to_string(u.count) +
+                        (u.room_coming ? " (room coming)" : ""));
+  }
+  void run_reconcile(const Words& w) {
+    auto out = reconcile(machine_, records_, static_cast<uint64_t>(num(w, "term", 1)),
+                         !w.contains("stale"));
+    for (auto& c : out.commands)
+      actual_.push_back((c.op == Command::Op::start  ? "start "
+                         : c.op == Command::Op::stop ? "stop "
+                                                     : "forget ") +
+                        c.task.text() + " " + std::to_string(c.attempt));
+    for (auto& e : out.exits)
+      actual_.push_back("gone " + e.task.text() + " " + std::to_string(e.attempt) +
+                        (e.cause == ExitCause::done ? " done" : ""));
+  }
+  placing::Input input_;
+  Machine machine_;
+  std::vector<Expected> records_;
+  std::vector<std::string> expected_, actual_;
+};
+
+class Traces : public testing::TestWithParam<std::string> {};
+
+TEST_P(Traces, DecideAsWritten) {
+  std::ifstream in(std::string(TRACE_DIR) + "/" + GetParam() + ".trace");
+  ASSERT_TRUE(in);
+  Trace trace;
+  for (std::string text; std::getline(in, text);) trace.line(text);
+  trace.check();
+}
+
+std::vector<std::string> trace_names() {
+  std::vector<std::string> out;
+  for (auto& f : std::filesystem::directory_iterator(TRACE_DIR))
+    if (f.path().extension() == ".trace") out.push_back(f.path().stem());
+  std::sort(out.begin(), out.end());
+  return out;
+}
+INSTANTIATE_TEST_SUITE_P(Kept, Traces, testing::ValuesIn(trace_names()));
+
+}  // namespace
+}  // namespace damsonport
