--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -110,13 +110,18 @@
     auto& job = in_.jobs[j];
     if (!job.zone.empty() && job.zone != zone) return false;
     auto& count = zone_count_[j];
+    // A machine known only from the records, after a change of holder, has no zone yet: its tasks
+    // may be in any.
+    auto unknown_at = count.find("");
+    uint32_t unknown = unknown_at == count.end() ? 0 : unknown_at->second;
+    if (job.one_zone && unknown > 0) return false;
     if (job.one_zone)
       for (auto& [z, n] : count)
         if (n > 0 && z != zone) return false;
     if (job.spread) {
       auto it = count.find(zone);
       uint32_t here = it == count.end() ? 0 : it->second;
-      if (here + 1 > (job.tasks + 1) / 2) return false;
+      if (here + unknown + 1 > (job.tasks + 1) / 2) return false;
     }
     return true;
   }
