--- a/src/coordination/election.cpp
+++ b/src/coordination/election.cpp
@@ -49,7 +49,9 @@
 }
 
 Task<void> Election::campaign(std::stop_token token) {
-  if (!lease_) lease_ = co_await state_.new_lease(ttl_s_);
+  // A new lease for each try: one left from an earlier try would be about to end, and the key with
+  // it, while this node still believed to lead.
+  lease_ = co_await state_.new_lease(ttl_s_);
   if (!lease_ || token.stop_requested()) co_return;
   Txn txn;
   txn.conditions[keys::leader] = cache_.has_leader() ? cache_.leader_version() : 0;
@@ -61,8 +63,6 @@
     leading_ = true;
     spdlog::info("elected leader at revision {}", reply.revision);
     changed_.notify();
-  } else if (reply.outcome == Outcome::invalid) {
-    lease_ = 0;
   } else if (reply.outcome == Outcome::conflict || reply.outcome == Outcome::unknown) {
     // Somebody was faster, or our own lost message was: read what stands there.
     auto read = co_await state_.read(keys::leader, Importance::lease);
--- a/src/coordination/election.hpp
+++ b/src/coordination/election.hpp
@@ -10,8 +10,12 @@
   Election(Loop& loop, const Settings& settings, StateClient& state, Cache& cache,
            uint64_t incarnation, Signal& changed);
   Task<void> run(std::stop_token token);
-  // Our key stands, as far as is known.
-  bool leading() const { return leading_; }
+  // Our key stands, as far as is known. Also asked of the cache: after a conflict the key of a
+  // successor is known there first, and writing on its version would be leading in its name.
+  bool leading() const {
+    return leading_ && cache_.has_leader() && cache_.leader().node == settings_.node_name &&
+           cache_.leader().incarnation == incarnation_;
+  }
 
  private:
   Task<void> campaign(std::stop_token token);
