--- a/src/coordination/catalog.cpp
+++ b/src/coordination/catalog.cpp
@@ -44,7 +44,7 @@
     return job.cpus <= t.cpus && job.gpus <= t.gpus && job.memory_gb <= t.memory_gb;
   });
   if (!fits) return Verdict::fits_no_type;
-  double count = job.kind == Kind::service ? job.tasks : 1;
+  double count = job.kind == Kind::batch ? 1 : job.tasks;
   if ((team->cpus_max > 0 && job.cpus * count > team->cpus_max + 1e-9) ||
       (team->gpus_max > 0 && job.gpus * count > team->gpus_max + 1e-9))
     return Verdict::over_limit;
--- a/src/coordination/election.cpp
+++ b/src/coordination/election.cpp
@@ -49,12 +49,14 @@
 }
 
 Task<void> Election::campaign(std::stop_token token) {
+  // Decided on what stands now: if a key appears while the lease is asked for, ours must lose.
+  const uint64_t replaced = cache_.has_leader() ? cache_.leader_version() : 0;
   // A new lease for each try: one left from an earlier try would be about to end, and the key with
   // it, while this node still believed to lead.
   lease_ = co_await state_.new_lease(ttl_s_);
   if (!lease_ || token.stop_requested()) co_return;
   Txn txn;
-  txn.conditions[keys::leader] = cache_.has_leader() ? cache_.leader_version() : 0;
+  txn.conditions[keys::leader] = replaced;
   txn.writes.push_back({keys::leader, encode_leader({settings_.node_name, incarnation_}), lease_});
   auto writes = txn.writes;
   auto reply = co_await state_.commit(std::move(txn), Importance::lease);
--- a/src/coordination/holder_commit.cpp
+++ b/src/coordination/holder_commit.cpp
@@ -170,6 +170,7 @@
     v.image = s.image;
     v.image_gb = s.image_gb;
     v.service = s.kind == Kind::service;
+    v.gang = s.kind == Kind::gang;
     v.priority = static_cast<int>(s.priority);
     v.need = need_of(s);
     v.types = s.types;
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -5,6 +5,7 @@
 #include <limits>
 #include <map>
 #include <numeric>
+#include <tuple>
 #include <unordered_map>
 
 namespace damsonport::placing {
@@ -42,7 +43,13 @@
     for (size_t j = 0; j < in_.jobs.size(); ++j)
       if (in_.jobs[j].waiting > 0 && !in_.jobs[j].cancelled) order.push_back(j);
     std::sort(order.begin(), order.end(), [&](size_t a, size_t b) { return before(a, b); });
-    for (size_t j : order) place_job(j);
+    for (size_t j : order) {
+      if (in_.jobs[j].gang) {
+        place_gang(j);
+      } else {
+        place_job(j);
+      }
+    }
     return std::move(out_);
   }
 
@@ -183,14 +190,8 @@
     while (left > 0) {
       if (!team_allows(j)) return note_unplaced(j, 0, coming);
       if (fits_now) {
-        double best = never;
         size_t where = 0;
-        for (size_t m = 0; m < in_.machines.size(); ++m) {
-          if (!job.need.fits(free_[m]) || !allowed(j, m)) continue;
-          double c = cost(j, m, free_[m]);
-          if (c < best) best = c, where = m;
-        }
-        if (best < never) {
+        if (best_now(j, where)) {
           occupy(j, where, free_[where]);
           out_.starts.push_back({j, where});
           --left;
@@ -214,6 +215,31 @@
     note_unplaced(j, left, coming);
   }
 
+  // All of it or nothing, and nothing is stopped for it.
+  void place_gang(size_t j) {
+    auto before = std::make_tuple(free_, used_, zone_count_, on_machine_, out_.starts);
+    for (uint32_t left = in_.jobs[j].waiting; left > 0; --left) {
+      size_t where = 0;
+      if (team_allows(j) && best_now(j, where)) {
+        occupy(j, where, free_[where]);
+        out_.starts.push_back({j, where});
+        continue;
+      }
+      std::tie(free_, used_, zone_count_, on_machine_, out_.starts) = std::move(before);
+      return note_unplaced(j, in_.jobs[j].waiting, 0);
+    }
+  }
+
+  bool best_now(size_t j, size_t& where) const {
+    double best = never;
+    for (size_t m = 0; m < in_.machines.size(); ++m) {
+      if (!in_.jobs[j].need.fits(free_[m]) || !allowed(j, m)) continue;
+      double c = cost(j, m, free_[m]);
+      if (c < best) best = c, where = m;
+    }
+    return best < never;
+  }
+
   void note_unplaced(size_t j, uint32_t left, uint32_t coming) {
     if (left) out_.unplaced.push_back({j, left, guaranteed_[j], false});
     if (coming) out_.unplaced.push_back({j, coming, guaranteed_[j], true});
--- a/src/coordination/placement.hpp
+++ b/src/coordination/placement.hpp
@@ -46,6 +46,7 @@
   std::string id, team, image;
   double image_gb = 0;
   bool service = false;
+  bool gang = false;  // all that wait start together or none
   int priority = 0;  // higher is more urgent
   Amounts need;
   std::vector<std::string> types;
--- a/src/protocol/messages.cpp
+++ b/src/protocol/messages.cpp
@@ -58,9 +58,11 @@
   return !field(m, key) || get(m, key, out);
 }
 
+constexpr std::string_view kinds[] = {"batch", "service", "ensemble"};
 constexpr std::string_view priorities[] = {"idle", "normal", "high", "production"};
 constexpr std::string_view states[] = {"fetching", "running", "flushing", "exited"};
-constexpr std::string_view causes[] = {"", "done", "stopped", "error", "no_room", "busy", "no_such"};
+constexpr std::string_view causes[] = {"", "done", "stopped", "error", "no_room", "busy", "no_such",
+                                       "peers", "alone"};
 
 template <class E, size_t N>
 bool parse_enum(const std::string_view (&names)[N], std::string_view text, E& out) {
@@ -120,6 +122,8 @@
     s.kind = Kind::batch;
   } else if (text == "service") {
     s.kind = Kind::service;
+  } else if (text == "ensemble") {
+    s.kind = Kind::gang;
   } else {
     return bad("shape");
   }
@@ -157,7 +161,7 @@
   Json m = {{"ref", s.id},
             {"berth", s.cls},
             {"owner", s.team},
-            {"shape", s.kind == Kind::batch ? "batch" : "service"},
+            {"shape", kinds[static_cast<size_t>(s.kind)]},
             {"rank", priorities[static_cast<size_t>(s.priority)]},
             {"hands", s.tasks},
             {"cores", s.cpus},
--- a/src/protocol/messages.hpp
+++ b/src/protocol/messages.hpp
@@ -16,7 +16,9 @@
 Json decode_map(const std::string& body);
 std::string encode(const Json& value);
 
-enum class Kind : uint8_t { batch, service };
+// A gang's tasks run only together. The platform's programs submit such jobs, although no class of
+// either deployment is one.
+enum class Kind : uint8_t { batch, service, gang };
 // Higher is more urgent.
 enum class Priority : uint8_t { idle, normal, high, production };
 
@@ -43,7 +45,7 @@
 bool valid_job_id(std::string_view id);
 
 enum class TaskState : uint8_t { fetching, running, saving, exited };
-enum class ExitCause : uint8_t { none, done, stopped, error, no_room, busy, unknown };
+enum class ExitCause : uint8_t { none, done, stopped, error, no_room, busy, unknown, peers, alone };
 
 // A task is named by its job and index.
 struct TaskName {
--- a/tests/trace_test.cpp
+++ b/tests/trace_test.cpp
@@ -76,6 +76,7 @@
       j.priority = static_cast<int>(num(w, "priority", 1));
       j.need = {num(w, "cpus"), num(w, "gpus"), num(w, "memory")};
       j.zone = str(w, "zone"), j.types = list(w, "types");
+      j.gang = w.contains("gang");
       j.one_zone = w.contains("one_zone"), j.spread = w.contains("spread");
       j.spot = w.contains("spot"), j.cancelled = w.contains("cancelled");
       j.tasks = static_cast<uint32_t>(num(w, "tasks", 1));
