--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -290,6 +290,9 @@
     auto& job = in_.jobs[j];
     auto& victim = in_.jobs[v.job];
     if (v.stopping || stopped_[static_cast<size_t>(&v - in_.live.data())]) return false;
+    // Only what would also be placed after it: what is placed first would take the room again, and
+    // the two would drive one another out for ever.
+    if (urgency(j) <= urgency(v.job)) return false;
     if (victim.priority < job.priority) return true;
     // For its guarantee a team may take back what another team borrows; standing replicas of the
     // same or a higher rank are left alone all the same, since each stop is seen by users.
--- a/src/storage/rate_limit.hpp
+++ b/src/storage/rate_limit.hpp
@@ -11,7 +11,8 @@
 namespace damsonport {
 
 // Lower is served first.
-enum class Importance : uint8_t { lease, placing, accepting, watching, polling };
+// Watching goes before placing: a holder that writes all the time must still hear of cancellations.
+enum class Importance : uint8_t { lease, watching, placing, accepting, polling };
 
 class RateLimit {
  public:
