Remove what nothing reads, and compute the saving grace in one place

Gone: unread members and a cached key that nobody writes; the straggler's replacement flag, whose comment promised a wait that was only one tick. So a straggler now closes that tick earlier; all else behaves as before.

--- a/src/coordination/fleet.hpp
+++ b/src/coordination/fleet.hpp
@@ -39,7 +39,6 @@
   double first_heard = 0;
   double last_heard = 0;   // the last report
   double last_direct = 0;  // the last answer to a direct message, which renews no lease
-  double listed_age = 0;
   std::optional<double> notice_at;  // steady time when the cloud takes it
   std::map<TaskName, TaskReport> tasks;
 
@@ -59,7 +58,6 @@
   int errors_in_row = 0;
   bool draining = false;   // takes no new tasks
   std::string drain_why;
-  bool replacement_asked = false;
   int lost_sessions = 0;
   double idle_since = 0;
 
--- a/src/coordination/holder.hpp
+++ b/src/coordination/holder.hpp
@@ -59,7 +59,6 @@
     int errors = 0;
     std::set<std::string> error_machines;
     RunTimes run_times;
-    double waiting_since = 0;
   };
   struct Stopping {
     uint64_t attempt;
@@ -96,6 +95,8 @@
   bool open_for_work(const Machine& m) const;
   double silence(const Machine& m) const;
   placing::Amounts total_of(const Machine& m) const;
+  // Enough for a task that saves, with some room for the message; 0 for one that never does.
+  double stop_grace(const JobSpec& s) const;
   placing::Amounts free_of(const Machine& m) const;
   Task<void> probe(std::string id);
 
@@ -108,7 +109,7 @@
   Task<void> rent(std::stop_token token);
   Task<void> do_rental(RentalRequest request, std::stop_token token);
   sizing::Input sizing_input() const;
-  void drain(Machine& m, const std::string& why, bool replace);
+  void drain(Machine& m, const std::string& why);
   void want_return(const std::string& id, const std::string& why);
 
   Parts p_;
@@ -146,7 +147,6 @@
   };
   std::map<std::string, Booting> booting_;
   std::set<std::string> renting_;
-  placing::Decisions last_decisions_;
   std::vector<sizing::Demand> unplaced_;
   uint64_t waiting_tasks_ = 0;
   double next_list_ = 0, next_sizing_ = 0;
--- a/src/coordination/holder_cloud.cpp
+++ b/src/coordination/holder_cloud.cpp
@@ -56,22 +56,16 @@
           m.zone = l.zone;
           m.spot = l.spot;
         }
-        m.listed_age = l.age_s;
       }
     }
     if (!list->more || list->machines.empty()) co_return;
   }
 }
 
-void Holder::drain(Machine& m, const std::string& why, bool replace) {
+// Takes no new tasks and is returned when empty; a replacement comes through the spare room.
+void Holder::drain(Machine& m, const std::string& why) {
   if (m.draining) return;
   m.drain_why = why;
-  m.replacement_asked = replace;
-  if (why == "straggler") {
-    // As the paper does it: the replacement first. Until it is up the machine keeps working.
-    m.draining = false;
-    return;
-  }
   m.draining = true;
   place_again_ = true;
 }
@@ -132,20 +126,15 @@
         auto& s = a.job->spec;
         TaskName name{s.id, a.index};
         double left = *m.notice_at - now;
-        double grace = s.save_s * 1.2 + settings_.report_s / 10;
+        double grace = stop_grace(s);
         if (stopping_.contains(name)) continue;
         bool saves = s.checkpoint_s > 0;
         if (saves ? left < grace + 2 * settings_.report_s : left < settings_.report_s / 2) {
-          stopping_[name] = {attempt, saves ? grace : 0};
-          if (m.tasks.contains(name)) order(m, {Command::Op::stop, name, attempt, saves ? grace : 0});
+          stopping_[name] = {attempt, grace};
+          if (m.tasks.contains(name)) order(m, {Command::Op::stop, name, attempt, grace});
         }
       }
     }
-    if (m.drain_why == "straggler" && !m.draining && m.replacement_asked) {
-      // The replacement has come when some machine of its type has begun after the flag.
-      m.replacement_asked = false;
-      m.draining = true;
-    }
     if (m.draining && cache_.assigned(id).empty() && m.tasks.empty() && m.session != 0)
       want_return(id, "empty and drained (" + m.drain_why + ")");
     // Its answers don't reach it: sessions end though we answer every report.
--- a/src/coordination/holder_commit.cpp
+++ b/src/coordination/holder_commit.cpp
@@ -161,7 +161,6 @@
     in.teams.push_back({t.name, {}, {t.cpus, t.gpus, 0}, {t.cpus_max, t.gpus_max, 0}});
   }
   std::map<const Job*, size_t> job_at;
-  const double wall = loop_.wall();
   for (auto& [id, job] : cache_.jobs()) {
     auto& s = job->spec;
     placing::JobView v;
@@ -185,7 +184,6 @@
     auto hint = hints_.find(id);
     bool held_back = hint != hints_.end() && hint->second.backoff_until > now;
     v.waiting = job->cancelled || held_back ? 0 : static_cast<uint32_t>(job->unstarted());
-    if (s.deadline_s >= 0) v.deadline_at = now + s.accepted_at + s.deadline_s - wall;
     job_at[job.get()] = in.jobs.size();
     in.jobs.push_back(std::move(v));
   }
@@ -218,7 +216,7 @@
       l.age_s = now - started;
       bool saves = s.checkpoint_s > 0;
       // Stopped with time to save it loses nothing but that time.
-      l.grace_s = saves ? s.save_s * 1.2 + settings_.report_s / 10 : 0;
+      l.grace_s = stop_grace(s);
       l.lost_s = saves ? 0 : std::min(l.age_s, std::max(s.estimate_s, 1.0) * 2);
       auto stop = stopping_.find(name);
       l.stopping = (stop != stopping_.end() && stop->second.attempt == attempt) ||
--- a/src/coordination/holder_machines.cpp
+++ b/src/coordination/holder_machines.cpp
@@ -22,6 +22,10 @@
   return t ? placing::Amounts{t->cpus, t->gpus, t->memory_gb} : placing::Amounts{};
 }
 
+double Holder::stop_grace(const JobSpec& s) const {
+  return s.checkpoint_s > 0 ? s.save_s * 1.2 + settings_.report_s / 10 : 0;
+}
+
 // Everything that is or may be there counts: what the records place, and whatever else is reported.
 placing::Amounts Holder::free_of(const Machine& m) const {
   auto room = total_of(m);
@@ -140,7 +144,7 @@
       if (fraction && fold(m.straggler, *fraction, tuning_)) {
         spdlog::warn("{} is a straggler: its average is {:.2f} of its jobs' medians", m.id,
                      m.straggler.average);
-        drain(m, "straggler", true);
+        drain(m, "straggler");
       }
       break;
     }
@@ -172,7 +176,7 @@
   ++m.errors_in_row;
   if (m.failed_jobs.size() >= 2 && m.errors_in_row >= 2 && !m.draining) {
     spdlog::warn("{} fails the tasks of different jobs: it takes no more", m.id);
-    drain(m, "sick", true);
+    drain(m, "sick");
   }
 }
 
--- a/src/coordination/mesh.hpp
+++ b/src/coordination/mesh.hpp
@@ -21,7 +21,6 @@
   // Some live peer has contact with the state service / some live peer lacks it too.
   bool peer_has_state(double max_age_s) const;
   bool peer_lacks_state(double max_age_s) const;
-  double period() const { return period_; }
 
  private:
   struct Seen {
--- a/src/coordination/placement.hpp
+++ b/src/coordination/placement.hpp
@@ -56,7 +56,7 @@
   uint32_t waiting = 0;     // may be started now
   uint32_t unfinished = 0;  // waiting, live and held back ones
   bool cancelled = false;
-  double accepted_at = 0, deadline_at = 0;  // 0: none
+  double accepted_at = 0;
 };
 
 // A task on a machine that may be stopped.
--- a/src/storage/cache.cpp
+++ b/src/storage/cache.cpp
@@ -89,8 +89,6 @@
                        v.value("spot", false), v.value("count", 0)},
                       item.version};
     }
-  } else if (key == keys::hints) {
-    hints_ = item.value;
   }
   if (item.value.is_null() && item.version) {
     if (removed_.size() >= max_removed) removed_.clear();
--- a/src/storage/cache.hpp
+++ b/src/storage/cache.hpp
@@ -86,7 +86,6 @@
     uint64_t version = 0;
   };
   const std::map<std::string, Rental>& rentals() const { return rentals_; }
-  const Json& hints() const { return hints_; }
 
   // Called after every applied change; the argument is the job concerned, or null.
   std::function<void(Job*)> on_change;
@@ -122,7 +121,6 @@
   bool has_leader_ = false;
   std::map<std::string, uint64_t> leaving_;
   std::map<std::string, Rental> rentals_;
-  Json hints_;
 };
 
 }  // namespace damsonport
--- a/src/storage/records.hpp
+++ b/src/storage/records.hpp
@@ -18,7 +18,6 @@
 inline const std::string chunks = "d/t/";
 inline const std::string machines = "d/m/";
 inline const std::string rentals = "d/r/";
-inline const std::string hints = "d/h";
 inline std::string job(const std::string& id) { return jobs + id; }
 inline std::string chunk(const std::string& id, uint32_t n) {
   return chunks + id + "/" + std::to_string(n);
