Spot machines in bulk for all the work that may use them

Cause: replicas waited 5 s for batch tasks to save on ordinary machines, because spot machines were rented one at a time for what could not be placed at that moment (1 of 64 after 125 s on riga). Now the plan covers all unfinished work that may use spot, and a plan's size is a share of the fleet.

--- a/src/coordination/holder.hpp
+++ b/src/coordination/holder.hpp
@@ -109,6 +109,7 @@
   Task<void> rent(std::stop_token token);
   Task<void> do_rental(RentalRequest request, std::stop_token token);
   sizing::Input sizing_input() const;
+  uint64_t team_limit(const JobSpec& spec) const;
   void drain(Machine& m, const std::string& why);
   void want_return(const std::string& id, const std::string& why);
 
--- a/src/coordination/holder_cloud.cpp
+++ b/src/coordination/holder_cloud.cpp
@@ -189,6 +189,15 @@
   p_.changed.notify();
 }
 
+// How many tasks of this kind its team may run at once at the most.
+uint64_t Holder::team_limit(const JobSpec& spec) const {
+  auto* team = settings_.team(spec.team);
+  double n = 1e6;
+  if (team && team->cpus_max > 0 && spec.cpus > 0) n = std::min(n, team->cpus_max / spec.cpus);
+  if (team && team->gpus_max > 0 && spec.gpus > 0) n = std::min(n, team->gpus_max / spec.gpus);
+  return static_cast<uint64_t>(n + 1e-6);
+}
+
 sizing::Input Holder::sizing_input() const {
   sizing::Input in;
   const double now = loop_.now();
@@ -196,6 +205,13 @@
   in.spare_share = tuning_.spare_share;
   in.give_back_idle_s = 20 * settings_.lease_s;
   in.demand = unplaced_;
+  for (auto& [id, job] : cache_.jobs()) {
+    auto& spec = job->spec;
+    if (!spec.spot || job->cancelled) continue;
+    in.spot_work.push_back({{spec.cpus, spec.gpus, spec.memory_gb},
+                            static_cast<uint32_t>(std::min<uint64_t>(spec.tasks - job->done, team_limit(spec))),
+                            spec.types, spec.zone, true});
+  }
   for (auto& t : in.types)
     for (auto& zone : t.zones)
       for (bool spot : {false, true}) {
--- a/src/coordination/holder_machines.cpp
+++ b/src/coordination/holder_machines.cpp
@@ -110,8 +110,10 @@
     if (had_it && type) m.images.used(s.image, s.image_gb, now, type->cache_gb);
     if (t.state == TaskState::running)
       if (auto a = attempts_.find(name); a != attempts_.end())
-        if (auto i = a->second.find(t.attempt); i != a->second.end() && !i->second.running_at)
+        if (auto i = a->second.find(t.attempt); i != a->second.end() && !i->second.running_at) {
           i->second.running_at = now;
+          spdlog::debug("{} attempt {} runs on {}", name.text(), t.attempt, m.id);
+        }
   }
   if (!m.tasks.empty()) m.idle_since = now;
 }
--- a/src/coordination/sizing.cpp
+++ b/src/coordination/sizing.cpp
@@ -8,7 +8,21 @@
 
 namespace {
 
-constexpr int max_new_per_plan = 24;
+// Machines rented in one plan, as a share of the fleet, and at the least.
+constexpr double new_share = 0.25;
+constexpr int new_at_least = 8;
+
+// How many of the like fit into this room.
+uint32_t count_fitting(const Amounts& need, const Amounts& room) {
+  double n = 1e6;
+  auto bound = [&](double want, double have) {
+    if (want > 0) n = std::min(n, std::floor(have / want + 1e-6));
+  };
+  bound(need.cpus, room.cpus);
+  bound(need.gpus, room.gpus);
+  bound(need.memory_gb, room.memory_gb);
+  return static_cast<uint32_t>(std::max(n, 0.0));
+}
 
 struct Room {
   const MachineType* type;
@@ -19,7 +33,10 @@
 
 class Planner {
  public:
-  explicit Planner(const Input& in) : in_(in) {
+  explicit Planner(const Input& in)
+      : in_(in),
+        max_new_(std::max(new_at_least,
+                          static_cast<int>(new_share * static_cast<double>(in.machines.size())))) {
     for (auto& m : in.machines)
       if (auto* t = type(m.type); t && m.booting) rooms_.push_back({t, m.zone, m.spot, m.total});
   }
@@ -27,6 +44,7 @@
   Plan run() {
     for (auto& r : in_.replacements) add(best_like(r));
     serve_demand();
+    keep_spot();
     keep_spare();
     give_back();
     return std::move(out_);
@@ -60,7 +78,7 @@
   }
 
   void add(const Offer* offer) {
-    if (!offer || added_ >= max_new_per_plan) return;
+    if (!offer || added_ >= max_new_) return;
     auto* t = type(offer->type);
     if (!t) return;
     ++added_;
@@ -75,12 +93,12 @@
 
   // The cheapest kind per task; among equals the zone with fewer machines, so that the fleet stays
   // spread.
-  const Offer* best_for(const Demand& d) const {
+  const Offer* best_for(const Demand& d, bool only_spot = false) const {
     const Offer* best = nullptr;
     double best_cost = std::numeric_limits<double>::infinity();
     for (auto& o : in_.offers) {
       auto* t = type(o.type);
-      if (!t || o.refused || (o.spot && !d.spot)) continue;
+      if (!t || o.refused || (o.spot ? !d.spot : only_spot)) continue;
       if (!d.zone.empty() && d.zone != o.zone) continue;
       if (!d.types.empty() && std::find(d.types.begin(), d.types.end(), o.type) == d.types.end())
         continue;
@@ -90,21 +108,21 @@
       if (d.need.gpus > 0) fit = std::min(fit, t->gpus / d.need.gpus);
       if (d.need.memory_gb > 0) fit = std::min(fit, t->memory_gb / d.need.memory_gb);
       double price = o.spot ? t->spot_price : t->price;
-      double cost = price / std::max(1.0, std::floor(fit + 1e-6)) *
-                    (1 + 1e-3 * machines_in(o.zone, o.type));
+      double cost =
+          price / std::max(1.0, std::floor(fit + 1e-6)) * (1 + 1e-3 * machines_in(o.zone, o.type));
       if (cost < best_cost) best_cost = cost, best = &o;
     }
     return best;
   }
 
+  static bool suits(const Demand& d, const std::string& type, const std::string& zone, bool spot) {
+    return (!spot || d.spot) && (d.zone.empty() || d.zone == zone) &&
+           (d.types.empty() || std::find(d.types.begin(), d.types.end(), type) != d.types.end());
+  }
+
   bool take_room(const Demand& d) {
     for (auto& r : rooms_) {
-      if (r.spot && !d.spot) continue;
-      if (!d.zone.empty() && d.zone != r.zone) continue;
-      if (!d.types.empty() &&
-          std::find(d.types.begin(), d.types.end(), r.type->name) == d.types.end())
-        continue;
-      if (!d.need.fits(r.free)) continue;
+      if (!suits(d, r.type->name, r.zone, r.spot) || !d.need.fits(r.free)) continue;
       r.free -= d.need;
       return true;
     }
@@ -115,7 +133,7 @@
     for (auto& d : in_.demand) {
       for (uint32_t left = d.count; left > 0; --left) {
         if (take_room(d)) continue;
-        if (added_ >= max_new_per_plan) return;
+        if (added_ >= max_new_) return;
         auto* offer = best_for(d);
         if (!offer) break;
         add(offer);
@@ -124,6 +142,36 @@
     }
   }
 
+  // Spot machines for all the work that may use them. What runs there leaves the others, and the
+  // images they hold, to work that may not: standing replicas then start without a stop before.
+  void keep_spot() {
+    std::vector<Room> rooms;
+    for (auto& m : in_.machines)
+      if (auto* t = type(m.type); t && m.spot && (m.open || m.booting))
+        rooms.push_back({t, m.zone, true, whole(*t)});
+    for (auto& r : out_.rent)
+      if (r.spot)
+        rooms.insert(rooms.end(), static_cast<size_t>(r.count),
+                     {type(r.type), r.zone, true, whole(*type(r.type))});
+    for (auto& d : in_.spot_work) {
+      uint32_t left = d.count;
+      auto fill_up = [&](Room& r) {
+        if (left == 0 || !suits(d, r.type->name, r.zone, true)) return;
+        uint32_t n = std::min(left, count_fitting(d.need, r.free));
+        for (uint32_t i = 0; i < n; ++i) r.free -= d.need;
+        left -= n;
+      };
+      for (auto& r : rooms) fill_up(r);
+      while (left > 0 && added_ < max_new_) {
+        auto* offer = best_for(d, true);
+        if (!offer) break;
+        add(offer);
+        rooms.push_back({type(offer->type), offer->zone, true, whole(*type(offer->type))});
+        fill_up(rooms.back());
+      }
+    }
+  }
+
   void keep_spare() {
     double gpus = 0, cpus = 0;
     for (auto& m : in_.machines) {
@@ -147,7 +195,7 @@
   }
 
   void fill(double& have, double want, bool accelerators) {
-    while (have < want && added_ < max_new_per_plan) {
+    while (have < want && added_ < max_new_) {
       const Offer* best = nullptr;
       double best_cost = std::numeric_limits<double>::infinity();
       for (auto& o : in_.offers) {
@@ -179,6 +227,7 @@
   }
 
   const Input& in_;
+  const int max_new_;
   std::vector<Room> rooms_;
   int added_ = 0;
   double spare_gpus_ = 0, spare_cpus_ = 0;
--- a/src/coordination/sizing.hpp
+++ b/src/coordination/sizing.hpp
@@ -39,6 +39,8 @@
   std::vector<Offer> offers;
   std::vector<MachineState> machines;
   std::vector<Demand> demand;      // could not be placed
+  // All unfinished work that may use spot machines, whether it runs already or not.
+  std::vector<Demand> spot_work;
   std::vector<Offer> replacements;  // machines to be replaced before they are drained
   double spare_share = 0.25;
   double give_back_idle_s = 300;
