Jobs of high rank go before guaranteed work of lower rank

Cause: surge replicas past their team's guarantee waited up to 87 s behind idle-rank batch within one, since what is placed later may not stop what is placed earlier.

--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -12,6 +12,7 @@
 
 namespace {
 
+constexpr int urgent_priority = 2;  // high and production
 constexpr double never = std::numeric_limits<double>::infinity();
 
 bool contains(const std::vector<std::string>& list, const std::string& item) {
@@ -90,8 +91,11 @@
 
   int urgency(size_t j) const {
     auto& job = in_.jobs[j];
-    // Services of the highest rank first, then what is guaranteed, then the rest; by priority.
-    return (job.priority >= 3 ? 200 : guaranteed_[j] ? 100 : 0) + job.priority * 10;
+    // Urgent ranks first, then what is guaranteed, then the rest; by priority, and among equals what
+    // is guaranteed. An urgent job past its guarantee thus isn't kept waiting by guaranteed work
+    // that may be stopped and saved.
+    return (job.priority >= urgent_priority ? 200 : guaranteed_[j] ? 100 : 0) + job.priority * 10 +
+           (guaranteed_[j] ? 5 : 0);
   }
 
   bool before(size_t a, size_t b) const {
