Batch that saves by itself is stopped at once for starts that can't wait for its saving

Half an interval of progress is lost instead of a saving's time. Work whose expected wait leaves time for the saving still gives it.

--- a/src/coordination/holder_commit.cpp
+++ b/src/coordination/holder_commit.cpp
@@ -154,6 +154,7 @@
 placing::Input Holder::placement_input(std::vector<std::string>& machine_ids,
                                        std::vector<std::pair<std::string, uint32_t>>& live_names) {
   placing::Input in;
+  in.guarantee_within_s = settings_.guarantee_within();
   const double now = loop_.now();
   std::map<std::string, size_t> team_at;
   for (auto& t : settings_.teams) {
@@ -181,6 +182,7 @@
     v.cancelled = job->cancelled;
     v.unfinished = static_cast<uint32_t>(s.tasks - job->done);
     v.accepted_at = s.accepted_at;
+    v.start_within_s = settings_.start_within(s.cls);
     auto hint = hints_.find(id);
     bool held_back = hint != hints_.end() && hint->second.backoff_until > now;
     v.waiting = job->cancelled || held_back ? 0 : static_cast<uint32_t>(job->unstarted());
@@ -217,6 +219,7 @@
       bool saves = s.checkpoint_s > 0;
       // Stopped with time to save it loses nothing but that time.
       l.grace_s = stop_grace(s);
+      l.abrupt_s = std::min(l.age_s, s.checkpoint_s / 2);
       l.lost_s = saves ? 0 : std::min(l.age_s, std::max(s.estimate_s, 1.0) * 2);
       auto stop = stopping_.find(name);
       l.stopping = (stop != stopping_.end() && stop->second.attempt == attempt) ||
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -21,7 +21,8 @@
 
 class Placer {
  public:
-  explicit Placer(const Input& in) : in_(in), zone_count_(in.jobs.size()), stopped_(in.live.size()) {
+  explicit Placer(const Input& in)
+      : in_(in), zone_count_(in.jobs.size()), stopped_(in.live.size()) {
     for (size_t i = 0; i < in.teams.size(); ++i) team_index_[in.teams[i].name] = i;
     for (auto& m : in.machines) {
       free_.push_back(m.free);
@@ -91,11 +92,13 @@
 
   int urgency(size_t j) const {
     auto& job = in_.jobs[j];
-    // Urgent ranks first, then what is guaranteed, then the rest; by priority, and among equals what
-    // is guaranteed. An urgent job past its guarantee thus isn't kept waiting by guaranteed work
-    // that may be stopped and saved.
-    return (job.priority >= urgent_priority ? 200 : guaranteed_[j] ? 100 : 0) + job.priority * 10 +
-           (guaranteed_[j] ? 5 : 0);
+    // Urgent ranks first, then what is guaranteed, then the rest; by priority, and among equals
+    // what is guaranteed. An urgent job past its guarantee thus isn't kept waiting by guaranteed
+    // work that may be stopped and saved.
+    return (job.priority >= urgent_priority ? 200
+            : guaranteed_[j]                ? 100
+                                            : 0) +
+           job.priority * 10 + (guaranteed_[j] ? 5 : 0);
   }
 
   bool before(size_t a, size_t b) const {
@@ -305,9 +308,24 @@
   }
   bool job_protected(size_t j) const { return in_.jobs[j].priority >= 3; }
 
-  double loss(const LiveView& v) const {
+  // Within how many seconds this job is expected to start.
+  double expected_within(size_t j) const {
+    double s = never;
+    if (in_.jobs[j].start_within_s > 0) s = in_.jobs[j].start_within_s;
+    if (guaranteed_[j] && in_.guarantee_within_s > 0) s = std::min(s, in_.guarantee_within_s);
+    return s;
+  }
+
+  // What saves by itself loses half an interval when it is stopped at once, about what the saving
+  // would take. It is stopped so for what could not wait for the saving.
+  bool abruptly(size_t j, size_t m, const LiveView& v) const {
+    return v.grace_s > 0 && v.abrupt_s <= 2 * v.grace_s &&
+           image_delay(in_.jobs[j], in_.machines[m]) + v.grace_s > expected_within(j);
+  }
+
+  double loss(const LiveView& v, bool abrupt) const {
     auto& victim = in_.jobs[v.job];
-    double c = v.lost_s + v.grace_s + 2 + victim.priority * 15;
+    double c = (abrupt ? v.abrupt_s : v.lost_s + v.grace_s) + 2 + victim.priority * 15;
     if (victim.service) c += 60;
     if (v.age_s < in_.start_counts_s) c += 10;
     if (guaranteed_[v.job]) c += 15;
@@ -326,8 +344,9 @@
       std::vector<size_t> victims;
       for (size_t i : it->second)
         if (may_stop(j, in_.live[i])) victims.push_back(i);
+      auto lost = [&](size_t i) { return loss(in_.live[i], abruptly(j, m, in_.live[i])); };
       std::sort(victims.begin(), victims.end(),
-                [&](size_t a, size_t b) { return loss(in_.live[a]) < loss(in_.live[b]); });
+                [&](size_t a, size_t b) { return lost(a) < lost(b); });
       Amounts room = free_[m];
       room += future_[m];
       std::vector<size_t> set;
@@ -340,7 +359,7 @@
                      (need.memory_gb > 0 && job.need.memory_gb > room.memory_gb);
         if (!helps) continue;
         room += need;
-        c += loss(in_.live[i]);
+        c += lost(i);
         set.push_back(i);
       }
       if (!set.empty() && job.need.fits(room) && c < best) best = c, where = m, best_set = set;
@@ -348,7 +367,7 @@
     if (best == never) return false;
     for (size_t i : best_set) {
       auto& v = in_.live[i];
-      out_.stops.push_back({i, v.grace_s});
+      out_.stops.push_back({i, abruptly(j, where, v) ? 0 : v.grace_s});
       stopped_[i] = true;
       future_[where] += in_.jobs[v.job].need;
     }
--- a/src/coordination/placement.hpp
+++ b/src/coordination/placement.hpp
@@ -26,10 +26,10 @@
   std::string id;
   std::string type, zone;
   bool spot = false;
-  bool open = true;    // takes new tasks now
+  bool open = true;  // takes new tasks now
   Amounts total, free;
   double fetch_gb_per_s = 1;
-  double speed = 1.0;  // straggler average
+  double speed = 1.0;                 // straggler average
   std::vector<std::string> images;    // held
   std::vector<std::string> fetching;  // under way
   std::vector<std::string> bad_jobs;  // failed here: not again
@@ -47,7 +47,7 @@
   double image_gb = 0;
   bool service = false;
   bool gang = false;  // all that wait start together or none
-  int priority = 0;  // higher is more urgent
+  int priority = 0;   // higher is more urgent
   Amounts need;
   std::vector<std::string> types;
   std::string zone;
@@ -57,14 +57,16 @@
   uint32_t unfinished = 0;  // waiting, live and held back ones
   bool cancelled = false;
   double accepted_at = 0;
+  double start_within_s = 0;  // what is expected of its class; 0: nothing
 };
 
 // A task on a machine that may be stopped.
 struct LiveView {
   size_t job = 0, machine = 0;
   uint32_t index = 0;
-  double lost_s = 0;   // work lost by stopping it now
-  double grace_s = 0;  // what it needs to save
+  double lost_s = 0;    // work lost by stopping it now
+  double grace_s = 0;   // what it needs to save
+  double abrupt_s = 0;  // work lost by stopping it without time to save
   double age_s = 0;
   bool stopping = false;
 };
@@ -73,8 +75,9 @@
   std::vector<MachineView> machines;
   std::vector<TeamView> teams;
   std::vector<JobView> jobs;
-  std::vector<LiveView> live;  // every task that is or may be on a machine
-  double start_counts_s = 30;  // a start stopped earlier than this was in vain
+  std::vector<LiveView> live;     // every task that is or may be on a machine
+  double start_counts_s = 30;     // a start stopped earlier than this was in vain
+  double guarantee_within_s = 0;  // what is expected of work within a guarantee; 0: nothing
 };
 
 struct Start {
--- a/src/protocol/settings.cpp
+++ b/src/protocol/settings.cpp
@@ -61,6 +61,12 @@
 
 }  // namespace
 
+double Settings::within(const std::string& kind, const std::string& cls) const {
+  for (auto& o : objectives)
+    if (o.kind == kind && o.cls == cls) return o.within_s;
+  return 0;
+}
+
 const TeamSettings* Settings::team(const std::string& name) const {
   for (auto& t : teams)
     if (t.name == name) return &t;
--- a/src/protocol/settings.hpp
+++ b/src/protocol/settings.hpp
@@ -43,6 +43,13 @@
   Tuning tuning;
 
   const TeamSettings* team(const std::string& name) const;
+  // Within how many seconds tasks of this class, or work within a guarantee, should start; 0: none
+  // is stated.
+  double start_within(const std::string& cls) const { return within("wait", cls); }
+  double guarantee_within() const { return within("guarantee", {}); }
+
+ private:
+  double within(const std::string& kind, const std::string& cls) const;
 };
 
 Result<Settings> parse_settings(const std::string& toml_text);
--- a/tests/trace_test.cpp
+++ b/tests/trace_test.cpp
@@ -82,15 +82,17 @@
       j.tasks = static_cast<uint32_t>(num(w, "tasks", 1));
       j.waiting = static_cast<uint32_t>(num(w, "waiting", j.tasks));
       j.unfinished = j.tasks;
+      j.start_within_s = num(w, "within");
       j.accepted_at = static_cast<double>(input_.jobs.size());
       input_.jobs.push_back(j);
-    } else if (verb == "live") {  // live JOB machine=M [lost=S] [grace=S] [age=S] [stopping]
+    } else if (verb == "live") {  // live JOB machine=M [lost=S] [abrupt=S] [grace=S] [age=S] [stopping]
       placing::LiveView l;
       for (size_t i = 0; i < input_.jobs.size(); ++i)
         if (input_.jobs[i].id == name) l.job = i;
       for (size_t i = 0; i < input_.machines.size(); ++i)
         if (input_.machines[i].id == str(w, "machine")) l.machine = i;
       l.index = static_cast<uint32_t>(input_.live.size());
+      l.abrupt_s = num(w, "abrupt", 1e6);
       l.lost_s = num(w, "lost"), l.grace_s = num(w, "grace"), l.age_s = num(w, "age", 100);
       l.stopping = w.contains("stopping");
       auto& need = input_.jobs[l.job].need;
