Other controllers answer for a holder that its machines can't reach; a deaf holder resigns

Cause: in a zone cut the holder's answers don't reach the other zone, and after lease_s its tasks died. A node that keeps meeting a machine of another holder renews its lease under the holder's term (no starts, nothing forgotten, cancelled tasks stopped). A holder that hears fewer machines than come to a single peer gives the leadership up.

--- a/src/coordination/election.cpp
+++ b/src/coordination/election.cpp
@@ -31,6 +31,13 @@
       lease_ = 0;
       changed_.notify();
     }
+    if (resting()) {
+      if (leading_ && lease_) co_await state_.end(lease_);
+      leading_ = false;
+      lease_ = 0;
+      if (!co_await Sleep(loop_, ttl_s_ / 3.5, token)) co_return;
+      continue;
+    }
     if (leading_) {
       auto renewal = co_await state_.renew(lease_);
       if (renewal == StateClient::Renewal::ended) {
--- a/src/coordination/election.hpp
+++ b/src/coordination/election.hpp
@@ -13,12 +13,16 @@
   // Our key stands, as far as is known. Also asked of the cache: after a conflict the key of a
   // successor is known there first, and writing on its version would be leading in its name.
   bool leading() const {
-    return leading_ && cache_.has_leader() && cache_.leader().node == settings_.node_name &&
+    return leading_ && !resting() && cache_.has_leader() && cache_.leader().node == settings_.node_name &&
            cache_.leader().incarnation == incarnation_;
   }
 
+  // Gives the key up, for others to take; not to be sought again for a while.
+  void resign() { resigned_at_ = loop_.now(); }
+
  private:
   Task<void> campaign(std::stop_token token);
+  bool resting() const { return loop_.now() - resigned_at_ < settings_.lease_s; }
   Loop& loop_;
   const Settings& settings_;
   StateClient& state_;
@@ -28,6 +32,7 @@
   double ttl_s_;
   uint64_t lease_ = 0;
   bool leading_ = false;
+  double resigned_at_ = -1e9;
 };
 
 }  // namespace damsonport
--- a/src/coordination/holder.cpp
+++ b/src/coordination/holder.cpp
@@ -45,6 +45,8 @@
   term_ = g->term;
   grant_version_ = cache_.blocks_version();
   took_over_at_ = quiet_base_ = last_tick_ = loop_.now();
+  strays_.clear();
+  deaf_since_ = 0;
   machines_.clear();
   attempts_.clear();
   exits_.clear();
@@ -171,6 +173,7 @@
   const double tick = settings_.report_s / 4;
   while (!token.stop_requested()) {
     if (!co_await Sleep(loop_, tick, token)) co_return;
+    forget_strays();
     if (!holding()) continue;
     double now = loop_.now();
     // A process that was held up, or that the state service left, heard nobody; that is no
@@ -178,6 +181,7 @@
     if (now - last_tick_ > 3 * tick) quiet_base_ = now;
     last_tick_ = now;
     if (!records_current() || !p_.catalog.known()) continue;
+    watch_reach();
     watch_silence();
     watch_cancelled();
     watch_drains();
@@ -196,14 +200,31 @@
   }
 }
 
-HttpResponse Holder::on_report(const Report& r) {
-  if (!holding()) {
-    // The node named by the records, unless it is dead or ourselves in an earlier life.
-    for (auto& g : cache_.blocks().grants)
-      if (g.rest && g.node != settings_.node_name && p_.mesh.alive(g.node))
-        return {421, encode_report_to(g.node), 0};
-    return {421, encode_report_to({}), 0};
+// A holder that hears few of its machines while they come to other nodes can't do its work. It gives
+// the leadership up, and one that they reach takes over. Where nobody else hears them either, the
+// fault is theirs, and nothing is gained by going.
+void Holder::watch_reach() {
+  const double now = loop_.now();
+  size_t heard = 0;
+  for (auto& [id, m] : machines_)
+    heard += now - m.last_heard < tuning_.doubt_reports * settings_.report_s && m.session != 0;
+  // After a takeover they come here by way of the others.
+  const bool settled = now - took_over_at_ > 3 * settings_.report_s;
+  const bool deaf = settled && p_.mesh.strays() > heard;
+  if (!deaf || !p_.election.leading()) {
+    deaf_since_ = 0;
+    return;
   }
+  if (deaf_since_ == 0) deaf_since_ = now;
+  if (now - deaf_since_ < settings_.lease_s / 4) return;
+  spdlog::warn("{} machines heard here and {} by other controllers: giving the leadership up", heard,
+               p_.mesh.strays());
+  p_.election.resign();
+  deaf_since_ = 0;
+}
+
+HttpResponse Holder::on_report(const Report& r) {
+  if (!holding()) return stand_in(r);
   // A newer holder exists: a 200 would only hold the worker here while its lease runs out.
   if (r.token > term_) return {421, encode_report_to({}), 0};
   if (!may_answer()) return {503, {}, 0};
--- a/src/coordination/holder.hpp
+++ b/src/coordination/holder.hpp
@@ -40,6 +40,8 @@
   HttpResponse on_report(const Report& r);
   bool holding() const;
   uint64_t waiting_tasks() const { return waiting_tasks_; }
+  // Machines that come here although another node holds them.
+  uint64_t strays() const { return strays_.size(); }
   void job_changed(Job* job);
   void job_gone(Job* job);
 
@@ -70,6 +72,11 @@
   Task<bool> keep_grant(std::stop_token token);
   void took_over();
   bool may_answer() const;
+  void watch_reach();
+
+  // --- machines of another holder (stand_in.cpp)
+  HttpResponse stand_in(const Report& r);
+  void forget_strays();
 
   // --- committing (holder_commit.cpp)
   Task<bool> commit_exits(std::stop_token token);
@@ -128,6 +135,14 @@
   double quiet_base_ = 0;  // silence is counted from here at the earliest
   double last_tick_ = 0;
 
+  // A machine that its holder's answers may not reach.
+  struct Stray {
+    double since = 0, last = 0;
+    bool answered = false;  // the last time, so that the next report tries the holder again
+  };
+  std::unordered_map<std::string, Stray> strays_;
+  double deaf_since_ = 0;  // 0: the machines are heard
+
   std::map<std::string, Machine> machines_;
   std::unordered_map<std::string, JobHints> hints_;
   std::map<TaskName, std::map<uint64_t, Attempt>> attempts_;
--- a/src/coordination/mesh.cpp
+++ b/src/coordination/mesh.cpp
@@ -2,6 +2,8 @@
 
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
+
 namespace damsonport {
 
 Mesh::Mesh(Loop& loop, const Settings& settings) : loop_(loop), period_(settings.report_s / 3) {
@@ -53,4 +55,11 @@
   return false;
 }
 
+uint64_t Mesh::strays() const {
+  uint64_t most = 0;
+  for (auto& [node, s] : seen_)
+    if (alive(node)) most = std::max(most, s.beat.strays);
+  return most;
+}
+
 }  // namespace damsonport
--- a/src/coordination/mesh.hpp
+++ b/src/coordination/mesh.hpp
@@ -21,6 +21,8 @@
   // Some live peer has contact with the state service / some live peer lacks it too.
   bool peer_has_state(double max_age_s) const;
   bool peer_lacks_state(double max_age_s) const;
+  // The most machines that come to one live peer without being its own.
+  uint64_t strays() const;
 
  private:
   struct Seen {
--- a/src/coordination/node.cpp
+++ b/src/coordination/node.cpp
@@ -66,7 +66,7 @@
                             double age = std::min(loop_.now() - state_.last_contact(), 1e6);
                             return Beat{settings_.node_name, incarnation_,
                                         static_cast<uint64_t>(age * 1000), holder_.waiting_tasks(),
-                                        cache_.loaded()};
+                                        cache_.loaded(), holder_.strays()};
                           },
                           token));
   loop_.spawn("election", election_.run(token));
--- /dev/null
+++ b/src/coordination/stand_in.cpp
@@ -0,0 +1,50 @@
+// What a node answers to machines that another one holds.
+#include <spdlog/spdlog.h>
+
+#include "coordination/holder.hpp"
+
+namespace damsonport {
+
+namespace {
+// A machine that keeps coming for this share of its lease is taken to miss its holder.
+constexpr double missing_share = 0.25;
+}  // namespace
+
+// Mostly the holder's name. But where a cut lies between a machine and its holder, the machine
+// comes back, and its tasks would end with its lease. Any node that knows the holder's term from
+// the state service may renew that lease: the records stay the holder's alone, no start is ordered
+// and nothing forgotten here, and silence never proves to the holder that a task is gone. Tasks of
+// cancelled jobs are stopped, since the holder can't do it.
+HttpResponse Holder::stand_in(const Report& r) {
+  const double now = loop_.now();
+  const Grant* held = nullptr;
+  for (auto& g : cache_.blocks().grants)
+    if (g.rest && g.node != settings_.node_name) held = &g;
+  // The node named by the records, unless it is dead or ourselves in an earlier life.
+  HttpResponse elsewhere{
+      421, encode_report_to(held && p_.mesh.alive(held->node) ? held->node : std::string()), 0};
+  auto [it, fresh] = strays_.try_emplace(r.machine, Stray{now, now, false});
+  Stray& s = it->second;
+  s.last = now;
+  if (!held || !cache_.loaded() || now - p_.state.last_contact() > settings_.lease_s / 4 ||
+      r.token > held->term || now - s.since < missing_share * settings_.lease_s) {
+    return elsewhere;
+  }
+  s.answered = !s.answered;
+  if (!s.answered) return elsewhere;
+  std::vector<Command> commands;
+  for (auto& t : r.tasks) {
+    Job* job = cache_.job(t.task.job);
+    if (t.state != TaskState::exited && job && job->cancelled)
+      commands.push_back({Command::Op::stop, t.task, t.attempt, 0});
+  }
+  spdlog::debug("answered {} for {}", r.machine, held->node);
+  return {200, encode_report_answer(held->term, commands), 0};
+}
+
+void Holder::forget_strays() {
+  const double before = loop_.now() - settings_.lease_s / 2;
+  std::erase_if(strays_, [&](auto& entry) { return entry.second.last < before; });
+}
+
+}  // namespace damsonport
--- a/src/protocol/varint.hpp
+++ b/src/protocol/varint.hpp
@@ -36,6 +36,7 @@
   uint64_t state_age_ms = 0;  // since the last contact with the state service
   uint64_t waiting = 0;       // tasks waiting, for the sizing of blocks
   bool loaded = false;
+  uint64_t strays = 0;  // machines of another holder that come here
 };
 std::string encode_beat(const Beat& b);  // framed
 enum class Framed : uint8_t { partial, whole, bad };
--- a/src/storage/state_client.cpp
+++ b/src/storage/state_client.cpp
@@ -161,4 +161,9 @@
   co_return reply.status == 404 ? Renewal::ended : Renewal::unknown;
 }
 
+Task<void> StateClient::end(uint64_t lease) {
+  co_await call(Method::del, "/grants/" + std::to_string(lease), {}, Importance::lease, 0,
+                answer_timeout_s);
+}
+
 }  // namespace damsonport
--- a/src/storage/state_client.hpp
+++ b/src/storage/state_client.hpp
@@ -69,6 +69,8 @@
   Task<uint64_t> new_lease(double ttl_s);
   enum class Renewal : uint8_t { renewed, ended, unknown };
   Task<Renewal> renew(uint64_t lease);
+  // Ends it at once, and the keys attached to it go.
+  Task<void> end(uint64_t lease);
 
   RateLimit& limit() { return limit_; }
   // Steady time of the last definite answer that was not a refusal for an outage.
