--- a/src/coordination/mesh.cpp
+++ b/src/coordination/mesh.cpp
@@ -3,6 +3,7 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <limits>
 
 namespace damsonport {
 
@@ -38,11 +39,13 @@
   }
 }
 
-bool Mesh::alive(const std::string& node) const {
+double Mesh::silence(const std::string& node) const {
   auto it = seen_.find(node);
-  return it != seen_.end() && loop_.now() - it->second.at < 3 * period_;
+  return it == seen_.end() ? std::numeric_limits<double>::infinity() : loop_.now() - it->second.at;
 }
 
+bool Mesh::alive(const std::string& node) const { return silence(node) < 3 * period_; }
+
 bool Mesh::peer_has_state(double max_age_s) const {
   for (auto& [node, s] : seen_)
     if (alive(node) && static_cast<double>(s.beat.state_age_ms) / 1000 < max_age_s) return true;
--- a/src/coordination/mesh.hpp
+++ b/src/coordination/mesh.hpp
@@ -18,6 +18,8 @@
   Task<void> beat(std::function<Beat()> fill, std::stop_token token);
   // Heard from within two beats.
   bool alive(const std::string& node) const;
+  // Seconds since it was heard.
+  double silence(const std::string& node) const;
   // Some live peer has contact with the state service / some live peer lacks it too.
   bool peer_has_state(double max_age_s) const;
   bool peer_lacks_state(double max_age_s) const;
--- a/src/coordination/stand_in.cpp
+++ b/src/coordination/stand_in.cpp
@@ -17,21 +17,29 @@
 // cancelled jobs are stopped, since the holder can't do it.
 HttpResponse Holder::stand_in(const Report& r) {
   const double now = loop_.now();
+  const double patience = missing_share * settings_.lease_s;
   const Grant* held = nullptr;
   for (auto& g : cache_.blocks().grants)
     if (g.rest && g.node != settings_.node_name) held = &g;
-  // The node named by the records, unless it is dead or ourselves in an earlier life.
-  HttpResponse elsewhere{
-      421, encode_report_to(held && p_.mesh.alive(held->node) ? held->node : std::string()), 0};
+  if (!held) return {421, encode_report_to({}), 0};
   auto [it, fresh] = strays_.try_emplace(r.machine, Stray{now, now, false});
   Stray& s = it->second;
   s.last = now;
-  if (!held || !cache_.loaded() || now - p_.state.last_contact() > settings_.lease_s / 4 ||
-      r.token > held->term || now - s.since < missing_share * settings_.lease_s) {
-    return elsewhere;
+  // A machine that can reach one controller in five makes the round of all in most of a lease, so
+  // the second visit would be too late: where we can't reach the holder either, and its key stands
+  // longer than a dead node's would, the first visit is answered.
+  const bool apart = p_.mesh.silence(held->node) > patience && cache_.has_leader() &&
+                     cache_.leader().node == held->node;
+  const bool answer = cache_.loaded() && now - p_.state.last_contact() < settings_.lease_s / 4 &&
+                      r.token <= held->term && (apart || now - s.since >= patience) && !s.answered;
+  if (!answer) {
+    // The node named by the records, unless it seems dead. After an answer it is named in any case:
+    // it may be back in reach, or only our own way to it be closed.
+    const bool named = p_.mesh.alive(held->node) || s.answered;
+    s.answered = false;
+    return {421, encode_report_to(named ? held->node : std::string()), 0};
   }
-  s.answered = !s.answered;
-  if (!s.answered) return elsewhere;
+  s.answered = true;
   std::vector<Command> commands;
   for (auto& t : r.tasks) {
     Job* job = cache_.job(t.task.job);
