Image hints from the records, kept by every node

Cause: after a takeover only the images running at that moment were known, and most starts went where a fetch was needed.

--- a/src/coordination/holder.cpp
+++ b/src/coordination/holder.cpp
@@ -123,6 +123,7 @@
 }
 
 void Holder::job_changed(Job* job) {
+  if (job) note_placements(*job);
   if (term_ != 0) {
     place_again_ = true;
     if (job && job->cancelled && !cancelled_at_.contains(job->spec.id)) {
--- a/src/coordination/holder.hpp
+++ b/src/coordination/holder.hpp
@@ -93,6 +93,8 @@
   void digest(Machine& m, const Report& r, bool direct, std::vector<Command>& commands);
   std::vector<Expected> expected_on(const Machine& m) const;
   void note_states(Machine& m);
+  void note_placements(const Job& job);
+  void recall_images(Machine& m);
   void finish_exit(const PendingExit& exit, const TaskName& task);
   void note_error(Machine& m, const JobSpec& spec);
   void order(Machine& m, Command command);
@@ -142,6 +144,9 @@
   };
   std::unordered_map<std::string, Stray> strays_;
   double deaf_since_ = 0;  // 0: the machines are heard
+  // Which images the records put on which machine and when, seen by every node from the changes it
+  // follows, so that a new holder knows most of what the last one knew.
+  std::unordered_map<std::string, ImageCache> images_seen_;
 
   std::map<std::string, Machine> machines_;
   std::unordered_map<std::string, JobHints> hints_;
--- a/src/coordination/holder_commit.cpp
+++ b/src/coordination/holder_commit.cpp
@@ -311,8 +311,7 @@
       const auto& machine_id = machine_ids[s.machine];
       record->start(index, attempt, machine_id);
       edits.txn().conditions[keys::job(view.id)] = job->version;
-      auto& held = in.machines[s.machine].images;
-      bool cached = std::find(held.begin(), held.end(), view.image) != held.end();
+      bool cached = placing::holds(in.machines[s.machine], view.image);
       started.push_back({{view.id, chunk * job->chunk_size + index}, attempt, machine_id, cached});
     }
     if (started.empty()) break;
--- a/src/coordination/holder_machines.cpp
+++ b/src/coordination/holder_machines.cpp
@@ -2,6 +2,7 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <limits>
 
 #include "coordination/holder.hpp"
 
@@ -73,7 +74,10 @@
   booting_.erase(m.id);
   if (session_before != 0 && session_before != m.session)
     spdlog::info("{} began session {}: what ran there is gone", m.id, m.session);
-  if (session_before == 0) place_again_ = true;
+  if (session_before == 0) {
+    place_again_ = true;
+    recall_images(m);
+  }
   note_states(m);
   auto todo = reconcile(m, expected_on(m), term_, records_current());
   for (auto& e : todo.exits) {
@@ -91,6 +95,25 @@
   commands = std::move(todo.commands);
 }
 
+void Holder::note_placements(const Job& job) {
+  // How much a machine holds depends on its type, which is not known here.
+  constexpr double unbounded = std::numeric_limits<double>::max();
+  const double now = loop_.now();
+  for (auto& [n, chunk] : job.chunks)
+    for (auto& t : chunk.record.live)
+      images_seen_[t.machine].used(job.spec.image, job.spec.image_gb, now, unbounded);
+}
+
+// At a machine's first report to a new holder. Without it every start after a takeover seemed to
+// need a fetch, except of the images running just then.
+void Holder::recall_images(Machine& m) {
+  auto* type = p_.catalog.type(m.type);
+  auto seen = images_seen_.find(m.id);
+  if (!type || seen == images_seen_.end()) return;
+  for (auto& [image, use] : seen->second.images())
+    m.images.used(image, use.second, use.first, type->cache_gb);
+}
+
 // Which images the machine holds and fetches, and since when tasks run.
 void Holder::note_states(Machine& m) {
   const double now = loop_.now();
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -150,9 +150,9 @@
   }
 
   double image_delay(const JobView& job, const MachineView& m) const {
-    if (contains(m.images, job.image)) return 0;
     double fetch = job.image_gb / std::max(m.fetch_gb_per_s, 1e-3);
     if (contains(m.fetching, job.image)) return fetch * 0.5;
+    if (holds(m, job.image)) return 0;
     return fetch * (1.0 + static_cast<double>(m.fetching.size()));
   }
 
@@ -389,6 +389,10 @@
 
 }  // namespace
 
+bool holds(const MachineView& m, const std::string& image) {
+  return contains(m.images, image) && !contains(m.fetching, image);
+}
+
 Decisions place(const Input& in) { return Placer(in).run(); }
 
 }  // namespace damsonport::placing
--- a/src/coordination/placement.hpp
+++ b/src/coordination/placement.hpp
@@ -99,6 +99,9 @@
   std::vector<Unplaced> unplaced;  // for want of room; team limits excluded
 };
 
+// The image is there now. One that is being fetched is not, whatever is remembered of the machine.
+bool holds(const MachineView& m, const std::string& image);
+
 Decisions place(const Input& in);
 
 }  // namespace damsonport::placing
--- a/src/coordination/stand_in.cpp
+++ b/src/coordination/stand_in.cpp
@@ -53,6 +53,7 @@
 void Holder::forget_strays() {
   const double before = loop_.now() - settings_.lease_s / 2;
   std::erase_if(strays_, [&](auto& entry) { return entry.second.last < before; });
+  std::erase_if(images_seen_, [&](auto& entry) { return cache_.leaving(entry.first); });
 }
 
 }  // namespace damsonport
