--- a/src/coordination/holder_commit.cpp
+++ b/src/coordination/holder_commit.cpp
@@ -154,6 +154,7 @@
 placing::Input Holder::placement_input(std::vector<std::string>& machine_ids,
                                        std::vector<std::pair<std::string, uint32_t>>& live_names) {
   placing::Input in;
+  in.now = loop_.wall();
   in.guarantee_within_s = settings_.guarantee_within();
   const double now = loop_.now();
   std::map<std::string, size_t> team_at;
@@ -182,6 +183,8 @@
     v.cancelled = job->cancelled;
     v.unfinished = static_cast<uint32_t>(s.tasks - job->done);
     v.accepted_at = s.accepted_at;
+    v.due_at = s.deadline_s >= 0 ? s.accepted_at + s.deadline_s : 0;
+    v.begun = job->live + job->done > 0;
     v.start_within_s = settings_.start_within(s.cls);
     auto hint = hints_.find(id);
     bool held_back = hint != hints_.end() && hint->second.backoff_until > now;
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -105,10 +105,21 @@
     int ua = urgency(a), ub = urgency(b);
     if (ua != ub) return ua > ub;
     auto &ja = in_.jobs[a], &jb = in_.jobs[b];
-    if (ja.accepted_at != jb.accepted_at) return ja.accepted_at < jb.accepted_at;
+    double ta = turn(ja), tb = turn(jb);
+    if (ta != tb) return ta < tb;
     return ja.id < jb.id;
   }
 
+  // Among equals by deadline, and by age where there is none. When more is asked than can be done,
+  // what can't be in time any more would make the next one late too, so it goes behind for a while;
+  // but not for ever, since it has to run as well.
+  double turn(const JobView& job) const {
+    if (job.due_at <= 0) return job.accepted_at;
+    const double patience = in_.begin_within_s * (job.begun ? 3 : 1);
+    const bool behind = in_.now > job.due_at && in_.now < job.accepted_at + patience;
+    return behind ? in_.now + job.accepted_at + patience : job.due_at;
+  }
+
   bool team_allows(size_t j) const {
     auto& job = in_.jobs[j];
     auto t = team_index_.find(job.team);
--- a/src/coordination/placement.hpp
+++ b/src/coordination/placement.hpp
@@ -57,6 +57,8 @@
   uint32_t unfinished = 0;  // waiting, live and held back ones
   bool cancelled = false;
   double accepted_at = 0;
+  double due_at = 0;           // 0: no deadline
+  bool begun = false;          // some task is live or done
   double start_within_s = 0;  // what is expected of its class; 0: nothing
 };
 
@@ -77,6 +79,10 @@
   std::vector<JobView> jobs;
   std::vector<LiveView> live;     // every task that is or may be on a machine
   double start_counts_s = 30;     // a start stopped earlier than this was in vain
+  double now = 0;                 // of the same clock as accepted_at and due_at
+  // A job has to begin within four minutes; half of that after its acceptance an overdue one that has
+  // not begun counts as any other, and one that has begun three times later.
+  double begin_within_s = 120;
   double guarantee_within_s = 0;  // what is expected of work within a guarantee; 0: nothing
 };
 
--- a/tests/trace_test.cpp
+++ b/tests/trace_test.cpp
@@ -51,7 +51,7 @@
       expected_.push_back(rest);
       return;
     }
-    if (verb == "place") return run_place();
+    if (verb == "place") return run_place(pairs(in));
     if (verb == "reconcile") return run_reconcile(pairs(in));
     in >> name;
     auto w = pairs(in);
@@ -83,6 +83,7 @@
       j.waiting = static_cast<uint32_t>(num(w, "waiting", j.tasks));
       j.unfinished = j.tasks;
       j.start_within_s = num(w, "within");
+      j.due_at = num(w, "due"), j.begun = w.contains("begun");
       j.accepted_at = static_cast<double>(input_.jobs.size());
       input_.jobs.push_back(j);
     } else if (verb == "live") {  // live JOB machine=M [lost=S] [abrupt=S] [grace=S] [age=S] [stopping]
@@ -151,7 +152,8 @@
   void check() const { EXPECT_EQ(expected_, actual_); }
 
  private:
-  void run_place() {
+  void run_place(const Words& w) {
+    input_.now = num(w, "now");
     auto d = placing::place(input_);
     for (auto& s : d.starts)
       actual_.push_back("start " + input_.jobs[s.job].id + " on " + input_.machines[s.machine].id);
