A straggler's replacement is sought before it is drained

DESIGN's order: a machine persistently under the bar first gets a replacement, then takes no new tasks and is released when empty. Where the cloud refuses one, giving the slow machine back makes the room, so it is drained at once. Plans of the fleet are kept as traces too.

--- a/src/coordination/fleet.hpp
+++ b/src/coordination/fleet.hpp
@@ -54,6 +54,9 @@
   ImageCache images;
   std::map<std::string, double> fetching;  // image -> since
   StragglerAverage straggler;
+  double replacing_since = 0;      // a persistent straggler: a replacement is sought first
+  bool replacement_asked = false;
+  bool replaces = false;           // it came for one such
   std::set<std::string> failed_jobs;  // jobs whose tasks ended in error here
   int errors_in_row = 0;
   bool draining = false;   // takes no new tasks
--- a/src/coordination/holder.cpp
+++ b/src/coordination/holder.cpp
@@ -185,6 +185,7 @@
     watch_reach();
     watch_silence();
     watch_cancelled();
+    watch_stragglers();
     watch_drains();
     if (p_.election.leading()) {
       if (now >= next_list_) {
--- a/src/coordination/holder.hpp
+++ b/src/coordination/holder.hpp
@@ -114,6 +114,8 @@
   void watch_silence();
   void watch_cancelled();
   void watch_drains();
+  void watch_stragglers();
+  bool refused(const std::string& kind) const;
   Task<void> return_machines(std::stop_token token);
   Task<void> rent(std::stop_token token);
   Task<void> do_rental(RentalRequest request, std::stop_token token);
--- a/src/coordination/holder_cloud.cpp
+++ b/src/coordination/holder_cloud.cpp
@@ -143,6 +143,31 @@
   }
 }
 
+bool Holder::refused(const std::string& kind) const {
+  auto r = refusals_.find(kind);
+  return r != refusals_.end() && r->second.until > loop_.now();
+}
+
+// First a replacement, then no new tasks. Where the cloud has none, giving the slow machine back is
+// what makes room for one, so it is drained at once; and one that does not come is not waited for.
+void Holder::watch_stragglers() {
+  const double now = loop_.now();
+  for (auto& [id, m] : machines_) {
+    if (m.replacing_since == 0 || m.draining) continue;
+    auto* type = p_.catalog.type(m.type);
+    for (auto& [other, o] : machines_) {
+      if (!o.replaces && o.type == m.type && o.first_heard > m.replacing_since) {
+        o.replaces = true;
+        drain(m, "straggler, replaced by " + other);
+        break;
+      }
+    }
+    if (!m.draining && (refused(kind_key(m.type, m.zone, m.spot)) ||
+                        now - m.replacing_since > slow_boot * (type ? type->boot_s : 0)))
+      drain(m, "straggler, no replacement to be had");
+  }
+}
+
 Task<void> Holder::return_machines(std::stop_token token) {
   std::vector<std::string> mark, ask;
   for (auto& [id, why] : to_return_) {
@@ -215,10 +240,8 @@
   for (auto& t : in.types)
     for (auto& zone : t.zones)
       for (bool spot : {false, true}) {
-        auto r = refusals_.find(kind_key(t.name, zone, spot));
-        bool refused = (r != refusals_.end() && r->second.until > now) ||
-                       renting_.contains(kind_key(t.name, zone, spot));
-        in.offers.push_back({t.name, zone, spot, refused});
+        auto kind = kind_key(t.name, zone, spot);
+        in.offers.push_back({t.name, zone, spot, refused(kind) || renting_.contains(kind)});
       }
   for (auto& [id, m] : machines_) {
     if (cache_.leaving(id) || to_return_.contains(id) || m.type.empty()) continue;
@@ -266,7 +289,14 @@
       renting_.insert(kind_key(rental.request.type, rental.request.zone, rental.request.spot));
       loop_.spawn("rental", do_rental(rental.request, token));
     }
-  auto plan = sizing::plan(sizing_input());
+  auto input = sizing_input();
+  for (auto& [id, m] : machines_) {
+    auto kind = kind_key(m.type, m.zone, m.spot);
+    if (m.replacing_since == 0 || m.draining || m.replacement_asked || renting_.contains(kind)) continue;
+    m.replacement_asked = true;
+    input.replacements.push_back({m.type, m.zone, m.spot, false});
+  }
+  auto plan = sizing::plan(input);
   for (auto& id : plan.give_back) want_return(id, "idle");
   for (auto& r : plan.rent) {
     auto key = kind_key(r.type, r.zone, r.spot);
--- a/src/coordination/holder_machines.cpp
+++ b/src/coordination/holder_machines.cpp
@@ -169,7 +169,7 @@
       if (fraction && fold(m.straggler, *fraction, tuning_)) {
         spdlog::warn("{} is a straggler: its average is {:.2f} of its jobs' medians", m.id,
                      m.straggler.average);
-        drain(m, "straggler");
+        m.replacing_since = now;
       }
       break;
     }
--- a/tests/trace_test.cpp
+++ b/tests/trace_test.cpp
@@ -7,6 +7,7 @@
 
 #include "coordination/placement.hpp"
 #include "coordination/reconcile.hpp"
+#include "coordination/sizing.hpp"
 #include "coordination/straggler.hpp"
 
 namespace damsonport {
@@ -52,6 +53,7 @@
       return;
     }
     if (verb == "place") return run_place(pairs(in));
+    if (verb == "plan") return run_plan();
     if (verb == "reconcile") return run_reconcile(pairs(in));
     in >> name;
     auto w = pairs(in);
@@ -136,6 +138,29 @@
       auto how = str(w, "how");
       (how == "flight" ? machine_.in_flight : how == "limbo" ? machine_.in_limbo : machine_.in_answer)
           .insert(key);
+    } else if (verb == "type") {  // type NAME cpus=N gpus=N price=N spot_price=N zones=Z,...
+      MachineType t;
+      t.name = name, t.cpus = num(w, "cpus"), t.gpus = num(w, "gpus"), t.memory_gb = 1e6;
+      t.price = num(w, "price", 4), t.spot_price = num(w, "spot_price", 1);
+      for (auto& zone : list(w, "zones"))
+        for (bool spot : {false, true}) fleet_.offers.push_back({name, zone, spot, false});
+      fleet_.types.push_back(t);
+    } else if (verb == "refused") {  // refused TYPE zone=Z [spot]
+      for (auto& o : fleet_.offers)
+        if (o.type == name && o.zone == str(w, "zone") && o.spot == w.contains("spot"))
+          o.refused = true;
+    } else if (verb == "has") {  // has MACHINE type=T zone=Z [spot] [booting]
+      sizing::MachineState m;
+      m.id = name, m.type = str(w, "type"), m.zone = str(w, "zone"), m.spot = w.contains("spot");
+      m.booting = w.contains("booting"), m.open = !m.booting;
+      for (auto& t : fleet_.types)
+        if (t.name == m.type) m.total = m.free = {t.cpus, t.gpus, t.memory_gb};
+      fleet_.machines.push_back(m);
+    } else if (verb == "work") {  // work NAME count=N cpus=N gpus=N: may use spot machines
+      fleet_.spot_work.push_back({{num(w, "cpus"), num(w, "gpus"), 0},
+                                  static_cast<uint32_t>(num(w, "count")), {}, "", true});
+    } else if (verb == "replace") {  // replace TYPE zone=Z [spot]
+      fleet_.replacements.push_back({name, str(w, "zone"), w.contains("spot"), false});
     } else if (verb == "successes") {  // successes MACHINE run=S median=S count=N
       StragglerAverage s;
       RunTimes times;
@@ -168,6 +193,13 @@
       actual_.push_back("wait " + input_.jobs[u.job].id + " " + std::to_string(u.count) +
                         (u.room_coming ? " (room coming)" : ""));
   }
+  void run_plan() {
+    auto plan = sizing::plan(fleet_);
+    for (auto& r : plan.rent)
+      actual_.push_back("rent " + std::to_string(r.count) + " " + r.type + " in " + r.zone +
+                        (r.spot ? " (spot)" : ""));
+    for (auto& id : plan.give_back) actual_.push_back("give back " + id);
+  }
   void run_reconcile(const Words& w) {
     auto out = reconcile(machine_, records_, static_cast<uint64_t>(num(w, "term", 1)),
                          !w.contains("stale"));
@@ -181,6 +213,7 @@
                         (e.cause == ExitCause::done ? " done" : ""));
   }
   placing::Input input_;
+  sizing::Input fleet_;
   Machine machine_;
   std::vector<Expected> records_;
   std::vector<std::string> expected_, actual_;
