A fetch likely too long for its class counts more than a less fitting machine

Cause: small services whose image was missing went to machines that fetch 1.5 GB in 4 s, though they should start within one, and surge replicas to free machines without their image.

--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -12,6 +12,7 @@
 
 namespace {
 
+constexpr double missed_cost = 25;  // seconds that a start later than expected counts for
 constexpr int urgent_priority = 2;  // high and production
 constexpr double never = std::numeric_limits<double>::infinity();
 
@@ -167,11 +168,19 @@
     return fetch * (1.0 + static_cast<double>(m.fetching.size()));
   }
 
+  // Chance that a fetch of this length, give or take a third, is too long for what is expected.
+  static double miss_chance(double fetch, double within) {
+    if (within <= 0 || fetch <= 0) return 0;
+    const double least = fetch * 2 / 3, most = fetch * 4 / 3;
+    return std::clamp((most - within) / (most - least), 0.0, 1.0);
+  }
+
   // Seconds, or what counts like them: the lower, the better the machine for this task.
   double cost(size_t j, size_t m, const Amounts& room) const {
     auto& job = in_.jobs[j];
     auto& machine = in_.machines[m];
     double c = image_delay(job, machine);
+    c += missed_cost * miss_chance(c, job.start_within_s);
     if (job.spot && !machine.spot) c += 3;  // what may use cheap machines leaves others free
     c += (1.0 - std::min(machine.speed, 1.0)) * 20;
     if (job.service) {
