Patience with a mass silence outlasts it

Only machines that keep coming count as strays, so that a takeover's redirects can't make a holder seem deaf.

--- a/src/coordination/holder.cpp
+++ b/src/coordination/holder.cpp
@@ -47,6 +47,7 @@
   took_over_at_ = quiet_base_ = last_tick_ = loop_.now();
   strays_.clear();
   deaf_since_ = 0;
+  silence_patience_ = {};
   machines_.clear();
   attempts_.clear();
   exits_.clear();
--- a/src/coordination/holder.hpp
+++ b/src/coordination/holder.hpp
@@ -11,6 +11,7 @@
 #include "coordination/mesh.hpp"
 #include "coordination/placement.hpp"
 #include "coordination/reconcile.hpp"
+#include "coordination/silence.hpp"
 #include "coordination/sizing.hpp"
 #include "coordination/straggler.hpp"
 
@@ -40,8 +41,8 @@
   HttpResponse on_report(const Report& r);
   bool holding() const;
   uint64_t waiting_tasks() const { return waiting_tasks_; }
-  // Machines that come here although another node holds them.
-  uint64_t strays() const { return strays_.size(); }
+  // Machines that keep coming here although another node holds them.
+  uint64_t strays() const;
   void job_changed(Job* job);
   void job_gone(Job* job);
 
@@ -145,6 +146,7 @@
     bool answered = false;  // the last time, so that the next report tries the holder again
   };
   std::unordered_map<std::string, Stray> strays_;
+  SilencePatience silence_patience_;
   double deaf_since_ = 0;  // 0: the machines are heard
   // Which images the records put on which machine and when, seen by every node from the changes it
   // follows, so that a new holder knows most of what the last one knew.
--- a/src/coordination/holder_cloud.cpp
+++ b/src/coordination/holder_cloud.cpp
@@ -11,8 +11,6 @@
 constexpr size_t max_returned_at_once = 100;
 constexpr double slow_boot = 1.6;   // times boot_s: the room is no longer counted on
 constexpr double never_boots = 4.0; // times boot_s: returned
-// With more than this share of the fleet silent at once the fault is rather in between.
-constexpr double mass_share = 0.35;
 
 std::string kind_key(const std::string& type, const std::string& zone, bool spot) {
   return type + "/" + zone + (spot ? "/spot" : "/ordinary");
@@ -87,7 +85,8 @@
     ++known;
     silent += silence(m) > tuning_.doubt_reports * report;
   }
-  const bool mass = silent >= 4 && static_cast<double>(silent) > mass_share * static_cast<double>(known);
+  const double patience =
+      silence_patience_.limit(loop_.now(), known, silent, give_up, settings_.lease_s);
   for (auto& [id, m] : machines_) {
     if (cache_.leaving(id) || to_return_.contains(id)) continue;
     double quiet = silence(m);
@@ -95,8 +94,7 @@
     place_again_ = true;
     loop_.spawn("probe", probe(id));
     double direct = loop_.now() - std::max(m.last_direct, quiet_base_);
-    // In a mass silence nothing is given up before it has lost its tasks anyway.
-    double limit = mass ? 3 * settings_.lease_s : give_up;
+    double limit = patience;
     // Never heard at all: it may be booting, or only known from an old record.
     if (m.session == 0) limit += report * 2;
     if (quiet > limit && direct > give_up)
--- /dev/null
+++ b/src/coordination/silence.cpp
@@ -0,0 +1,19 @@
+#include "coordination/silence.hpp"
+
+namespace damsonport {
+
+namespace {
+constexpr double mass_share = 0.35;
+constexpr size_t mass_at_least = 4;
+constexpr double mass_leases = 3;
+}  // namespace
+
+double SilencePatience::limit(double now, size_t known, size_t silent, double give_up,
+                              double lease_s) {
+  if (silent >= mass_at_least &&
+      static_cast<double>(silent) > mass_share * static_cast<double>(known))
+    mass_seen_at_ = now;
+  return now - mass_seen_at_ < give_up ? mass_leases * lease_s : give_up;
+}
+
+}  // namespace damsonport
--- a/src/coordination/stand_in.cpp
+++ b/src/coordination/stand_in.cpp
@@ -1,6 +1,8 @@
 // What a node answers to machines that another one holds.
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
+
 #include "coordination/holder.hpp"
 
 namespace damsonport {
@@ -50,6 +52,13 @@
   return {200, encode_report_answer(held->term, commands), 0};
 }
 
+uint64_t Holder::strays() const {
+  // One that came by and found its holder is none.
+  return static_cast<uint64_t>(std::count_if(strays_.begin(), strays_.end(), [&](auto& entry) {
+    return entry.second.last - entry.second.since > missing_share / 2 * settings_.lease_s;
+  }));
+}
+
 void Holder::forget_strays() {
   const double before = loop_.now() - settings_.lease_s / 2;
   std::erase_if(strays_, [&](auto& entry) { return entry.second.last < before; });
--- a/tests/trace_test.cpp
+++ b/tests/trace_test.cpp
@@ -7,6 +7,7 @@
 
 #include "coordination/placement.hpp"
 #include "coordination/reconcile.hpp"
+#include "coordination/silence.hpp"
 #include "coordination/sizing.hpp"
 #include "coordination/straggler.hpp"
 
@@ -54,6 +55,15 @@
     }
     if (verb == "place") return run_place(pairs(in));
     if (verb == "plan") return run_plan();
+    if (verb == "silent") {  // silent N now=S known=N give_up=S lease=S
+      in >> name;
+      auto w = pairs(in);
+      double limit =
+          patience_.limit(num(w, "now"), static_cast<size_t>(num(w, "known")),
+                          std::stoul(name), num(w, "give_up"), num(w, "lease"));
+      actual_.push_back("given up after " + std::to_string(static_cast<int>(limit)));
+      return;
+    }
     if (verb == "reconcile") return run_reconcile(pairs(in));
     in >> name;
     auto w = pairs(in);
@@ -214,6 +224,7 @@
   }
   placing::Input input_;
   sizing::Input fleet_;
+  SilencePatience patience_;
   Machine machine_;
   std::vector<Expected> records_;
   std::vector<std::string> expected_, actual_;
