--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -58,16 +58,27 @@
 
  private:
   // The shapes that matter for keeping room whole: the most accelerators that one task asks for,
-  // and the CPUs that go with an accelerator.
+  // and the CPUs and memory that go with an accelerator. Work that may use spot machines has room
+  // of its own there and counts only where there is no other.
   void measure_shapes() {
+    const bool fixed = std::any_of(in_.jobs.begin(), in_.jobs.end(),
+                                   [](auto& j) { return j.need.gpus > 0 && !j.spot; });
     for (auto& j : in_.jobs) {
-      if (j.need.gpus <= 0) continue;
+      if (j.need.gpus <= 0 || (fixed && j.spot)) continue;
       large_gpus_ = std::max(large_gpus_, j.need.gpus);
       cpus_per_gpu_ = std::max(cpus_per_gpu_, j.need.cpus / j.need.gpus);
       memory_per_gpu_ = std::max(memory_per_gpu_, j.need.memory_gb / j.need.gpus);
     }
   }
 
+  // Accelerators that can be used in this room, going by the CPUs and memory beside them.
+  double usable_gpus(const Amounts& room) const {
+    double n = std::max(room.gpus, 0.0);
+    if (cpus_per_gpu_ > 0) n = std::min(n, room.cpus / cpus_per_gpu_);
+    if (memory_per_gpu_ > 0) n = std::min(n, room.memory_gb / memory_per_gpu_);
+    return std::max(n, 0.0);
+  }
+
   // A job is within its team's guarantee when it fits into it with the team's earlier ones.
   void judge_guarantees() {
     guaranteed_.assign(in_.jobs.size(), false);
@@ -188,15 +199,14 @@
       if (auto it = on_machine_[m].find(j); it != on_machine_[m].end()) c += 2.0 * it->second;
     }
     if (machine.total.gpus > 0 && job.need.gpus <= 0) {
-      // Accelerators without CPUs or memory beside them are lost room.
+      // Accelerators without CPUs or memory beside them are lost room. Where it can't be helped, it
+      // is lost on machines that are of little use already, and not a little of it on each.
       c += 15;
-      double cpus_left = room.cpus - job.need.cpus, gpus_left = room.gpus;
-      double memory_left = room.memory_gb - job.need.memory_gb;
-      if (cpus_left < gpus_left * cpus_per_gpu_ - 1e-6 ||
-          memory_left < gpus_left * memory_per_gpu_ - 1e-6)
-        c += 60;
-      else
-        c += 1.0 / (1.0 + cpus_left);
+      Amounts left = room;
+      left -= job.need;
+      const double before = usable_gpus(room), after = usable_gpus(left);
+      if (after < before - 1e-6) c += 30 + 5 * after;
+      c += 1.0 / (1.0 + left.cpus);
     } else if (job.need.gpus > 0 && large_gpus_ > 0) {
       double left = room.gpus - job.need.gpus;
       double broken = std::floor(room.gpus / large_gpus_ + 1e-6) -
