Like jobs are refused as a class; answered rentals aren't asked for again; a kind isn't closed for ever

A pass keeps what found no free room, and what needs at least as much under the same rules isn't looked for again; the work of a pass at 330 machines and 500 jobs is bounded by a counting test. A rental whose record could not be removed in an outage was sent to the cloud every 0.75 s, and a kind of machine whose request was under way at a change of term stayed closed to this node.

--- a/src/coordination/holder.cpp
+++ b/src/coordination/holder.cpp
@@ -57,6 +57,9 @@
   returned_.clear();
   returning_.clear();
   booting_.clear();
+  // A request under way under an older term ends without a word: its kind must not stay closed.
+  renting_.clear();
+  answered_rentals_.clear();
   hints_.clear();
   place_again_ = true;
   next_list_ = 0;
--- a/src/coordination/holder.hpp
+++ b/src/coordination/holder.hpp
@@ -120,6 +120,7 @@
   Task<void> return_machines(std::stop_token token);
   Task<void> rent(std::stop_token token);
   Task<void> do_rental(RentalRequest request, std::stop_token token);
+  Task<void> forget_rental(std::string id);
   sizing::Input sizing_input() const;
   uint64_t team_limit(const JobSpec& spec) const;
   void drain(Machine& m, const std::string& why);
@@ -172,6 +173,7 @@
   };
   std::map<std::string, Booting> booting_;
   std::set<std::string> renting_;
+  std::set<std::string> answered_rentals_;  // only their records are still to be removed
   std::vector<sizing::Demand> unplaced_;
   uint64_t waiting_tasks_ = 0;
   double next_list_ = 0, next_sizing_ = 0;
--- a/src/coordination/holder_cloud.cpp
+++ b/src/coordination/holder_cloud.cpp
@@ -312,6 +312,12 @@
 Task<void> Holder::do_rental(RentalRequest request, std::stop_token token) {
   const auto term = term_;
   const auto key = kind_key(request.type, request.zone, request.spot);
+  // Answered, but the state service could not remove its record: not asked for again and again.
+  if (answered_rentals_.contains(request.id)) {
+    co_await forget_rental(request.id);
+    renting_.erase(key);
+    co_return;
+  }
   // Committed before it is sent, so that what it rents is never lost sight of.
   if (!cache_.rentals().contains(request.id)) {
     Txn txn;
@@ -364,12 +370,19 @@
   } else {
     refusal = {};
   }
+  answered_rentals_.insert(request.id);
+  co_await forget_rental(request.id);
+  renting_.erase(key);
+}
+
+Task<void> Holder::forget_rental(std::string id) {
   Txn txn;
-  txn.writes.push_back({keys::rental(request.id), Json(), 0});
+  txn.writes.push_back({keys::rental(id), Json(), 0});
   auto writes = txn.writes;
   auto removed = co_await p_.state.commit(std::move(txn), Importance::accepting);
-  if (removed.outcome == Outcome::committed) cache_.apply_writes(writes, removed.revision);
-  renting_.erase(key);
+  if (removed.outcome != Outcome::committed) co_return;
+  cache_.apply_writes(writes, removed.revision);
+  answered_rentals_.erase(id);
 }
 
 }  // namespace damsonport
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -222,7 +222,7 @@
   void place_job(size_t j) {
     auto& job = in_.jobs[j];
     uint32_t left = job.waiting;
-    bool fits_now = true, can_make_room = true;
+    bool fits_now = !known_full(job), can_make_room = true;
     uint32_t coming = 0;
     while (left > 0) {
       if (!team_allows(j)) return note_unplaced(j, 0, coming);
@@ -235,6 +235,7 @@
           continue;
         }
         fits_now = false;
+        note_full(job);
       }
       // Room that is being made already serves the most urgent first.
       if (claim_coming(j)) {
@@ -252,6 +253,21 @@
     note_unplaced(j, left, coming);
   }
 
+  // Free room only shrinks during a pass, so where a task found none, no task that needs at least
+  // as much under the same rules does: under overload the like are decided as a class. Jobs bound
+  // to the zones of their own tasks, or kept off some machines, speak for themselves only.
+  bool known_full(const JobView& job) const {
+    return std::any_of(full_.begin(), full_.end(), [&](const JobView* f) {
+      return f->need.fits(job.need) && f->spot == job.spot && f->zone == job.zone &&
+             f->types == job.types;
+    });
+  }
+  void note_full(const JobView& job) {
+    const bool kept_off = std::any_of(in_.machines.begin(), in_.machines.end(),
+                                      [&](auto& m) { return contains(m.bad_jobs, job.id); });
+    if (!job.one_zone && !job.spread && !kept_off) full_.push_back(&job);
+  }
+
   // All of it or nothing, and nothing is stopped for it.
   void place_gang(size_t j) {
     auto before = std::make_tuple(free_, used_, zone_count_, on_machine_, out_.starts);
@@ -267,8 +283,9 @@
     }
   }
 
-  bool best_now(size_t j, size_t& where) const {
+  bool best_now(size_t j, size_t& where) {
     double best = never;
+    out_.examined += in_.machines.size();
     for (size_t m = 0; m < in_.machines.size(); ++m) {
       if (!in_.jobs[j].need.fits(free_[m]) || !allowed(j, m)) continue;
       double c = cost(j, m, free_[m]);
@@ -291,6 +308,7 @@
   }
 
   bool claim_coming(size_t j) {
+    out_.examined += in_.machines.size();
     auto& need = in_.jobs[j].need;
     double best = never;
     size_t where = 0;
@@ -363,6 +381,7 @@
   }
 
   bool make_room(size_t j) {
+    out_.examined += in_.machines.size();
     auto& job = in_.jobs[j];
     double best = never;
     size_t where = 0;
@@ -412,6 +431,7 @@
   std::unordered_map<std::string, size_t> team_index_;
   std::unordered_map<size_t, std::vector<size_t>> by_machine_;
   std::vector<bool> stopped_;
+  std::vector<const JobView*> full_;  // found no free room in this pass
   std::vector<bool> guaranteed_;
   double large_gpus_ = 0, cpus_per_gpu_ = 0, memory_per_gpu_ = 0;
   Decisions out_;
--- a/src/coordination/placement.hpp
+++ b/src/coordination/placement.hpp
@@ -103,6 +103,7 @@
   std::vector<Start> starts;
   std::vector<Stop> stops;
   std::vector<Unplaced> unplaced;  // for want of room; team limits excluded
+  size_t examined = 0;             // machines looked at for some task: the work of this pass
 };
 
 // The image is there now. One that is being fetched is not, whatever is remembered of the machine.
--- /dev/null
+++ b/tests/placing_work_test.cpp
@@ -0,0 +1,79 @@
+// Bounds the work of one placing pass by counting, on a fleet of the size of the grown deployments.
+#include <gtest/gtest.h>
+
+#include "coordination/placement.hpp"
+
+namespace damsonport::placing {
+namespace {
+
+constexpr size_t machines = 330, jobs = 500;
+
+// A full fleet: every machine runs replicas that nothing may stop.
+Input full_fleet() {
+  Input in;
+  in.teams.push_back({"t", {}, {}, {}});
+  JobView standing;
+  standing.id = "run-standing", standing.team = "t", standing.service = true;
+  standing.priority = 3, standing.need = {8, 1, 30};
+  in.jobs.push_back(standing);
+  for (size_t i = 0; i < machines; ++i) {
+    MachineView m;
+    m.id = "i-" + std::to_string(i), m.type = "g", m.zone = "a";
+    m.total = {64, 8, 512};
+    in.machines.push_back(m);
+    for (uint32_t n = 0; n < 8; ++n) {
+      LiveView l;
+      l.machine = i, l.index = static_cast<uint32_t>(i) * 8 + n;
+      in.live.push_back(l);
+    }
+  }
+  return in;
+}
+
+void add_waiting(Input& in, size_t count, uint32_t tasks) {
+  for (size_t i = 0; i < count; ++i) {
+    JobView j;
+    j.id = "run-" + std::to_string(i), j.team = "t", j.priority = 1;
+    j.need = {4, 1, 12}, j.tasks = j.waiting = j.unfinished = tasks;
+    j.accepted_at = static_cast<double>(i);
+    in.jobs.push_back(j);
+  }
+}
+
+// What the first of its kind has shown isn't looked for again by the others.
+TEST(PlacingWork, LikeJobsAreRefusedAsAClass) {
+  auto in = full_fleet();
+  add_waiting(in, jobs, 60);
+  auto out = place(in);
+  EXPECT_TRUE(out.starts.empty());
+  EXPECT_TRUE(out.stops.empty());
+  ASSERT_EQ(out.unplaced.size(), jobs);
+  // Once for free room; each job once for coming room and once for room to be made.
+  EXPECT_LE(out.examined, machines * (1 + 2 * jobs));
+}
+
+// Each start looks at each machine at most once.
+TEST(PlacingWork, StartsCostOneLookAtTheFleetEach) {
+  auto in = full_fleet();
+  in.live.clear();
+  for (auto& m : in.machines) m.free = m.total;
+  add_waiting(in, 40, 60);
+  auto out = place(in);
+  EXPECT_EQ(out.starts.size(), 40u * 60u);
+  EXPECT_LE(out.examined, machines * out.starts.size());
+}
+
+// A smaller task may still fit where a larger one did not.
+TEST(PlacingWork, WhatNeedsLessIsLookedForAllTheSame) {
+  auto in = full_fleet();
+  in.machines[7].free = {4, 1, 12};
+  add_waiting(in, 2, 1);
+  in.jobs[1].need = {40, 1, 12};
+  auto out = place(in);
+  ASSERT_EQ(out.starts.size(), 1u);
+  EXPECT_EQ(out.starts[0].job, 2u);
+  EXPECT_EQ(out.starts[0].machine, 7u);
+}
+
+}  // namespace
+}  // namespace damsonport::placing
