Mass loss: marks in bulk, the most urgent first; who is heard again is kept; a cut zone lives on

After a takeover the wait for a machine named by records is longer only by the controllers that don't answer. In a cut that takes the state service too, stand-ins fell silent after a quarter of a lease; now they go on for most of what cancel_s leaves beyond a lease, which keeps cancellations in time. Copies of removed records: the memory of removals is no longer emptied at once, and a re-read that finds nothing is believed.

--- a/src/coordination/catalog.cpp
+++ b/src/coordination/catalog.cpp
@@ -13,8 +13,10 @@
 Task<void> Catalog::follow(std::stop_token token) {
   while (!token.stop_requested()) {
     auto reply = co_await http_.request(settings_.cloud, Method::get, "/catalog", {}, 3.0);
-    auto types = reply.status == 200 ? decode_catalog(decode_map(reply.body))
-                                     : Result<std::vector<MachineType>>(Error{"status " + std::to_string(reply.status)});
+    auto types =
+        reply.status == 200
+            ? decode_catalog(decode_map(reply.body))
+            : Result<std::vector<MachineType>>(Error{"status " + std::to_string(reply.status)});
     if (types && !types->empty()) {
       if (!known()) spdlog::info("catalogue read: {} machine types", types->size());
       types_ = std::move(*types);
@@ -37,7 +39,8 @@
   auto* team = settings.team(job.team);
   if (!team) return Verdict::unknown_team;
   bool fits = std::any_of(types.begin(), types.end(), [&](const MachineType& t) {
-    if (!job.types.empty() && std::find(job.types.begin(), job.types.end(), t.name) == job.types.end())
+    if (!job.types.empty() &&
+        std::find(job.types.begin(), job.types.end(), t.name) == job.types.end())
       return false;
     if (!job.zone.empty() && std::find(t.zones.begin(), t.zones.end(), job.zone) == t.zones.end())
       return false;
--- a/src/coordination/election.cpp
+++ b/src/coordination/election.cpp
@@ -51,7 +51,8 @@
     }
     // A restarted node need not wait for the key of its earlier life to run out.
     if (!cache_.has_leader() || mine) co_await campaign(token);
-    if (!leading_ && !co_await Sleep(loop_, ttl_s_ / 10 * loop_.uniform(0.5, 1.5), token)) co_return;
+    if (!leading_ && !co_await Sleep(loop_, ttl_s_ / 10 * loop_.uniform(0.5, 1.5), token))
+      co_return;
   }
 }
 
--- a/src/coordination/election.hpp
+++ b/src/coordination/election.hpp
@@ -13,7 +13,8 @@
   // Our key stands, as far as is known. Also asked of the cache: after a conflict the key of a
   // successor is known there first, and writing on its version would be leading in its name.
   bool leading() const {
-    return leading_ && !resting() && cache_.has_leader() && cache_.leader().node == settings_.node_name &&
+    return leading_ && !resting() && cache_.has_leader() &&
+           cache_.leader().node == settings_.node_name &&
            cache_.leader().incarnation == incarnation_;
   }
 
--- a/src/coordination/fleet.hpp
+++ b/src/coordination/fleet.hpp
@@ -38,15 +38,15 @@
   // Newest message taken from the worker.
   uint64_t session = 0, seq = 0, token = 0;
   double first_heard = 0;
-  double last_heard = 0;   // the last report
-  double last_direct = 0;  // the last answer to a direct message, which renews no lease
+  double last_heard = 0;            // the last report
+  double last_direct = 0;           // the last answer to a direct message, which renews no lease
   std::optional<double> notice_at;  // steady time when the cloud takes it
   std::map<TaskName, TaskReport> tasks;
 
   // Start orders that may yet reach the worker in this session under our term.
-  std::set<AttemptKey> in_flight;   // in a direct message that is not answered yet
-  std::set<AttemptKey> in_limbo;    // in a direct message that never was: it may come any time
-  std::set<AttemptKey> in_answer;   // in the answer to the last report
+  std::set<AttemptKey> in_flight;  // in a direct message that is not answered yet
+  std::set<AttemptKey> in_limbo;   // in a direct message that never was: it may come any time
+  std::set<AttemptKey> in_answer;  // in the answer to the last report
   std::vector<Command> outbox;
   bool sending = false;
   int failed_sends = 0;
@@ -55,12 +55,12 @@
   ImageCache images;
   std::map<std::string, double> fetching;  // image -> since
   StragglerAverage straggler;
-  double replacing_since = 0;      // a persistent straggler: a replacement is sought first
+  double replacing_since = 0;  // a persistent straggler: a replacement is sought first
   bool replacement_asked = false;
-  bool replaces = false;           // it came for one such
+  bool replaces = false;              // it came for one such
   std::set<std::string> failed_jobs;  // jobs whose tasks ended in error here
   int errors_in_row = 0;
-  bool draining = false;   // takes no new tasks
+  bool draining = false;  // takes no new tasks
   std::string drain_why;
   int lost_sessions = 0;
   double idle_since = 0;
--- a/src/coordination/holder.cpp
+++ b/src/coordination/holder.cpp
@@ -55,6 +55,7 @@
   cancelled_at_.clear();
   to_return_.clear();
   returned_.clear();
+  given_up_.clear();
   returning_.clear();
   booting_.clear();
   // A request under way under an older term ends without a word: its kind must not stay closed.
@@ -67,7 +68,9 @@
   reset_view();
   for (auto& [id, assigned] : cache_.assignments()) machine(id);
   // Marked by an earlier holder, who may not have got round to it.
-  for (auto& [id, version] : cache_.leaving_marks()) to_return_[id] = "marked by an earlier holder";
+  // Those on which nothing is placed any more are returned again where the machine list names them.
+  for (auto& [id, mark] : cache_.leaving_marks())
+    if (!cache_.assigned(id).empty()) to_return_[id] = "marked by an earlier holder";
   for (auto& [id, job] : cache_.jobs()) {
     if (job->cancelled) cancelled_at_[id] = loop_.now();
     if (is_over(*job)) over_.insert(id);
@@ -208,11 +211,11 @@
     // What changes with time alone: pauses that are over, machines in doubt.
     if (waiting_tasks_ > 0 || !held_back_.empty()) place_again_ = true;
     if (p_.election.leading()) {
-      if (now >= next_list_) {
+      co_await return_machines(token);
+      if (holding() && now >= next_list_) {
         next_list_ = now + settings_.list_lag_s / 2;
         co_await read_list(token);
       }
-      co_await return_machines(token);
       if (holding() && loop_.now() >= next_sizing_) {
         next_sizing_ = loop_.now() + settings_.report_s / 2;
         co_await rent(token);
--- a/src/coordination/holder.hpp
+++ b/src/coordination/holder.hpp
@@ -80,6 +80,7 @@
 
   // --- machines of another holder (stand_in.cpp)
   HttpResponse stand_in(const Report& r);
+  bool may_stand_in(bool apart) const;
   void forget_strays();
 
   // --- committing (holder_commit.cpp)
@@ -89,9 +90,7 @@
   Task<bool> settle(Txn txn, std::stop_token token, bool starts = false);
   Task<void> reread(std::vector<std::string> failed);
   bool records_current() const;
-  static bool is_over(const Job& job) {
-    return job.cancelled ? job.live == 0 : job.finished();
-  }
+  static bool is_over(const Job& job) { return job.cancelled ? job.live == 0 : job.finished(); }
 
   // --- what placement sees (holder_view.cpp)
   void reset_view();
@@ -129,6 +128,8 @@
   void watch_stragglers();
   bool refused(const std::string& kind) const;
   Task<void> return_machines(std::stop_token token);
+  Task<bool> mark_leaving(std::vector<std::string> machines);
+  Task<bool> ask_return(std::vector<std::string> ask);
   Task<void> rent(std::stop_token token);
   Task<void> do_rental(RentalRequest request, std::stop_token token);
   Task<void> forget_rental(std::string id);
@@ -171,6 +172,7 @@
   std::map<TaskName, Stopping> stopping_;
   std::map<std::string, double> cancelled_at_;
   std::map<std::string, std::string> to_return_;  // machine -> why
+  std::set<std::string> given_up_;                // to be returned for their silence alone
   std::set<std::string> returned_;                // the cloud has confirmed it
   std::set<std::string> returning_;
   struct Refusal {
@@ -191,8 +193,8 @@
   bool place_again_ = true;
   double next_place_ = 0;
 
-  // Kept from pass to pass; only what changed is made anew. Nobody marks what passes with time alone:
-  // silence and pauses are looked at in each pass.
+  // Kept from pass to pass; only what changed is made anew. Nobody marks what passes with time
+  // alone: silence and pauses are looked at in each pass.
   placing::Input view_;
   std::vector<Job*> slot_jobs_;  // by place in view_.jobs; null: empty
   std::vector<size_t> free_job_slots_, free_machine_slots_;
--- a/src/coordination/holder_cloud.cpp
+++ b/src/coordination/holder_cloud.cpp
@@ -9,8 +9,9 @@
 
 namespace {
 constexpr size_t max_returned_at_once = 100;
-constexpr double slow_boot = 1.6;    // times boot_s: the room is no longer counted on
-constexpr double never_boots = 4.0;  // times boot_s: returned
+constexpr size_t max_returns_a_tick = 4;  // the cloud's calls are also wanted for rentals
+constexpr double slow_boot = 1.6;         // times boot_s: the room is no longer counted on
+constexpr double never_boots = 4.0;       // times boot_s: returned
 
 std::string kind_key(const std::string& type, const std::string& zone, bool spot) {
   return type + "/" + zone + (spot ? "/spot" : "/ordinary");
@@ -98,10 +99,14 @@
     loop_.spawn("probe", probe(id));
     double direct = loop_.now() - std::max(m.last_direct, quiet_base_);
     double limit = patience;
-    // Never heard at all: it may be booting, or only known from an old record.
-    if (m.session == 0) limit += report * 2;
-    if (quiet > limit && direct > give_up)
+    // Never heard at all: it may be booting, or still be looking for the new holder, past
+    // controllers that don't answer.
+    if (m.session == 0)
+      limit += report * (cache_.assigned(id).empty() ? 2 : p_.mesh.silent_peers());
+    if (quiet > limit && direct > give_up) {
       want_return(id, "silent for " + std::to_string(static_cast<int>(quiet)) + " s");
+      given_up_.insert(id);
+    }
   }
 }
 
@@ -170,37 +175,53 @@
   }
 }
 
+// Many machines fail together, and each waits with all that ran on it: so they are marked in bulk,
+// a hundred in one record, and those of the most urgent tasks go first.
 Task<void> Holder::return_machines(std::stop_token token) {
-  std::vector<std::string> mark, ask;
-  for (auto& [id, why] : to_return_) {
-    if (returning_.contains(id)) continue;
-    if (cache_.leaving(id)) {
-      if (ask.size() < max_returned_at_once) ask.push_back(id);
-    } else if (static_cast<int>(mark.size()) < settings_.txn_ops) {
-      mark.push_back(id);
-    }
-  }
-  if (!mark.empty()) {
-    Txn txn;
-    txn.conditions[keys::blocks] = cache_.blocks_version();
-    for (auto& id : mark) txn.writes.push_back({keys::machine(id), {{"leaving", true}}, 0});
-    auto writes = txn.writes;
-    auto reply = co_await p_.state.commit(std::move(txn), Importance::placing);
-    if (!holding()) co_return;
-    if (reply.outcome == Outcome::committed) {
-      cache_.apply_writes(writes, reply.revision);
-      for (auto& id : mark)
-        if (ask.size() < max_returned_at_once) ask.push_back(id);
+  for (size_t calls = 0; calls < max_returns_a_tick && holding(); ++calls) {
+    std::vector<std::string> mark, ask;
+    for (auto& [id, why] : to_return_)
+      if (!returning_.contains(id)) (cache_.leaving(id) ? ask : mark).push_back(id);
+    if (mark.empty() && ask.empty()) co_return;
+    std::map<std::string, int> urgency;
+    for (auto& id : mark)
+      for (auto& [a, attempt] : cache_.assigned(id))
+        urgency[id] += a.job->spec.priority >= Priority::high && !a.job->cancelled;
+    std::stable_sort(mark.begin(), mark.end(),
+                     [&](auto& a, auto& b) { return urgency[a] > urgency[b]; });
+    if (mark.size() > max_returned_at_once) mark.resize(max_returned_at_once);
+    if (!mark.empty()) {
+      if (!co_await mark_leaving(mark) || !holding()) co_return;
+      ask = std::move(mark);
     }
+    if (ask.size() > max_returned_at_once) ask.resize(max_returned_at_once);
+    if (token.stop_requested() || !co_await ask_return(std::move(ask))) co_return;
   }
-  if (ask.empty() || token.stop_requested()) co_return;
+}
+
+Task<bool> Holder::mark_leaving(std::vector<std::string> machines) {
+  // A record of its own for each batch: one that is written again would lose the marks it had.
+  const auto key =
+      keys::leaving(std::to_string(p_.incarnation) + "-" + std::to_string(loop_.random64()));
+  Txn txn;
+  txn.conditions[keys::blocks] = cache_.blocks_version();
+  txn.conditions[key] = 0;
+  txn.writes.push_back({key, {{"machines", std::move(machines)}}, 0});
+  auto writes = txn.writes;
+  auto reply = co_await p_.state.commit(std::move(txn), Importance::placing);
+  if (reply.outcome != Outcome::committed) co_return false;
+  cache_.apply_writes(writes, reply.revision);
+  co_return true;
+}
+
+Task<bool> Holder::ask_return(std::vector<std::string> ask) {
   returning_.insert(ask.begin(), ask.end());
   auto term = term_;
   auto reply = co_await p_.http.request(settings_.cloud, Method::post, "/hosts/return",
                                         encode_return(ask), 3.0);
-  if (term != term_) co_return;
+  if (term != term_) co_return false;
   for (auto& id : ask) returning_.erase(id);
-  if (reply.status != 200) co_return;
+  if (reply.status != 200) co_return false;
   // Gone, with everything on them: the proof that lets their tasks start elsewhere.
   for (auto& id : ask) {
     to_return_.erase(id);
@@ -214,6 +235,7 @@
   }
   spdlog::info("returned {} machine{}", ask.size(), ask.size() == 1 ? "" : "s");
   p_.changed.notify();
+  co_return true;
 }
 
 // How many tasks of this kind its team may run at once at the most.
--- a/src/coordination/holder_commit.cpp
+++ b/src/coordination/holder_commit.cpp
@@ -56,7 +56,8 @@
 Task<void> Holder::reread(std::vector<std::string> failed) {
   for (auto& key : failed) {
     auto read = co_await p_.state.read(key, Importance::placing);
-    if (read.ok && read.found) cache_.apply(read.item);
+    // Also that it is absent: a copy that came back from the dead must not be built on again.
+    if (read.ok && read.item.version) cache_.apply(read.item);
   }
 }
 
--- a/src/coordination/holder_machines.cpp
+++ b/src/coordination/holder_machines.cpp
@@ -75,6 +75,9 @@
   const auto session_before = m.session;
   if (!take_report(m, r, loop_.now(), direct)) return;
   dirty_machines_.insert(m.id);
+  // Back before the return was marked: what runs there is kept.
+  if (given_up_.erase(m.id) && !cache_.leaving(m.id) && to_return_.erase(m.id))
+    spdlog::info("{} is heard again and kept", m.id);
   booting_.erase(m.id);
   if (session_before != 0 && session_before != m.session)
     spdlog::info("{} began session {}: what ran there is gone", m.id, m.session);
--- a/src/coordination/holder_view.cpp
+++ b/src/coordination/holder_view.cpp
@@ -111,6 +111,7 @@
 }
 
 void Holder::forget_machine(const std::string& id) {
+  given_up_.erase(id);
   auto it = machines_.find(id);
   if (it == machines_.end()) return;
   if (it->second.slot) {
--- a/src/coordination/mesh.cpp
+++ b/src/coordination/mesh.cpp
@@ -12,9 +12,9 @@
     links_.push_back(std::make_unique<StreamLink>(loop, p.mesh));
     seen_[p.name];
   }
-  listener_ = std::make_unique<StreamListener>(loop, settings.mesh_listen,
-                                               2 + 4 * settings.peers.size(),
-                                               [this](std::string_view b) { return take(b); });
+  listener_ =
+      std::make_unique<StreamListener>(loop, settings.mesh_listen, 2 + 4 * settings.peers.size(),
+                                       [this](std::string_view b) { return take(b); });
 }
 
 long Mesh::take(std::string_view bytes) {
@@ -46,6 +46,11 @@
 
 bool Mesh::alive(const std::string& node) const { return silence(node) < 3 * period_; }
 
+int Mesh::silent_peers() const {
+  return static_cast<int>(
+      std::count_if(seen_.begin(), seen_.end(), [&](auto& s) { return !alive(s.first); }));
+}
+
 bool Mesh::peer_has_state(double max_age_s) const {
   for (auto& [node, s] : seen_)
     if (alive(node) && static_cast<double>(s.beat.state_age_ms) / 1000 < max_age_s) return true;
--- a/src/coordination/mesh.hpp
+++ b/src/coordination/mesh.hpp
@@ -20,6 +20,8 @@
   bool alive(const std::string& node) const;
   // Seconds since it was heard.
   double silence(const std::string& node) const;
+  // Peers that are not heard.
+  int silent_peers() const;
   // Some live peer has contact with the state service / some live peer lacks it too.
   bool peer_has_state(double max_age_s) const;
   bool peer_lacks_state(double max_age_s) const;
--- a/src/coordination/node.cpp
+++ b/src/coordination/node.cpp
@@ -41,8 +41,8 @@
                incarnation_}),
       api_(loop, settings, state_, cache_, catalog_),
       server_(loop, max_body,
-              static_cast<size_t>(std::max(settings.max_sockets - kept_sockets,
-                                           settings.max_sockets / 2)),
+              static_cast<size_t>(
+                  std::max(settings.max_sockets - kept_sockets, settings.max_sockets / 2)),
               idle_connection_s, [this](HttpRequest r) { return route(std::move(r)); }) {
   cache_.on_change = [this](Job* job) { holder_.job_changed(job); };
   cache_.on_assignment = [this](const std::string& machine, const Job& job, bool added) {
@@ -60,18 +60,20 @@
     spdlog::error("cannot listen on {} for the other controllers", settings_.mesh_listen.text());
     return false;
   }
-  spdlog::info("{} in {} serves on {}", settings_.node_name, settings_.zone, settings_.listen.text());
+  spdlog::info("{} in {} serves on {}", settings_.node_name, settings_.zone,
+               settings_.listen.text());
   auto token = loop_.stop_token();
   loop_.spawn("cache", cache_.follow(token));
   loop_.spawn("catalogue", catalog_.follow(token));
-  loop_.spawn("mesh", mesh_.beat(
-                          [this] {
-                            double age = std::min(loop_.now() - state_.last_contact(), 1e6);
-                            return Beat{settings_.node_name, incarnation_,
-                                        static_cast<uint64_t>(age * 1000), holder_.waiting_tasks(),
-                                        cache_.loaded(), holder_.strays()};
-                          },
-                          token));
+  loop_.spawn("mesh",
+              mesh_.beat(
+                  [this] {
+                    double age = std::min(loop_.now() - state_.last_contact(), 1e6);
+                    return Beat{
+                        settings_.node_name,     incarnation_,    static_cast<uint64_t>(age * 1000),
+                        holder_.waiting_tasks(), cache_.loaded(), holder_.strays()};
+                  },
+                  token));
   loop_.spawn("election", election_.run(token));
   loop_.spawn("holder", holder_.run(token));
   loop_.spawn("machines", holder_.tend(token));
--- a/src/coordination/reconcile.hpp
+++ b/src/coordination/reconcile.hpp
@@ -11,8 +11,8 @@
 struct Expected {
   TaskName task;
   uint64_t attempt = 0;
-  bool cancelled = false;       // its job is cancelled
-  std::optional<double> stop;   // to be stopped, with this grace
+  bool cancelled = false;      // its job is cancelled
+  std::optional<double> stop;  // to be stopped, with this grace
 };
 
 struct Exit {
--- a/src/coordination/sizing.hpp
+++ b/src/coordination/sizing.hpp
@@ -38,7 +38,7 @@
   std::vector<MachineType> types;
   std::vector<Offer> offers;
   std::vector<MachineState> machines;
-  std::vector<Demand> demand;      // could not be placed
+  std::vector<Demand> demand;  // could not be placed
   // All unfinished work that may use spot machines, whether it runs already or not.
   std::vector<Demand> spot_work;
   std::vector<Offer> replacements;  // machines to be replaced before they are drained
--- a/src/coordination/stand_in.cpp
+++ b/src/coordination/stand_in.cpp
@@ -10,6 +10,8 @@
 namespace {
 // A machine that keeps coming for this share of its lease is taken to miss its holder.
 constexpr double missing_share = 0.25;
+// Of the time between a lease and cancel_s; the rest is for clocks and for what is under way.
+constexpr double cancel_margin = 0.85;
 }  // namespace
 
 // Mostly the holder's name. But where a cut lies between a machine and its holder, the machine
@@ -32,8 +34,11 @@
   // longer than a dead node's would, the first visit is answered.
   const bool apart = p_.mesh.silence(held->node) > patience && cache_.has_leader() &&
                      cache_.leader().node == held->node;
-  const bool answer = cache_.loaded() && now - p_.state.last_contact() < settings_.lease_s / 4 &&
-                      r.token <= held->term && (apart || now - s.since >= patience) && !s.answered;
+  // Where only the way between controllers is closed the machine must be sent back to its holder each
+  // other time, or it would seem lost to it. In a cut there is nowhere to send it.
+  const bool cut_off = apart && now - p_.state.last_contact() >= settings_.lease_s / 4;
+  const bool wanted = cut_off || ((apart || now - s.since >= patience) && !s.answered);
+  const bool answer = cache_.loaded() && r.token <= held->term && wanted && may_stand_in(apart);
   if (!answer) {
     // The node named by the records, unless it seems dead. After an answer it is named in any case:
     // it may be back in reach, or only our own way to it be closed.
@@ -52,6 +57,17 @@
   return {200, encode_report_answer(held->term, commands), 0};
 }
 
+// In a cut that also takes the state service away, cancellations since the last contact are unknown
+// here, and a task kept alive lives a lease longer than the last answer: so that it is gone in time
+// after any cancellation, we go on for what cancel_s leaves beyond a lease, and no longer. A node that
+// lost the state service alone leaves the machines to those that have it.
+bool Holder::may_stand_in(bool apart) const {
+  const double age = loop_.now() - p_.state.last_contact();
+  if (age < settings_.lease_s / 4) return true;
+  return apart && !p_.mesh.peer_has_state(settings_.lease_s / 4) &&
+         age < cancel_margin * (settings_.cancel_s - settings_.lease_s);
+}
+
 uint64_t Holder::strays() const {
   // One that came by and found its holder is none.
   return static_cast<uint64_t>(std::count_if(strays_.begin(), strays_.end(), [&](auto& entry) {
--- a/src/coordination/user_api.cpp
+++ b/src/coordination/user_api.cpp
@@ -49,7 +49,8 @@
 Task<HttpResponse> UserApi::state_of(std::string id) {
   for (int tries = 0; tries < 3; ++tries) {
     if (auto* f = cache_.final_state(id))
-      co_return HttpResponse{200, encode_job_status(id, *f == FinalState::done ? "done" : "aborted"), 0};
+      co_return HttpResponse{200,
+                             encode_job_status(id, *f == FinalState::done ? "done" : "aborted"), 0};
     Job* job = cache_.job(id);
     if (job && job->cancelled) co_return progress(*job);
     if (questions_.size() >= max_queued) co_return busy();
@@ -81,10 +82,11 @@
     if (record.item.value.value("x", 0) != 0)
       co_return HttpResponse{200, encode_job_status(id, "aborted"), 0};
     Job* cached = cache_.job(id);
-    co_return HttpResponse{200,
-                           encode_job_progress(id, cached && cached->live ? "running" : "queued",
-                                               cached ? cached->done : 0, cached ? cached->live : 0),
-                           0};
+    co_return HttpResponse{
+        200,
+        encode_job_progress(id, cached && cached->live ? "running" : "queued",
+                            cached ? cached->done : 0, cached ? cached->live : 0),
+        0};
   }
   co_return busy();
 }
@@ -143,8 +145,8 @@
     // A job that was accepted once stays accepted, whatever the check would say now.
     auto known = co_await state_of(id);
     if (known.status == 404) {
-      static constexpr const char* reasons[] = {"", "unknown team", "a task fits no allowed machine type",
-                                                "more than the team's limit"};
+      static constexpr const char* reasons[] = {
+          "", "unknown team", "a task fits no allowed machine type", "more than the team's limit"};
       co_return HttpResponse{422, encode({{"error", reasons[static_cast<size_t>(verdict)]}}), 0};
     }
     co_return known;
@@ -233,7 +235,8 @@
   if (!cache_.loaded()) co_return busy();
   for (int tries = 0; tries < 4; ++tries) {
     if (auto* f = cache_.final_state(id))
-      co_return HttpResponse{200, encode_job_status(id, *f == FinalState::done ? "done" : "aborted"), 0};
+      co_return HttpResponse{200,
+                             encode_job_status(id, *f == FinalState::done ? "done" : "aborted"), 0};
     auto record = co_await state_.read(keys::job(id), Importance::accepting);
     if (!record.ok) co_return busy();
     if (!record.found) {
--- a/src/storage/cache.cpp
+++ b/src/storage/cache.cpp
@@ -55,10 +55,7 @@
 
 void Cache::apply(const Item& item) {
   const std::string& key = item.key;
-  if (auto it = removed_.find(key); it != removed_.end()) {
-    if (item.version <= it->second) return;
-    removed_.erase(it);
-  }
+  if (outlived(item)) return;
   auto tail = [&](const std::string& prefix) { return key.substr(prefix.size()); };
   if (key.starts_with(keys::jobs)) {
     apply_job(tail(keys::jobs), item);
@@ -74,11 +71,9 @@
     if (has_leader_) leader_ = decode_leader(item.value);
     leader_version_ = item.version;
   } else if (key.starts_with(keys::machines)) {
-    if (item.value.is_null()) {
-      leaving_.erase(tail(keys::machines));
-    } else {
-      leaving_[tail(keys::machines)] = item.version;
-    }
+    std::erase_if(leaving_, [&](auto& mark) { return mark.second == key; });
+    if (item.value.is_object())
+      for (auto& id : item.value.value("machines", std::vector<std::string>())) leaving_[id] = key;
   } else if (key.starts_with(keys::rentals)) {
     auto id = tail(keys::rentals);
     if (item.value.is_null()) {
@@ -91,11 +86,22 @@
     }
   }
   if (item.value.is_null() && item.version) {
-    if (removed_.size() >= max_removed) removed_.clear();
+    // Never all at once: a read under way just now may bring what was removed a moment ago.
+    if (removed_.size() >= max_removed) removed_before_ = std::exchange(removed_, {});
     removed_[key] = item.version;
   }
 }
 
+bool Cache::outlived(const Item& item) {
+  for (auto* removed : {&removed_, &removed_before_}) {
+    auto it = removed->find(item.key);
+    if (it == removed->end()) continue;
+    if (item.version <= it->second) return true;
+    removed->erase(it);
+  }
+  return false;
+}
+
 void Cache::apply_job(const std::string& id, const Item& item) {
   if (item.value.is_null()) {
     // A job's record goes only when it is over. That it is done is not inferred from that: a
@@ -223,8 +229,6 @@
   std::vector<std::string> gone;
   for (auto& [id, job] : jobs_)
     if (!seen.contains(keys::job(id)) && job->version <= first) gone.push_back(keys::job(id));
-  for (auto& [id, version] : leaving_)
-    if (!seen.contains(keys::machine(id)) && version <= first) gone.push_back(keys::machine(id));
   for (auto& [id, rental] : rentals_)
     if (!seen.contains(keys::rental(id)) && rental.version <= first)
       gone.push_back(keys::rental(id));
--- a/src/storage/cache.hpp
+++ b/src/storage/cache.hpp
@@ -78,7 +78,8 @@
   bool has_leader() const { return has_leader_; }
   // Machines being returned, or returned: never used again.
   bool leaving(const std::string& machine) const { return leaving_.contains(machine); }
-  const std::map<std::string, uint64_t>& leaving_marks() const { return leaving_; }
+  // Machine -> the record that marks it.
+  const std::map<std::string, std::string>& leaving_marks() const { return leaving_; }
   struct Rental {
     RentalRequest request;
     uint64_t version = 0;
@@ -94,6 +95,7 @@
 
  private:
   Task<bool> load(std::stop_token token);
+  bool outlived(const Item& item);
   void apply_job(const std::string& id, const Item& item);
   void apply_chunk(const std::string& rest, const Item& item);
   void set_chunk(Job& job, uint32_t n, ChunkRecord record, uint64_t version);
@@ -113,14 +115,15 @@
   std::unordered_map<std::string, FinalState> finals_;
   std::vector<std::string> final_order_;
   size_t final_next_ = 0;
-  // Versions of keys removed lately, so that an older copy does not bring them back.
-  std::unordered_map<std::string, uint64_t> removed_;
+  // Versions of keys removed lately, so that an older copy does not bring them back: the newest and
+  // those before them, which go together when there are many newer ones.
+  std::unordered_map<std::string, uint64_t> removed_, removed_before_;
   Blocks blocks_;
   uint64_t blocks_version_ = 0;
   LeaderRecord leader_;
   uint64_t leader_version_ = 0;
   bool has_leader_ = false;
-  std::map<std::string, uint64_t> leaving_;
+  std::map<std::string, std::string> leaving_;
   std::map<std::string, Rental> rentals_;
 };
 
--- a/src/storage/records.hpp
+++ b/src/storage/records.hpp
@@ -22,7 +22,7 @@
 inline std::string chunk(const std::string& id, uint32_t n) {
   return chunks + id + "/" + std::to_string(n);
 }
-inline std::string machine(const std::string& id) { return machines + id; }
+inline std::string leaving(const std::string& batch) { return machines + batch; }
 inline std::string rental(const std::string& id) { return rentals + id; }
 inline std::string final_state(const std::string& id) { return "f/" + id; }
 }  // namespace keys
--- a/src/storage/state_client.cpp
+++ b/src/storage/state_client.cpp
@@ -29,7 +29,8 @@
 Task<HttpReply> StateClient::call(Method method, std::string target, std::string body,
                                   Importance importance, int writes, double timeout_s) {
   co_await limit_.take(importance, writes);
-  auto reply = co_await http_.request(endpoint_, method, std::move(target), std::move(body), timeout_s);
+  auto reply =
+      co_await http_.request(endpoint_, method, std::move(target), std::move(body), timeout_s);
   if (reply.answered() && reply.status != 503) last_contact_ = loop_.now();
   co_return reply;
 }
@@ -52,8 +53,8 @@
   if (count) message["writes"] = std::move(writes);
   std::string body = encode(message);
   message = Json();
-  auto reply = co_await call(Method::post, "/txn", std::move(body), importance, count,
-                             answer_timeout_s);
+  auto reply =
+      co_await call(Method::post, "/txn", std::move(body), importance, count, answer_timeout_s);
   TxnReply out;
   auto m = decode_map(reply.body);
   switch (reply.status) {
@@ -69,12 +70,15 @@
           if (key.is_string()) out.failed.push_back(key);
       break;
     case 429:
-    case 503: out.outcome = Outcome::refused; break;
+    case 503:
+      out.outcome = Outcome::refused;
+      break;
     case 400:
       out.outcome = Outcome::invalid;
       spdlog::warn("the state service refused a transaction as malformed: {}", m.dump());
       break;
-    default: out.outcome = Outcome::unknown;
+    default:
+      out.outcome = Outcome::unknown;
   }
   co_return out;
 }
@@ -99,12 +103,15 @@
 }
 
 Task<ReadReply> StateClient::read(std::string key, Importance importance) {
-  auto reply =
-      co_await call(Method::get, "/keys/" + key, {}, importance, 0, answer_timeout_s);
+  auto reply = co_await call(Method::get, "/keys/" + key, {}, importance, 0, answer_timeout_s);
   ReadReply out;
   out.ok = reply.status == 200 || reply.status == 404;
   out.found = reply.status == 200;
-  if (out.found) out.item = decode_item(decode_map(reply.body), "path");
+  if (out.found) {
+    out.item = decode_item(decode_map(reply.body), "path");
+  } else if (auto m = decode_map(reply.body); m.is_object()) {
+    out.item.version = number(m, "ledger");  // it is absent at this revision
+  }
   out.item.key = std::move(key);
   co_return out;
 }
@@ -113,7 +120,8 @@
   std::string target = "/keys?starts=" + prefix;
   if (!after.empty()) target += "&since=" + after;
   target += "&limit=250";
-  auto reply = co_await call(Method::get, std::move(target), {}, importance, 0, answer_timeout_s * 2);
+  auto reply =
+      co_await call(Method::get, std::move(target), {}, importance, 0, answer_timeout_s * 2);
   ListReply out;
   if (reply.status != 200) co_return out;
   auto m = decode_map(reply.body);
@@ -148,7 +156,8 @@
 Task<uint64_t> StateClient::new_lease(double ttl_s) {
   Json message = Json::object();
   message["life_ms"] = static_cast<int>(ttl_s * 1000);
-  auto reply = co_await call(Method::post, "/grants", encode(message), Importance::lease, 0, answer_timeout_s);
+  auto reply = co_await call(Method::post, "/grants", encode(message), Importance::lease, 0,
+                             answer_timeout_s);
   if (reply.status != 200) co_return 0;
   auto m = decode_map(reply.body);
   co_return m.is_object() ? number(m, "permit") : 0;
