Sockets within a budget: orders and probes bounded, idle connections to workers give way

Now orders under way are at most a sixteenth of the sockets, a silent machine gets none but the answer to its next report, one probe is out per machine, idle connections take what others leave, and where the fleet fills the server users' connections are closed after each answer. The backlog takes a fleet.

--- a/src/coordination/holder.cpp
+++ b/src/coordination/holder.cpp
@@ -56,6 +56,7 @@
   to_return_.clear();
   returned_.clear();
   given_up_.clear();
+  send_queue_.clear();
   returning_.clear();
   booting_.clear();
   // A request under way under an older term ends without a word: its kind must not stay closed.
--- a/src/coordination/holder.hpp
+++ b/src/coordination/holder.hpp
@@ -1,5 +1,6 @@
 // The holder of a grant: sole placer for its teams and sole answerer of its machines' reports.
 #pragma once
+#include <deque>
 #include <map>
 #include <set>
 #include <string>
@@ -41,6 +42,8 @@
 
   HttpResponse on_report(const Report& r);
   bool holding() const;
+  // Messages to workers that may be under way at once.
+  static int direct_sockets(const Settings& s) { return std::max(8, s.max_sockets / 16); }
   uint64_t waiting_tasks() const { return waiting_tasks_; }
   // Machines that keep coming here although another node holds them.
   uint64_t strays() const;
@@ -109,7 +112,9 @@
   void note_error(Machine& m, const JobSpec& spec);
   void order(Machine& m, Command command);
   void flush(const std::string& id);
+  void start_sends();
   Task<void> send(std::string id);
+  Task<void> send_orders(std::string id);
   bool still_wanted(const Machine& m, const Command& c) const;
   bool open_for_work(const Machine& m) const;
   double silence(const Machine& m) const;
@@ -187,6 +192,9 @@
   std::map<std::string, Booting> booting_;
   std::set<std::string> renting_;
   std::set<std::string> answered_rentals_;  // only their records are still to be removed
+  std::deque<std::string> send_queue_;      // machines with orders
+  std::set<std::string> probing_;
+  int sends_ = 0;
   std::vector<sizing::Demand> unplaced_;
   uint64_t waiting_tasks_ = 0;
   double next_list_ = 0, next_sizing_ = 0;
--- a/src/coordination/holder_cloud.cpp
+++ b/src/coordination/holder_cloud.cpp
@@ -96,7 +96,9 @@
     double quiet = silence(m);
     if (quiet < tuning_.doubt_reports * report) continue;
     place_again_ = true;
-    loop_.spawn("probe", probe(id));
+    if (!probing_.contains(id) &&
+        probing_.size() < static_cast<size_t>(direct_sockets(settings_)) / 2)
+      loop_.spawn("probe", probe(id));
     double direct = loop_.now() - std::max(m.last_direct, quiet_base_);
     double limit = patience;
     // Never heard at all: it may be booting, or still be looking for the new holder, past
--- a/src/coordination/holder_machines.cpp
+++ b/src/coordination/holder_machines.cpp
@@ -7,6 +7,11 @@
 
 namespace damsonport {
 
+namespace {
+// Reports come within one and a quarter periods.
+constexpr double late_reports = 1.5;
+}  // namespace
+
 Machine& Holder::machine(const std::string& id) {
   auto [it, fresh] = machines_.try_emplace(id);
   if (fresh) {
@@ -228,8 +233,29 @@
 void Holder::flush(const std::string& id) {
   auto& m = machines_.at(id);
   if (m.sending || m.session == 0 || m.outbox.empty()) return;
+  // One that should have reported is likely out of reach: its next report is answered with what is
+  // still wanted, and no socket hangs on it.
+  if (silence(m) > late_reports * settings_.report_s) return m.outbox.clear();
   m.sending = true;
-  loop_.spawn("orders", send(id));
+  send_queue_.push_back(id);
+  start_sends();
+}
+
+// Bounded, so that orders to many machines that don't answer leave sockets to everybody else.
+void Holder::start_sends() {
+  while (sends_ < direct_sockets(settings_) && !send_queue_.empty()) {
+    ++sends_;
+    loop_.spawn("orders", send(std::move(send_queue_.front())));
+    send_queue_.pop_front();
+  }
+}
+
+Task<void> Holder::send(std::string id) {
+  // Lets the other orders of this turn join the message.
+  co_await Sleep(loop_, 0, {});
+  co_await send_orders(std::move(id));
+  --sends_;
+  start_sends();
 }
 
 // Asked again right before an order goes out: the records may have moved on since it was made.
@@ -242,9 +268,7 @@
   return it != assigned.end() && it->second == c.attempt;
 }
 
-Task<void> Holder::send(std::string id) {
-  // Lets the other orders of this turn join the message.
-  co_await Sleep(loop_, 0, {});
+Task<void> Holder::send_orders(std::string id) {
   for (;;) {
     auto it = machines_.find(id);
     if (it == machines_.end()) co_return;
@@ -300,7 +324,9 @@
   Endpoint to;
   if (it == machines_.end() || !parse_endpoint(it->second.address, to)) co_return;
   auto term = term_;
+  probing_.insert(id);
   auto reply = co_await p_.http.request(to, Method::get, "/show", {}, settings_.report_s);
+  probing_.erase(id);
   it = machines_.find(id);
   if (reply.status != 200 || it == machines_.end() || term != term_) co_return;
   if (auto report = decode_report(decode_map(reply.body)); report && report->machine == id) {
--- a/src/coordination/node.cpp
+++ b/src/coordination/node.cpp
@@ -8,8 +8,8 @@
 
 namespace {
 constexpr size_t max_body = 64 * 1024;
-// Sockets kept free of users and workers, for state service, cloud, peers and direct orders.
-constexpr int kept_sockets = 150;
+// Sockets kept free of users and workers for state service, cloud, peers and health probes.
+constexpr int kept_sockets = 64;
 constexpr double idle_connection_s = 45;
 
 constexpr std::string_view jobs_path = "/api/jobs";
@@ -42,8 +42,15 @@
       api_(loop, settings, state_, cache_, catalog_),
       server_(loop, max_body,
               static_cast<size_t>(
-                  std::max(settings.max_sockets - kept_sockets, settings.max_sockets / 2)),
+                  std::max(settings.max_sockets - kept_sockets - Holder::direct_sockets(settings),
+                           settings.max_sockets / 2)),
               idle_connection_s, [this](HttpRequest r) { return route(std::move(r)); }) {
+  // Idle connections to workers take what the workers, users and orders under way leave.
+  http_.bound_idle([this] {
+    const auto all = static_cast<size_t>(settings_.max_sockets);
+    const auto taken = server_.open() + http_.in_use() + kept_sockets;
+    return std::max(all > taken ? all - taken : 0, static_cast<size_t>(kept_sockets) / 4);
+  });
   cache_.on_change = [this](Job* job) { holder_.job_changed(job); };
   cache_.on_assignment = [this](const std::string& machine, const Job& job, bool added) {
     holder_.assignment_changed(machine, job, added);
@@ -89,6 +96,8 @@
     state_.limit().set_share(share_of(election_.leading(), settings_.nodes));
     http_.trim(idle_connection_s);
     server_.tidy();
+    spdlog::debug("connections: {} of users and workers, {} calls, {} idle", server_.open(),
+                  http_.in_use(), http_.idle());
     if (!co_await Sleep(loop_, period, token)) co_return;
   }
 }
@@ -103,7 +112,15 @@
   return {200, {}, 0};
 }
 
+// Where a whole fleet reports, users' connections don't stay open between their requests.
 Task<HttpResponse> Node::route(HttpRequest r) {
+  const bool of_user = r.path.starts_with(jobs_path);
+  auto response = co_await dispatch(std::move(r));
+  response.close = of_user && server_.crowded();
+  co_return response;
+}
+
+Task<HttpResponse> Node::dispatch(HttpRequest r) {
   const HttpResponse wrong_method{405, {}, 0};
   std::string_view path = r.path;
   if (path == "/hello") {
--- a/src/coordination/node.hpp
+++ b/src/coordination/node.hpp
@@ -14,6 +14,7 @@
 
  private:
   Task<HttpResponse> route(HttpRequest request);
+  Task<HttpResponse> dispatch(HttpRequest request);
   HttpResponse health() const;
   Task<void> housekeeping(std::stop_token token);
 
--- a/src/coordination/stand_in.cpp
+++ b/src/coordination/stand_in.cpp
@@ -34,8 +34,8 @@
   // longer than a dead node's would, the first visit is answered.
   const bool apart = p_.mesh.silence(held->node) > patience && cache_.has_leader() &&
                      cache_.leader().node == held->node;
-  // Where only the way between controllers is closed the machine must be sent back to its holder each
-  // other time, or it would seem lost to it. In a cut there is nowhere to send it.
+  // Where only the way between controllers is closed the machine must be sent back to its holder
+  // each other time, or it would seem lost to it. In a cut there is nowhere to send it.
   const bool cut_off = apart && now - p_.state.last_contact() >= settings_.lease_s / 4;
   const bool wanted = cut_off || ((apart || now - s.since >= patience) && !s.answered);
   const bool answer = cache_.loaded() && r.token <= held->term && wanted && may_stand_in(apart);
@@ -59,8 +59,8 @@
 
 // In a cut that also takes the state service away, cancellations since the last contact are unknown
 // here, and a task kept alive lives a lease longer than the last answer: so that it is gone in time
-// after any cancellation, we go on for what cancel_s leaves beyond a lease, and no longer. A node that
-// lost the state service alone leaves the machines to those that have it.
+// after any cancellation, we go on for what cancel_s leaves beyond a lease, and no longer. A node
+// that lost the state service alone leaves the machines to those that have it.
 bool Holder::may_stand_in(bool apart) const {
   const double age = loop_.now() - p_.state.last_contact();
   if (age < settings_.lease_s / 4) return true;
--- a/src/transport/http.hpp
+++ b/src/transport/http.hpp
@@ -2,7 +2,7 @@
 #pragma once
 #include <deque>
 #include <functional>
-#include <map>
+#include <list>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -38,6 +38,7 @@
   int status = 200;
   std::string body;
   double retry_after_s = 0;  // 0: no header
+  bool close = false;        // the connection is not kept
 };
 
 class HttpServer {
@@ -51,9 +52,15 @@
   uint16_t port() const;
   // Takes connections again when enough have gone; to be called now and then.
   void tidy() { bound_connections(); }
+  size_t open() const { return open_.size() + silent_since_.size(); }
+  // So many are open that those of less use should not stay.
+  bool crowded() const {
+    return static_cast<double>(open()) > crowded_share * static_cast<double>(max_connections_);
+  }
 
  private:
   struct Exchange;
+  static constexpr double crowded_share = 0.75;
   void on_request(evhttp_request* req);
   void accepted();
   void note_connection(evhttp_connection* connection);
@@ -87,18 +94,27 @@
                           double timeout_s);
   // Closes idle connections that were not used for `idle_s`.
   void trim(double idle_s);
+  // How many idle ones may stay open just now; beyond that the least recently used go.
+  void bound_idle(std::function<size_t()> most) { most_idle_ = std::move(most); }
+  size_t in_use() const { return in_use_; }
+  size_t idle() const { return by_age_.size(); }
 
  private:
   struct Call;
   struct Idle {
+    std::string to;
     evhttp_connection* connection;
     double since;
   };
   evhttp_connection* take(const Endpoint& to);
   void give_back(const std::string& to, evhttp_connection* connection);
   void discard(evhttp_connection* connection);
+  void close_oldest();
   Loop& loop_;
-  std::map<std::string, std::vector<Idle>> idle_;
+  std::function<size_t()> most_idle_;
+  size_t in_use_ = 0;
+  std::list<Idle> by_age_;                                                       // the oldest first
+  std::unordered_map<std::string, std::deque<std::list<Idle>::iterator>> idle_;  // by endpoint
 };
 
 }  // namespace damsonport
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -83,6 +83,8 @@
       } else {
         client.discard(connection);
       }
+    } else {
+      --client.in_use_;
     }
     connection = nullptr;
     waiter.resume();
@@ -90,15 +92,17 @@
 };
 
 HttpClient::~HttpClient() {
-  for (auto& [to, list] : idle_)
-    for (auto& idle : list) evhttp_connection_free(idle.connection);
+  for (auto& idle : by_age_) evhttp_connection_free(idle.connection);
 }
 
 evhttp_connection* HttpClient::take(const Endpoint& to) {
-  auto& list = idle_[to.text()];
-  if (!list.empty()) {
-    auto* connection = list.back().connection;
-    list.pop_back();
+  ++in_use_;
+  if (auto it = idle_.find(to.text()); it != idle_.end()) {
+    auto newest = it->second.back();
+    auto* connection = newest->connection;
+    it->second.pop_back();
+    if (it->second.empty()) idle_.erase(it);
+    by_age_.erase(newest);
     return connection;
   }
   auto* connection = evhttp_connection_base_new(loop_.base(), nullptr, to.host.c_str(), to.port);
@@ -107,21 +111,30 @@
 }
 
 void HttpClient::give_back(const std::string& to, evhttp_connection* connection) {
-  idle_[to].push_back({connection, loop_.now()});
+  --in_use_;
+  by_age_.push_back({to, connection, loop_.now()});
+  idle_[to].push_back(std::prev(by_age_.end()));
+  if (!most_idle_) return;
+  for (size_t most = most_idle_(); by_age_.size() > most;) close_oldest();
 }
 
-void HttpClient::discard(evhttp_connection* connection) { evhttp_connection_free(connection); }
+void HttpClient::discard(evhttp_connection* connection) {
+  --in_use_;
+  evhttp_connection_free(connection);
+}
+
+void HttpClient::close_oldest() {
+  auto& oldest = by_age_.front();
+  auto it = idle_.find(oldest.to);
+  it->second.pop_front();  // those of one endpoint are in the same order
+  if (it->second.empty()) idle_.erase(it);
+  evhttp_connection_free(oldest.connection);
+  by_age_.pop_front();
+}
 
 void HttpClient::trim(double idle_s) {
-  double before = loop_.now() - idle_s;
-  for (auto it = idle_.begin(); it != idle_.end();) {
-    std::erase_if(it->second, [&](const Idle& idle) {
-      if (idle.since >= before) return false;
-      evhttp_connection_free(idle.connection);
-      return true;
-    });
-    it = it->second.empty() ? idle_.erase(it) : std::next(it);
-  }
+  const double before = loop_.now() - idle_s;
+  while (!by_age_.empty() && by_age_.front().since < before) close_oldest();
 }
 
 Task<HttpReply> HttpClient::request(Endpoint to, Method method, std::string target,
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -76,7 +76,7 @@
   const double now = loop_.now();
   std::erase_if(silent_since_, [&](double since) { return now - since > idle_s_ + 1; });
   auto* listener = evhttp_bound_socket_get_listener(socket_);
-  if (open_.size() + silent_since_.size() >= max_connections_) {
+  if (open() >= max_connections_) {
     evconnlistener_disable(listener);
   } else {
     evconnlistener_enable(listener);
@@ -111,9 +111,10 @@
   a.sin_family = AF_INET;
   a.sin_port = htons(at.port);
   evutil_inet_pton(AF_INET, at.host.c_str(), &a.sin_addr);
-  auto* listener = evconnlistener_new_bind(loop_.base(), nullptr, nullptr,
-                                           LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, 128,
-                                           reinterpret_cast<sockaddr*>(&a), sizeof a);
+  auto* listener = evconnlistener_new_bind(
+      loop_.base(), nullptr, nullptr, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
+      // A whole fleet may come at once.
+      static_cast<int>(max_connections_), reinterpret_cast<sockaddr*>(&a), sizeof a);
   if (!listener) return false;
   socket_ = evhttp_bind_listener(http_, listener);
   return socket_ != nullptr;
@@ -129,10 +130,17 @@
 void HttpServer::on_request(evhttp_request* req) {
   HttpRequest request;
   switch (evhttp_request_get_command(req)) {
-    case EVHTTP_REQ_GET: request.method = Method::get; break;
-    case EVHTTP_REQ_POST: request.method = Method::post; break;
-    case EVHTTP_REQ_DELETE: request.method = Method::del; break;
-    default: request.method = Method::other;
+    case EVHTTP_REQ_GET:
+      request.method = Method::get;
+      break;
+    case EVHTTP_REQ_POST:
+      request.method = Method::post;
+      break;
+    case EVHTTP_REQ_DELETE:
+      request.method = Method::del;
+      break;
+    default:
+      request.method = Method::other;
   }
   std::string_view uri = evhttp_request_get_uri(req);
   request.path = std::string(uri.substr(0, uri.find('?')));
@@ -162,6 +170,7 @@
     auto seconds = std::to_string(static_cast<int>(std::ceil(response.retry_after_s)));
     evhttp_add_header(headers, "Retry-After", seconds.c_str());
   }
+  if (response.close) evhttp_add_header(headers, "Connection", "close");
   evbuffer_add(evhttp_request_get_output_buffer(req), response.body.data(), response.body.size());
   evhttp_send_reply(req, response.status, nullptr, nullptr);
 }
--- a/src/transport/loop.cpp
+++ b/src/transport/loop.cpp
@@ -68,7 +68,9 @@
   if (loop->running_ == 0 && loop->stop_.stop_requested()) event_base_loopbreak(loop->base_);
 }
 
-void Loop::spawn(std::string name, Task<void> task) { drive(this, std::move(name), std::move(task)); }
+void Loop::spawn(std::string name, Task<void> task) {
+  drive(this, std::move(name), std::move(task));
+}
 
 Sleep::~Sleep() {
   on_stop_.reset();
@@ -78,7 +80,8 @@
 void Sleep::await_suspend(std::coroutine_handle<> h) {
   handle_ = h;
   timer_ = evtimer_new(
-      loop_.base(), [](evutil_socket_t, short, void* self) { static_cast<Sleep*>(self)->handle_.resume(); },
+      loop_.base(),
+      [](evutil_socket_t, short, void* self) { static_cast<Sleep*>(self)->handle_.resume(); },
       this);
   timeval tv = to_timeval(seconds_);
   event_add(timer_, &tv);
--- a/src/transport/stream.cpp
+++ b/src/transport/stream.cpp
@@ -28,7 +28,8 @@
 
 void StreamLink::send(const std::string& bytes) {
   if (!stream_) {
-    stream_ = bufferevent_socket_new(loop_.base(), -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+    stream_ =
+        bufferevent_socket_new(loop_.base(), -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
     if (!stream_) return;
     bufferevent_setcb(
         stream_, nullptr, nullptr,
@@ -100,7 +101,8 @@
         bufferevent_set_timeouts(stream, &idle, &idle);
         bufferevent_enable(stream, EV_READ);
       },
-      this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, 16, reinterpret_cast<sockaddr*>(&a), sizeof a);
+      this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, 16, reinterpret_cast<sockaddr*>(&a),
+      sizeof a);
 }
 
 StreamListener::~StreamListener() {
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -14,6 +14,7 @@
   Fixture()
       : server(loop, 1000, 16, 10, [](HttpRequest r) -> Task<HttpResponse> {
           HttpResponse out{r.method == Method::post ? 200 : 405, r.body, 0};
+          out.close = r.path == "/last";
           if (r.path == "/busy") out.status = 503, out.retry_after_s = 1;
           co_return out;
         }) {
@@ -49,6 +50,34 @@
   EXPECT_NE(f.ask(Method::post, "/x", std::string(5000, 'a')).status, 200);
 }
 
+// What is kept open is bounded by what others leave, and the least used goes first.
+TEST(Http, IdleConnectionsStayWithinTheirBound) {
+  Fixture f;
+  HttpServer other(f.loop, 1000, 16, 10,
+                   [](HttpRequest) -> Task<HttpResponse> { co_return HttpResponse{}; });
+  ASSERT_TRUE(other.bind({"127.0.0.1", 0}));
+  size_t most = 2;
+  f.client.bound_idle([&] { return most; });
+  auto ask_all = [&](Endpoint first, Endpoint second) -> Task<void> {
+    co_await f.client.request(first, Method::post, "/", "x", 5.0);
+    co_await f.client.request(second, Method::post, "/", "x", 5.0);
+    f.loop.stop();
+  };
+  f.loop.spawn("ask", ask_all(f.at, {"127.0.0.1", other.port()}));
+  f.loop.run();
+  EXPECT_EQ(f.client.idle(), 2u);
+  EXPECT_EQ(f.client.in_use(), 0u);
+  most = 1;
+  f.ask(Method::post, "/", "x");
+  EXPECT_EQ(f.client.idle(), 1u);
+}
+
+TEST(Http, AConnectionThatIsNotToBeKeptIsClosed) {
+  Fixture f;
+  f.ask(Method::post, "/last", "x");
+  EXPECT_EQ(f.server.open(), 0u);
+}
+
 TEST(Http, NobodyThereIsNoAnswer) {
   Fixture f;
   f.at.port = 1;
