--- a/src/coordination/holder_cloud.cpp
+++ b/src/coordination/holder_cloud.cpp
@@ -226,6 +226,9 @@
   if (reply.status != 200) co_return false;
   // Gone, with everything on them: the proof that lets their tasks start elsewhere.
   for (auto& id : ask) {
+    // The cloud has room for its like again: no pause after an earlier refusal stands against it.
+    if (auto m = machines_.find(id); m != machines_.end())
+      refusals_.erase(kind_key(m->second.type, m->second.zone, m->second.spot));
     to_return_.erase(id);
     returned_.insert(id);
     booting_.erase(id);
