Writes are shared by what is wanted; lost machines are replaced at once; silence counts sooner

Followers' users waited longer than the 5 s they wait at a first fill. Now each node gets a little and the rest goes by wants told in beats; given-up machines are replaced by kind at once; up to four requests a kind are under way; submissions that can't be written soon are told when to come back.

--- a/src/coordination/holder.cpp
+++ b/src/coordination/holder.cpp
@@ -56,6 +56,8 @@
   to_return_.clear();
   returned_.clear();
   given_up_.clear();
+  lost_.clear();
+  uncommitted_starts_ = 0;
   send_queue_.clear();
   returning_.clear();
   booting_.clear();
--- a/src/coordination/holder.hpp
+++ b/src/coordination/holder.hpp
@@ -45,6 +45,8 @@
   // Messages to workers that may be under way at once.
   static int direct_sockets(const Settings& s) { return std::max(8, s.max_sockets / 16); }
   uint64_t waiting_tasks() const { return waiting_tasks_; }
+  // About what it would write at once if it could.
+  uint64_t waiting_writes() const { return holding() ? exits_.size() + uncommitted_starts_ : 0; }
   // Machines that keep coming here although another node holds them.
   uint64_t strays() const;
   void job_changed(Job* job);
@@ -132,10 +134,13 @@
   void watch_drains();
   void watch_stragglers();
   bool refused(const std::string& kind) const;
+  bool renting(const std::string& kind) const;
   Task<void> return_machines(std::stop_token token);
   Task<bool> mark_leaving(std::vector<std::string> machines);
   Task<bool> ask_return(std::vector<std::string> ask);
   Task<void> rent(std::stop_token token);
+  void start_rental(RentalRequest request, std::stop_token token);
+  Task<void> rental(RentalRequest request, std::stop_token token);
   Task<void> do_rental(RentalRequest request, std::stop_token token);
   Task<void> forget_rental(std::string id);
   sizing::Input sizing_input() const;
@@ -177,6 +182,7 @@
   std::map<TaskName, Stopping> stopping_;
   std::map<std::string, double> cancelled_at_;
   std::map<std::string, std::string> to_return_;  // machine -> why
+  std::vector<sizing::Offer> lost_;               // kinds of machines given up, to be replaced
   std::set<std::string> given_up_;                // to be returned for their silence alone
   std::set<std::string> returned_;                // the cloud has confirmed it
   std::set<std::string> returning_;
@@ -190,13 +196,14 @@
     double since = 0;
   };
   std::map<std::string, Booting> booting_;
-  std::set<std::string> renting_;
+  std::map<std::string, int> renting_;      // requests under way, by kind
   std::set<std::string> answered_rentals_;  // only their records are still to be removed
   std::deque<std::string> send_queue_;      // machines with orders
   std::set<std::string> probing_;
   int sends_ = 0;
   std::vector<sizing::Demand> unplaced_;
   uint64_t waiting_tasks_ = 0;
+  size_t uncommitted_starts_ = 0;  // decided by the last pass and put off
   double next_list_ = 0, next_sizing_ = 0;
   bool place_again_ = true;
   double next_place_ = 0;
--- a/src/coordination/holder_cloud.cpp
+++ b/src/coordination/holder_cloud.cpp
@@ -10,8 +10,10 @@
 namespace {
 constexpr size_t max_returned_at_once = 100;
 constexpr size_t max_returns_a_tick = 4;  // the cloud's calls are also wanted for rentals
-constexpr double slow_boot = 1.6;         // times boot_s: the room is no longer counted on
-constexpr double never_boots = 4.0;       // times boot_s: returned
+constexpr int max_rented_at_once = 50;
+constexpr int max_rentals_a_kind = 4;  // under way at once
+constexpr double slow_boot = 1.6;      // times boot_s: the room is no longer counted on
+constexpr double never_boots = 4.0;    // times boot_s: returned
 
 std::string kind_key(const std::string& type, const std::string& zone, bool spot) {
   return type + "/" + zone + (spot ? "/spot" : "/ordinary");
@@ -227,8 +229,13 @@
   // Gone, with everything on them: the proof that lets their tasks start elsewhere.
   for (auto& id : ask) {
     // The cloud has room for its like again: no pause after an earlier refusal stands against it.
-    if (auto m = machines_.find(id); m != machines_.end())
+    if (auto m = machines_.find(id); m != machines_.end() && !m->second.type.empty()) {
       refusals_.erase(kind_key(m->second.type, m->second.zone, m->second.spot));
+      // What ran on it shows as demand only when its exits are committed, and boots take longer
+      // still.
+      if (given_up_.contains(id))
+        lost_.push_back({m->second.type, m->second.zone, m->second.spot, false});
+    }
     to_return_.erase(id);
     returned_.insert(id);
     booting_.erase(id);
@@ -273,7 +280,7 @@
     for (auto& zone : t.zones)
       for (bool spot : {false, true}) {
         auto kind = kind_key(t.name, zone, spot);
-        in.offers.push_back({t.name, zone, spot, refused(kind) || renting_.contains(kind)});
+        in.offers.push_back({t.name, zone, spot, refused(kind) || renting(kind)});
       }
   for (auto& [id, m] : machines_) {
     if (cache_.leaving(id) || to_return_.contains(id) || m.type.empty()) continue;
@@ -316,42 +323,63 @@
 Task<void> Holder::rent(std::stop_token token) {
   // Requests that an earlier holder, or we, sent without getting an answer: the same request again
   // rents nothing twice.
+  std::vector<RentalRequest> left;
   for (auto& [id, rental] : cache_.rentals())
-    if (!renting_.contains(
-            kind_key(rental.request.type, rental.request.zone, rental.request.spot))) {
-      renting_.insert(kind_key(rental.request.type, rental.request.zone, rental.request.spot));
-      loop_.spawn("rental", do_rental(rental.request, token));
-    }
+    if (!renting(kind_key(rental.request.type, rental.request.zone, rental.request.spot)))
+      left.push_back(rental.request);
+  for (auto& request : left) start_rental(std::move(request), token);
   auto input = sizing_input();
   for (auto& [id, m] : machines_) {
     auto kind = kind_key(m.type, m.zone, m.spot);
-    if (m.replacing_since == 0 || m.draining || m.replacement_asked || renting_.contains(kind))
-      continue;
+    if (m.replacing_since == 0 || m.draining || m.replacement_asked || renting(kind)) continue;
     m.replacement_asked = true;
     input.replacements.push_back({m.type, m.zone, m.spot, false});
   }
+  std::erase_if(lost_, [&](auto& kind) {
+    if (renting(kind_key(kind.type, kind.zone, kind.spot))) return false;
+    input.replacements.push_back(kind);
+    return true;
+  });
   auto plan = sizing::plan(input);
   for (auto& id : plan.give_back) want_return(id, "idle");
   for (auto& r : plan.rent) {
     auto key = kind_key(r.type, r.zone, r.spot);
-    if (renting_.contains(key)) continue;
-    renting_.insert(key);
-    // Unique over nodes and incarnations.
-    RentalRequest request{
-        "r-" + std::to_string(p_.incarnation) + "-" + std::to_string(loop_.random64()), r.type,
-        r.zone, r.spot, std::min(r.count, 50)};
-    loop_.spawn("rental", do_rental(std::move(request), token));
+    if (renting(key)) continue;
+    int left_to_rent = r.count;
+    for (int calls = 0; left_to_rent > 0 && calls < max_rentals_a_kind; ++calls) {
+      const int count = std::min(left_to_rent, max_rented_at_once);
+      left_to_rent -= count;
+      // Unique over nodes and incarnations.
+      start_rental({"r-" + std::to_string(p_.incarnation) + "-" + std::to_string(loop_.random64()),
+                    r.type, r.zone, r.spot, count},
+                   token);
+    }
   }
   co_return;
 }
 
+bool Holder::renting(const std::string& kind) const { return renting_.contains(kind); }
+
+void Holder::start_rental(RentalRequest request, std::stop_token token) {
+  ++renting_[kind_key(request.type, request.zone, request.spot)];
+  loop_.spawn("rental", rental(std::move(request), token));
+}
+
+Task<void> Holder::rental(RentalRequest request, std::stop_token token) {
+  const auto term = term_;
+  const auto key = kind_key(request.type, request.zone, request.spot);
+  co_await do_rental(std::move(request), token);
+  // One of an older term is not among those counted.
+  if (term != term_) co_return;
+  if (auto it = renting_.find(key); it != renting_.end() && --it->second <= 0) renting_.erase(it);
+}
+
 Task<void> Holder::do_rental(RentalRequest request, std::stop_token token) {
   const auto term = term_;
   const auto key = kind_key(request.type, request.zone, request.spot);
   // Answered, but the state service could not remove its record: not asked for again and again.
   if (answered_rentals_.contains(request.id)) {
     co_await forget_rental(request.id);
-    renting_.erase(key);
     co_return;
   }
   // Committed before it is sent, so that what it rents is never lost sight of.
@@ -367,10 +395,7 @@
                           0});
     auto writes = txn.writes;
     auto reply = co_await p_.state.commit(std::move(txn), Importance::placing);
-    if (reply.outcome != Outcome::committed) {
-      renting_.erase(key);
-      co_return;
-    }
+    if (reply.outcome != Outcome::committed) co_return;
     cache_.apply_writes(writes, reply.revision);
   }
   HttpReply reply;
@@ -408,7 +433,6 @@
   }
   answered_rentals_.insert(request.id);
   co_await forget_rental(request.id);
-  renting_.erase(key);
 }
 
 Task<void> Holder::forget_rental(std::string id) {
--- a/src/coordination/holder_commit.cpp
+++ b/src/coordination/holder_commit.cpp
@@ -168,6 +168,7 @@
   const double now = loop_.now();
   if (!records_current() || !p_.catalog.known() || !place_again_ || now < next_place_)
     co_return false;
+  uncommitted_starts_ = 0;
   // One pass serves all that came meanwhile; passes are spaced so that bursts share them.
   next_place_ = now + std::min(0.05, settings_.report_s / 30);
   place_again_ = false;
@@ -216,6 +217,7 @@
     // A long run of starts must not hold up renewals, exits and what became more urgent meanwhile.
     if (loop_.now() - now > settings_.report_s * starts_share) {
       place_again_ = true;
+      uncommitted_starts_ = planned.size() - next;
       break;
     }
     ChunkEdits edits(cache_, settings_.txn_ops);
--- a/src/coordination/mesh.cpp
+++ b/src/coordination/mesh.cpp
@@ -46,6 +46,13 @@
 
 bool Mesh::alive(const std::string& node) const { return silence(node) < 3 * period_; }
 
+uint64_t Mesh::wanted_writes() const {
+  uint64_t sum = 0;
+  for (auto& [node, s] : seen_)
+    if (alive(node)) sum += s.beat.writes;
+  return sum;
+}
+
 int Mesh::silent_peers() const {
   return static_cast<int>(
       std::count_if(seen_.begin(), seen_.end(), [&](auto& s) { return !alive(s.first); }));
--- a/src/coordination/mesh.hpp
+++ b/src/coordination/mesh.hpp
@@ -20,6 +20,8 @@
   bool alive(const std::string& node) const;
   // Seconds since it was heard.
   double silence(const std::string& node) const;
+  // Writes that live peers want, all together.
+  uint64_t wanted_writes() const;
   // Peers that are not heard.
   int silent_peers() const;
   // Some live peer has contact with the state service / some live peer lacks it too.
--- a/src/coordination/node.cpp
+++ b/src/coordination/node.cpp
@@ -17,7 +17,7 @@
 // Integers that JSON numbers of any reader can hold.
 uint64_t new_incarnation(Loop& loop) { return loop.random64() >> 12; }
 
-// The leader writes nearly everything; the others accept and confirm.
+// Of the requests: the others confirm what users are told.
 double share_of(bool leading, int nodes) {
   if (nodes <= 1) return 1;
   constexpr double leader_share = 0.5;
@@ -72,15 +72,18 @@
   auto token = loop_.stop_token();
   loop_.spawn("cache", cache_.follow(token));
   loop_.spawn("catalogue", catalog_.follow(token));
-  loop_.spawn("mesh",
-              mesh_.beat(
-                  [this] {
-                    double age = std::min(loop_.now() - state_.last_contact(), 1e6);
-                    return Beat{
-                        settings_.node_name,     incarnation_,    static_cast<uint64_t>(age * 1000),
-                        holder_.waiting_tasks(), cache_.loaded(), holder_.strays()};
-                  },
-                  token));
+  loop_.spawn("mesh", mesh_.beat(
+                          [this] {
+                            double age = std::min(loop_.now() - state_.last_contact(), 1e6);
+                            return Beat{settings_.node_name,
+                                        incarnation_,
+                                        static_cast<uint64_t>(age * 1000),
+                                        holder_.waiting_tasks(),
+                                        cache_.loaded(),
+                                        holder_.strays(),
+                                        static_cast<uint64_t>(wanted_writes())};
+                          },
+                          token));
   loop_.spawn("election", election_.run(token));
   loop_.spawn("holder", holder_.run(token));
   loop_.spawn("machines", holder_.tend(token));
@@ -90,10 +93,28 @@
   return true;
 }
 
+// The leader writes nearly everything, and more when much fails at once: it counts as wanting half
+// of the limit always, and all of it where it isn't heard.
+double Node::wanted_writes() const {
+  const double wanted = static_cast<double>(api_.waiting_submissions());
+  if (!election_.leading()) return wanted;
+  return wanted + settings_.state_write_rps / 2 + static_cast<double>(holder_.waiting_writes());
+}
+
+void Node::share_limits() {
+  const bool leading = election_.leading();
+  double others = static_cast<double>(mesh_.wanted_writes());
+  if (!leading && !(cache_.has_leader() && mesh_.alive(cache_.leader().node)))
+    others += settings_.state_write_rps;
+  state_.limit().set_shares(share_of(leading, settings_.nodes),
+                            write_share(settings_.nodes, wanted_writes(), others));
+}
+
 Task<void> Node::housekeeping(std::stop_token token) {
-  const double period = settings_.report_s;
+  const double period = settings_.report_s / 3;
   while (!token.stop_requested()) {
-    state_.limit().set_share(share_of(election_.leading(), settings_.nodes));
+    share_limits();
+    api_.forget_refused();
     http_.trim(idle_connection_s);
     server_.tidy();
     spdlog::debug("connections: {} of users and workers, {} calls, {} idle", server_.open(),
--- a/src/coordination/node.hpp
+++ b/src/coordination/node.hpp
@@ -16,6 +16,8 @@
   Task<HttpResponse> route(HttpRequest request);
   Task<HttpResponse> dispatch(HttpRequest request);
   HttpResponse health() const;
+  double wanted_writes() const;
+  void share_limits();
   Task<void> housekeeping(std::stop_token token);
 
   Loop& loop_;
--- a/src/coordination/user_api.cpp
+++ b/src/coordination/user_api.cpp
@@ -9,6 +9,8 @@
 namespace {
 constexpr size_t max_queued = 256;  // beyond that users are told to come back
 constexpr double come_back_s = 1;
+constexpr double longest_wait_s = 1.5;  // users give up after 5 s
+constexpr double latest_return_s = 8;   // they come back for a minute in all
 }  // namespace
 
 template <class T>
@@ -151,7 +153,13 @@
     }
     co_return known;
   }
-  if (submissions_.size() >= max_queued) co_return HttpResponse{429, {}, come_back_s};
+  // Nobody is held beyond what can be written soon; whoever comes later is told when to come back.
+  const double rate = state_.limit().writes_per_s();
+  if (static_cast<double>(submissions_.size()) >= std::max(rate * longest_wait_s, 1.0)) {
+    ++refused_lately_;
+    const double ahead = static_cast<double>(submissions_.size() + refused_ + refused_lately_);
+    co_return HttpResponse{429, {}, std::clamp(ahead / rate, come_back_s, latest_return_s)};
+  }
   spec->accepted_at = loop_.wall();
   Submission s;
   s.spec = std::move(*spec);
--- a/src/coordination/user_api.hpp
+++ b/src/coordination/user_api.hpp
@@ -12,6 +12,9 @@
   UserApi(Loop& loop, const Settings& settings, StateClient& state, Cache& cache, Catalog& catalog);
   Task<void> accept_duty(std::stop_token token);
   Task<void> confirm_duty(std::stop_token token);
+  // Submissions that wait, or that were told to come back a moment ago.
+  size_t waiting_submissions() const { return submissions_.size() + refused_; }
+  void forget_refused() { refused_ = std::exchange(refused_lately_, 0); }
   Task<HttpResponse> submit(std::string body);
   Task<HttpResponse> poll(std::string id);
   Task<HttpResponse> cancel(std::string id);
@@ -43,6 +46,7 @@
   Catalog& catalog_;
   Signal submitted_, asked_;
   std::deque<Submission*> submissions_;
+  size_t refused_ = 0, refused_lately_ = 0;
   std::deque<Question*> questions_;
 };
 
--- a/src/protocol/tuning.hpp
+++ b/src/protocol/tuning.hpp
@@ -16,9 +16,9 @@
   // Seconds that a block is granted for.
   double grant_s = 30.0;
   // No new tasks on a machine silent for this many report periods.
-  double doubt_reports = 2.5;
+  double doubt_reports = 1.75;
   // A silent machine is returned after the larger of these two.
-  double return_reports = 4.0;
+  double return_reports = 3.0;
   double return_lease_share = 0.35;
   // Share of cancel_s after which a machine that still holds a cancelled task is returned.
   double cancel_return_share = 0.5;
--- a/src/protocol/varint.cpp
+++ b/src/protocol/varint.cpp
@@ -4,7 +4,7 @@
 
 namespace {
 constexpr uint64_t max_frame = 1024;
-constexpr uint64_t beat_version = 2;
+constexpr uint64_t beat_version = 3;
 }  // namespace
 
 void VarintWriter::number(uint64_t v) {
@@ -49,6 +49,7 @@
   body.number(b.waiting);
   body.number(b.loaded ? 1 : 0);
   body.number(b.strays);
+  body.number(b.writes);
   VarintWriter frame;
   frame.text(body.bytes());
   return frame.bytes();
@@ -65,8 +66,8 @@
   uint64_t version = 0, loaded = 0;
   if (!body.number(version) || version != beat_version || !body.text(out.node) ||
       !body.number(out.incarnation) || !body.number(out.state_age_ms) ||
-      !body.number(out.waiting) || !body.number(loaded) ||
-      !body.number(out.strays))
+      !body.number(out.waiting) || !body.number(loaded) || !body.number(out.strays) ||
+      !body.number(out.writes))
     return Framed::bad;
   out.loaded = loaded != 0;
   return Framed::whole;
--- a/src/protocol/varint.hpp
+++ b/src/protocol/varint.hpp
@@ -37,6 +37,7 @@
   uint64_t waiting = 0;       // tasks waiting, for the sizing of blocks
   bool loaded = false;
   uint64_t strays = 0;  // machines of another holder that come here
+  uint64_t writes = 0;  // wanted of the state service, for the sharing of its limit
 };
 std::string encode_beat(const Beat& b);  // framed
 enum class Framed : uint8_t { partial, whole, bad };
--- a/src/storage/rate_limit.cpp
+++ b/src/storage/rate_limit.cpp
@@ -9,6 +9,8 @@
 namespace {
 // Stays a little under the published limit: clocks drift and both limits are shared.
 constexpr double safety = 0.92;
+// Of the writes, divided among all nodes whatever they want.
+constexpr double in_any_case = 0.2;
 }  // namespace
 
 RateLimit::RateLimit(Loop& loop, double requests_per_s, double writes_per_s)
@@ -21,16 +23,22 @@
       writes_(0),
       last_(loop.now()) {
   timer_ = evtimer_new(
-      loop.base(), [](evutil_socket_t, short, void* self) { static_cast<RateLimit*>(self)->pump(); },
-      this);
+      loop.base(),
+      [](evutil_socket_t, short, void* self) { static_cast<RateLimit*>(self)->pump(); }, this);
 }
 
 RateLimit::~RateLimit() { event_free(timer_); }
 
-void RateLimit::set_share(double share) {
+double write_share(int nodes, double wanted, double wanted_by_others) {
+  const double least = in_any_case / std::max(nodes, 1);
+  const double all = wanted + wanted_by_others;
+  return least + (all > 0 ? (1 - in_any_case) * wanted / all : 0);
+}
+
+void RateLimit::set_shares(double requests, double writes) {
   refill();
-  request_rate_ = all_requests_ * share;
-  write_rate_ = all_writes_ * share;
+  request_rate_ = all_requests_ * requests;
+  write_rate_ = all_writes_ * writes;
 }
 
 void RateLimit::refill() {
--- a/src/storage/rate_limit.hpp
+++ b/src/storage/rate_limit.hpp
@@ -14,14 +14,19 @@
 // Watching goes before placing: a holder that writes all the time must still hear of cancellations.
 enum class Importance : uint8_t { lease, watching, placing, accepting, polling };
 
+// A node's share of the writes: a little for each node in any case, the rest by what is wanted.
+// Shares that are worked out from the same figures never add up to more than 1.
+double write_share(int nodes, double wanted, double wanted_by_others);
+
 class RateLimit {
  public:
   RateLimit(Loop& loop, double requests_per_s, double writes_per_s);
   ~RateLimit();
   RateLimit(const RateLimit&) = delete;
   RateLimit& operator=(const RateLimit&) = delete;
-  // The share of the limits, 0 to 1; the leader does most of the writing.
-  void set_share(double share);
+  // The shares of the limits, 0 to 1.
+  void set_shares(double requests, double writes);
+  double writes_per_s() const { return write_rate_; }
   // Waiting users of one importance; callers refuse new work over a bound instead of queueing it.
   size_t waiting(Importance i) const { return queues_[static_cast<size_t>(i)].size(); }
 
--- a/tests/protocol_test.cpp
+++ b/tests/protocol_test.cpp
@@ -80,7 +80,7 @@
 }
 
 TEST(Varint, BeatsComeBackAndBadFramesAreTold) {
-  Beat b{"n-1", 1ull << 51, 300, 77, true};
+  Beat b{"n-1", 1ull << 51, 300, 77, true, 3, 400};
   auto bytes = encode_beat(b);
   Beat back;
   size_t used = 0;
--- a/tests/records_test.cpp
+++ b/tests/records_test.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include "storage/cache.hpp"
+
 namespace damsonport {
 namespace {
 
@@ -52,6 +54,78 @@
   EXPECT_EQ(back.waiting[0].index, 1u);
 }
 
+TEST(WriteShare, FollowsWhatIsWantedAndNeverExceedsTheLimit) {
+  for (double leader : {0.0, 90.0, 900.0})
+    for (double other : {0.0, 7.0, 270.0}) {
+      double sum = write_share(5, leader, 4 * other);
+      for (int i = 0; i < 4; ++i) sum += write_share(5, other, leader + 3 * other);
+      EXPECT_LE(sum, 1 + 1e-9);
+    }
+  EXPECT_GT(write_share(5, 90, 0), 0.8);  // a leader alone with its work
+  EXPECT_GT(write_share(5, 0, 1000), 0);  // but nobody is left without
+}
+
+// A batch of marks is one record, and each of its machines is marked for good.
+TEST(Marks, OneRecordMarksManyMachines) {
+  Loop loop;
+  HttpClient http(loop);
+  StateClient state(loop, http, {"127.0.0.1", 1}, 100, 100);
+  Cache cache(loop, state, 1);
+  cache.apply({keys::leaving("a"), {{"machines", {"i-1", "i-2"}}}, 5, 0});
+  cache.apply({keys::leaving("b"), {{"machines", {"i-3"}}}, 6, 0});
+  EXPECT_TRUE(cache.leaving("i-1") && cache.leaving("i-2") && cache.leaving("i-3"));
+  EXPECT_FALSE(cache.leaving("i-4"));
+}
+
+JobSpec two_tasks() {
+  JobSpec s;
+  s.id = "run-1", s.cls = "c", s.team = "t", s.image = "img", s.tasks = 2, s.cpus = 1;
+  return s;
+}
+
+// However many keys are removed after it, a late copy of a read does not bring a job back.
+TEST(Removals, ALateCopyDoesNotBringBackWhatWasJustRemoved) {
+  Loop loop;
+  HttpClient http(loop);
+  StateClient state(loop, http, {"127.0.0.1", 1}, 100, 100);
+  Cache cache(loop, state, 1);
+  const Item copy{keys::job("run-1"), encode_job(two_tasks()), 1, 0};
+  cache.apply(copy);
+  ASSERT_NE(cache.job("run-1"), nullptr);
+  for (uint64_t i = 0; i < 4095; ++i)
+    cache.apply({keys::rental("r-" + std::to_string(i)), Json(), 2 + i, 0});
+  cache.apply({keys::job("run-1"), Json(), 5000, 0});
+  cache.apply({keys::rental("r-last"), Json(), 5001, 0});
+  cache.apply(copy);
+  EXPECT_EQ(cache.job("run-1"), nullptr);
+}
+
+// Only the tasks that a change moves are told of, not the whole chunk.
+TEST(Assignments, AChangeTouchesOnlyWhatDiffers) {
+  Loop loop;
+  HttpClient http(loop);
+  StateClient state(loop, http, {"127.0.0.1", 1}, 100, 100);
+  Cache cache(loop, state, 1);
+  std::string told;
+  cache.on_assignment = [&](const std::string& machine, const Job&, bool added) {
+    told += (added ? "+" : "-") + machine + " ";
+  };
+  auto value = encode_job(two_tasks());
+  value["chunk"] = 10;
+  cache.apply({keys::job("run-1"), value, 1, 0});
+  ChunkRecord c;
+  c.start(0, 1, "i-1");
+  cache.apply({keys::chunk("run-1", 0), encode_chunk(c), 2, 0});
+  c.start(1, 1, "i-2");
+  cache.apply({keys::chunk("run-1", 0), encode_chunk(c), 3, 0});
+  c.end(0, true);
+  cache.apply({keys::chunk("run-1", 0), encode_chunk(c), 4, 0});
+  EXPECT_EQ(told, "+i-1 +i-2 -i-1 ");
+  EXPECT_EQ(cache.job("run-1")->live, 1u);
+  EXPECT_EQ(cache.job("run-1")->done, 1u);
+  EXPECT_TRUE(cache.assigned("i-1").empty());
+}
+
 TEST(Blocks, ComeBackFromTheirValue) {
   Blocks b;
   b.grants.push_back({"n", 7, 41, {"i-1"}, true});
