--- a/src/coordination/holder.hpp
+++ b/src/coordination/holder.hpp
@@ -71,6 +71,11 @@
     std::set<std::string> error_machines;
     RunTimes run_times;
   };
+  struct Booting {
+    std::string type, zone;
+    bool spot = false;
+    double since = 0;
+  };
   struct Stopping {
     uint64_t attempt;
     double grace_s;
@@ -134,6 +139,7 @@
   void watch_drains();
   void watch_stragglers();
   bool refused(const std::string& kind) const;
+  const MachineType* coming_type(const std::string& id, const Booting& b) const;
   bool renting(const std::string& kind) const;
   Task<void> return_machines(std::stop_token token);
   Task<bool> mark_leaving(std::vector<std::string> machines);
@@ -190,11 +196,6 @@
     double until = 0, pause = 0;
   };
   std::map<std::string, Refusal> refusals_;
-  struct Booting {
-    std::string type, zone;
-    bool spot = false;
-    double since = 0;
-  };
   std::map<std::string, Booting> booting_;
   std::map<std::string, int> renting_;      // requests under way, by kind
   std::set<std::string> answered_rentals_;  // only their records are still to be removed
--- a/src/coordination/holder_cloud.cpp
+++ b/src/coordination/holder_cloud.cpp
@@ -259,6 +259,13 @@
   return static_cast<uint64_t>(n + 1e-6);
 }
 
+// The type of a machine that is on its way and not overdue, or null.
+const MachineType* Holder::coming_type(const std::string& id, const Booting& b) const {
+  if (machines_.contains(id) || to_return_.contains(id) || cache_.leaving(id)) return nullptr;
+  auto* t = p_.catalog.type(b.type);
+  return t && loop_.now() - b.since <= t->boot_s * slow_boot ? t : nullptr;
+}
+
 sizing::Input Holder::sizing_input() const {
   sizing::Input in;
   const double now = loop_.now();
@@ -305,9 +312,8 @@
     }
   }
   for (auto& [id, b] : booting_) {
-    if (machines_.contains(id) || to_return_.contains(id) || cache_.leaving(id)) continue;
-    auto* t = p_.catalog.type(b.type);
-    if (!t || now - b.since > t->boot_s * slow_boot) continue;
+    auto* t = coming_type(id, b);
+    if (!t) continue;
     sizing::MachineState s;
     s.id = id;
     s.type = b.type;
--- a/src/coordination/holder_view.cpp
+++ b/src/coordination/holder_view.cpp
@@ -136,6 +136,13 @@
   dirty_machines_.clear();
   for (auto& [id, m] : machines_)
     if (m.slot) view_.machines[*m.slot].open = open_for_work(m);
+  view_.booting.clear();
+  for (auto& [id, b] : booting_)
+    if (auto* type = coming_type(id, b))
+      view_.booting.push_back({view_.types.id(b.type),
+                               view_.zones.id(b.zone),
+                               b.spot,
+                               {type->cpus, type->gpus, type->memory_gb}});
   view_.now = loop_.wall();
   view_.steady_now = now;
 }
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -1,6 +1,7 @@
 #include "coordination/placement.hpp"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <limits>
 #include <numeric>
@@ -28,7 +29,8 @@
         replicas_(in.machines.size()),
         least_urgent_(in.machines.size(), std::numeric_limits<int>::max()),
         stopped_(in.machines.size()),
-        tally_of_(in.jobs.size(), nowhere) {
+        tally_of_(in.jobs.size(), nowhere),
+        booting_(in.booting) {
     judge_guarantees();
     for (size_t j = 0; j < in.jobs.size(); ++j) {
       if (in.jobs[j].waiting == 0 || in.jobs[j].cancelled) continue;
@@ -255,14 +257,24 @@
       left -= start_what_fits(j, left);
       if (left > 0 && team_allows(j)) note_full(job);
     }
+    uint32_t patient = 0;
     while (left > 0) {
-      if (!team_allows(j)) return note_unplaced(j, 0, coming);
-      // Room that is being made already serves the most urgent first.
-      if (!claim_coming(j) && !make_room(j)) break;
-      ++coming;
+      if (!team_allows(j)) break;
+      // Room that is being made already serves the most urgent first. Standing replicas are stopped
+      // only for what no machine on its way has room for: they would come back later than it.
+      if (claim_coming(j) || make_room(j, false)) {
+        ++coming;
+      } else if (claim_booting(j)) {
+        ++patient;
+      } else if (make_room(j, true)) {
+        ++coming;
+      } else {
+        note_unplaced(j, left + patient, coming);
+        return;
+      }
       --left;
     }
-    note_unplaced(j, left, coming);
+    note_unplaced(j, patient, coming);
   }
 
   // The machines are judged once for the whole job: what one start changes is the judgement of its
@@ -368,6 +380,19 @@
     return true;
   }
 
+  bool claim_booting(size_t j) {
+    auto& job = in_.jobs[j];
+    for (auto& b : booting_) {
+      if (!job.need.fits(b.room) || (b.spot && !job.spot) ||
+          (!job.types.empty() && !contains(job.types, b.type)) || !zone_allows(j, b.zone))
+        continue;
+      b.room -= job.need;
+      used_[job.team] += job.need;  // it starts there in a moment
+      return true;
+    }
+    return false;
+  }
+
   // Uses what is free first and takes the rest from what comes free.
   void take_future(size_t j, size_t m) {
     auto& need = in_.jobs[j].need;
@@ -382,6 +407,10 @@
     occupy(j, m);
   }
 
+  static bool standing(const JobView& job) {
+    return job.service && job.priority >= urgent_priority;
+  }
+
   bool may_stop(size_t j, const LiveView& v) const {
     auto& job = in_.jobs[j];
     auto& victim = in_.jobs[v.job];
@@ -431,16 +460,17 @@
 
   // Where a job found nothing to be stopped, none finds it that needs as much under the same rules
   // and may stop no more.
-  bool known_hopeless(size_t j) const {
-    return std::any_of(hopeless_.begin(), hopeless_.end(), [&](size_t h) {
+  bool known_hopeless(size_t j, bool also_standing) const {
+    auto& known = hopeless_[also_standing];
+    return std::any_of(known.begin(), known.end(), [&](size_t h) {
       auto &a = in_.jobs[h], &b = in_.jobs[j];
       return a.need.fits(b.need) && same_rules(a, b) && urgency_[j] <= urgency_[h] &&
              b.priority <= a.priority && (!guaranteed_[j] || (guaranteed_[h] && a.team == b.team));
     });
   }
 
-  bool make_room(size_t j) {
-    if (known_hopeless(j)) return false;
+  bool make_room(size_t j, bool also_standing) {
+    if (known_hopeless(j, also_standing)) return false;
     auto& job = in_.jobs[j];
     double best = never;
     size_t where = 0;
@@ -452,7 +482,9 @@
       auto& live = in_.machines[m].live;
       victims.clear();
       for (size_t i = 0; i < live.size(); ++i)
-        if (may_stop(j, live[i]) && !contains(stopped_[m], i)) victims.push_back(i);
+        if (may_stop(j, live[i]) && (also_standing || !standing(in_.jobs[live[i].job])) &&
+            !contains(stopped_[m], i))
+          victims.push_back(i);
       auto lost = [&](size_t i) { return loss(live[i], abruptly(j, m, live[i])); };
       std::sort(victims.begin(), victims.end(),
                 [&](size_t a, size_t b) { return lost(a) < lost(b); });
@@ -474,7 +506,7 @@
       if (!set.empty() && job.need.fits(room) && c < best) best = c, where = m, best_set = set;
     }
     if (best == never) {
-      if (speaks_for_others(job)) hopeless_.push_back(j);
+      if (speaks_for_others(job)) hopeless_[also_standing].push_back(j);
       return false;
     }
     auto& live = in_.machines[where].live;
@@ -486,7 +518,7 @@
     }
     take_future(j, where);
     coming_.push_back(where);
-    hopeless_.clear();  // more may be coming now than this job takes
+    for (auto& known : hopeless_) known.clear();  // more may be coming now than this job takes
     return true;
   }
 
@@ -500,7 +532,9 @@
   std::vector<size_t> order_;         // waiting jobs
   std::vector<size_t> coming_;        // machines where room comes free; some may stand in it twice
   std::vector<const JobView*> full_;  // found no free room in this pass
-  std::vector<size_t> hopeless_;      // found nothing to be stopped since the last stop
+  // Found nothing to be stopped since the last stop: without standing replicas, and with them.
+  std::array<std::vector<size_t>, 2> hopeless_;
+  std::vector<BootingView> booting_;
   std::vector<bool> guaranteed_;
   std::vector<int> urgency_;
   double large_gpus_ = 0, cpus_per_gpu_ = 0, memory_per_gpu_ = 0;
--- a/src/coordination/placement.hpp
+++ b/src/coordination/placement.hpp
@@ -61,6 +61,13 @@
   std::vector<LiveView> live;
 };
 
+// A machine that is expected to take tasks soon.
+struct BootingView {
+  NameId type = 0, zone = 0;
+  bool spot = false;
+  Amounts room;
+};
+
 constexpr size_t no_team = static_cast<size_t>(-1);
 
 struct TeamView {
@@ -100,6 +107,7 @@
   std::vector<MachineView> machines;
   std::vector<TeamView> teams;
   std::vector<JobView> jobs;
+  std::vector<BootingView> booting;
   double start_counts_s = 30;  // a start stopped earlier than this was in vain
   double now = 0;              // of the same clock as accepted_at and due_at
   double steady_now = 0;
--- a/tests/trace_test.cpp
+++ b/tests/trace_test.cpp
@@ -78,6 +78,11 @@
       m.speed = num(w, "speed", 1);
       m.bad_jobs = list(w, "failed");
       input_.machines.push_back(m);
+    } else if (verb == "booting") {  // booting TYPE zone=Z cpus=N gpus=N [spot]
+      input_.booting.push_back({input_.types.id(name),
+                                input_.zones.id(str(w, "zone")),
+                                w.contains("spot"),
+                                {num(w, "cpus"), num(w, "gpus"), num(w, "memory", 1e6)}});
     } else if (verb == "team") {
       input_.teams.push_back(
           {name, {num(w, "cpus"), num(w, "gpus"), 0}, {num(w, "cpus_max"), num(w, "gpus_max"), 0}});
