--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -258,18 +258,15 @@
       if (left > 0 && team_allows(j)) note_full(job);
     }
     uint32_t patient = 0;
-    // A standing replica with accelerators is stopped for a task without only where no machine on
-    // its way has room: its accelerators would lie idle, and it would come back later than that
-    // machine.
-    const bool patient_kind = job.need.gpus <= 0;
     while (left > 0) {
       if (!team_allows(j)) break;
-      // Room that is being made already serves the most urgent first.
-      if (claim_coming(j) || make_room(j, !patient_kind)) {
+      // Room that is being made already serves the most urgent first. Standing replicas are stopped
+      // only for what no machine on its way has room for: they would come back later than it.
+      if (claim_coming(j) || make_room(j, false)) {
         ++coming;
-      } else if (patient_kind && claim_booting(j)) {
+      } else if (claim_booting(j)) {
         ++patient;
-      } else if (patient_kind && make_room(j, true)) {
+      } else if (make_room(j, true)) {
         ++coming;
       } else {
         note_unplaced(j, left + patient, coming);
@@ -411,7 +408,7 @@
   }
 
   static bool standing(const JobView& job) {
-    return job.service && job.priority >= urgent_priority && job.need.gpus > 0;
+    return job.service && job.priority >= urgent_priority;
   }
 
   bool may_stop(size_t j, const LiveView& v) const {
