Silence is measured by lease and reports; a holder that is alone sends its machines to look

Doubt is now a third of the lease at the most, giving up half of it. A holder without state service and peers kept its workers for 30 s while a new holder heard nobody; now it answers a machine only when it comes back. In a cut it stops in time for any cancellation.

--- a/src/coordination/holder.cpp
+++ b/src/coordination/holder.cpp
@@ -37,7 +37,27 @@
   if (contact_age < settings_.lease_s / 4) return now < grant_until_ || cache_.loaded();
   // Alone without the state service: the workers are better off with whoever still has it.
   if (p_.mesh.peer_has_state(settings_.lease_s / 4)) return false;
-  return p_.mesh.peer_lacks_state(settings_.lease_s / 4) || now < grant_until_;
+  // In a cut others may take cancellations that we don't hear of; in an outage nobody can.
+  if (p_.mesh.alone() || p_.mesh.lost_a_zone()) return contact_age < unheard_s();
+  return p_.mesh.peer_lacks_state(settings_.lease_s / 4);
+}
+
+// How long after the last contact with the state service machines may be answered in a cut: a task
+// that is kept alive lives a lease longer than the last answer, and must be gone within cancel_s of
+// a cancellation that we did not hear of.
+double Holder::unheard_s() const {
+  constexpr double margin = 0.85;  // the rest is for clocks and for what is under way
+  return margin * (settings_.cancel_s - settings_.lease_s);
+}
+
+// Without state service and peers we may be the one that is cut off, with a new holder elsewhere:
+// then the machines are to find it. One that comes back has found nobody.
+bool Holder::send_away(const Report& r) {
+  const double now = loop_.now();
+  if (!p_.mesh.alone() || now - p_.state.last_contact() < settings_.lease_s / 4) return false;
+  auto [it, fresh] = strays_.try_emplace(r.machine, Stray{now, now, false});
+  it->second.last = now;
+  return fresh;
 }
 
 void Holder::took_over() {
@@ -234,8 +254,7 @@
 void Holder::watch_reach() {
   const double now = loop_.now();
   size_t heard = 0;
-  for (auto& [id, m] : machines_)
-    heard += now - m.last_heard < tuning_.doubt_reports * settings_.report_s && m.session != 0;
+  for (auto& [id, m] : machines_) heard += now - m.last_heard < doubt_s() && m.session != 0;
   // After a takeover they come here by way of the others.
   const bool settled = now - took_over_at_ > 3 * settings_.report_s;
   const bool deaf = settled && p_.mesh.strays() > heard;
@@ -255,7 +274,7 @@
   if (!holding()) return stand_in(r);
   // A newer holder exists: a 200 would only hold the worker here while its lease runs out.
   if (r.token > term_) return {421, encode_report_to({}), 0};
-  if (!may_answer()) return {503, {}, 0};
+  if (!may_answer() || send_away(r)) return {503, {}, 0};
   std::vector<Command> commands;
   Machine& m = machine(r.machine);
   if (r.newer_than(m.session, m.seq)) {
--- a/src/coordination/holder.hpp
+++ b/src/coordination/holder.hpp
@@ -86,6 +86,8 @@
   Task<bool> keep_grant(std::stop_token token);
   void took_over();
   bool may_answer() const;
+  double unheard_s() const;
+  bool send_away(const Report& r);
   void watch_reach();
 
   // --- machines of another holder (stand_in.cpp)
@@ -126,6 +128,8 @@
   bool open_for_work(const Machine& m) const;
   double silence(const Machine& m) const;
   bool in_doubt(const Machine& m) const;  // too silent for new tasks
+  double doubt_s() const;
+  double give_up_s() const;
   placing::Amounts total_of(const Machine& m) const;
   // Enough for a task that saves, with some room for the message; 0 for one that never does.
   double stop_grace(const JobSpec& s) const;
--- a/src/coordination/holder_cloud.cpp
+++ b/src/coordination/holder_cloud.cpp
@@ -83,20 +83,19 @@
 
 void Holder::watch_silence() {
   const double report = settings_.report_s;
-  const double give_up =
-      std::max(tuning_.return_reports * report, tuning_.return_lease_share * settings_.lease_s);
+  const double give_up = give_up_s();
   size_t known = 0, silent = 0;
   for (auto& [id, m] : machines_) {
     if (cache_.leaving(id)) continue;
     ++known;
-    silent += silence(m) > tuning_.doubt_reports * report;
+    silent += in_doubt(m);
   }
   const double patience =
       silence_patience_.limit(loop_.now(), known, silent, give_up, settings_.lease_s);
   for (auto& [id, m] : machines_) {
     if (cache_.leaving(id) || to_return_.contains(id)) continue;
     double quiet = silence(m);
-    if (quiet < tuning_.doubt_reports * report) continue;
+    if (!in_doubt(m)) continue;
     place_again_ = true;
     if (!probing_.contains(id) &&
         probing_.size() < static_cast<size_t>(direct_sockets(settings_)) / 2)
--- a/src/coordination/holder_machines.cpp
+++ b/src/coordination/holder_machines.cpp
@@ -7,11 +7,6 @@
 
 namespace damsonport {
 
-namespace {
-// Reports come within one and a quarter periods.
-constexpr double late_reports = 1.5;
-}  // namespace
-
 Machine& Holder::machine(const std::string& id) {
   auto [it, fresh] = machines_.try_emplace(id);
   if (fresh) {
@@ -59,10 +54,20 @@
          !to_return_.contains(m.id) && m.failed_sends < 2 && !in_doubt(m);
 }
 
-bool Holder::in_doubt(const Machine& m) const {
-  return silence(m) >= tuning_.doubt_reports * settings_.report_s;
+double Holder::doubt_s() const {
+  return std::min(tuning_.doubt_reports * settings_.report_s,
+                  tuning_.doubt_lease_share * settings_.lease_s);
+}
+
+double Holder::give_up_s() const {
+  const double lease = settings_.lease_s;
+  return std::max(
+      std::min(tuning_.return_reports * settings_.report_s, tuning_.return_lease_most * lease),
+      tuning_.return_lease_share * lease);
 }
 
+bool Holder::in_doubt(const Machine& m) const { return silence(m) >= doubt_s(); }
+
 std::vector<Expected> Holder::expected_on(const Machine& m) const {
   std::vector<Expected> out;
   for (auto& [a, attempt] : cache_.assigned(m.id)) {
@@ -235,7 +240,7 @@
   if (m.sending || m.session == 0 || m.outbox.empty()) return;
   // One that should have reported is likely out of reach: its next report is answered with what is
   // still wanted, and no socket hangs on it.
-  if (silence(m) > late_reports * settings_.report_s) return m.outbox.clear();
+  if (in_doubt(m)) return m.outbox.clear();
   m.sending = true;
   send_queue_.push_back(id);
   start_sends();
--- a/src/coordination/mesh.cpp
+++ b/src/coordination/mesh.cpp
@@ -11,6 +11,7 @@
   for (auto& p : settings.peers) {
     links_.push_back(std::make_unique<StreamLink>(loop, p.mesh));
     seen_[p.name];
+    if (p.zone != settings.zone) other_zones_[p.zone].push_back(p.name);
   }
   listener_ =
       std::make_unique<StreamListener>(loop, settings.mesh_listen, 2 + 4 * settings.peers.size(),
@@ -53,6 +54,13 @@
   return sum;
 }
 
+bool Mesh::lost_a_zone() const {
+  return std::any_of(other_zones_.begin(), other_zones_.end(), [&](auto& zone) {
+    return std::none_of(zone.second.begin(), zone.second.end(),
+                        [&](auto& node) { return alive(node); });
+  });
+}
+
 int Mesh::silent_peers() const {
   return static_cast<int>(
       std::count_if(seen_.begin(), seen_.end(), [&](auto& s) { return !alive(s.first); }));
--- a/src/coordination/mesh.hpp
+++ b/src/coordination/mesh.hpp
@@ -22,6 +22,9 @@
   double silence(const std::string& node) const;
   // Writes that live peers want, all together.
   uint64_t wanted_writes() const;
+  // No peer is heard; all those of some other zone are not heard.
+  bool alone() const { return silent_peers() == static_cast<int>(seen_.size()); }
+  bool lost_a_zone() const;
   // Peers that are not heard.
   int silent_peers() const;
   // Some live peer has contact with the state service / some live peer lacks it too.
@@ -39,6 +42,7 @@
   Loop& loop_;
   double period_;
   std::map<std::string, Seen> seen_;
+  std::map<std::string, std::vector<std::string>> other_zones_;  // their nodes
   std::vector<std::unique_ptr<StreamLink>> links_;
   std::unique_ptr<StreamListener> listener_;
 };
--- a/src/coordination/stand_in.cpp
+++ b/src/coordination/stand_in.cpp
@@ -10,8 +10,6 @@
 namespace {
 // A machine that keeps coming for this share of its lease is taken to miss its holder.
 constexpr double missing_share = 0.25;
-// Of the time between a lease and cancel_s; the rest is for clocks and for what is under way.
-constexpr double cancel_margin = 0.85;
 }  // namespace
 
 // Mostly the holder's name. But where a cut lies between a machine and its holder, the machine
@@ -57,15 +55,12 @@
   return {200, encode_report_answer(held->term, commands), 0};
 }
 
-// In a cut that also takes the state service away, cancellations since the last contact are unknown
-// here, and a task kept alive lives a lease longer than the last answer: so that it is gone in time
-// after any cancellation, we go on for what cancel_s leaves beyond a lease, and no longer. A node
-// that lost the state service alone leaves the machines to those that have it.
+// In a cut that also takes the state service away cancellations are unknown here, so there is an
+// end to it. A node that lost the state service alone leaves the machines to those that have it.
 bool Holder::may_stand_in(bool apart) const {
   const double age = loop_.now() - p_.state.last_contact();
   if (age < settings_.lease_s / 4) return true;
-  return apart && !p_.mesh.peer_has_state(settings_.lease_s / 4) &&
-         age < cancel_margin * (settings_.cancel_s - settings_.lease_s);
+  return apart && !p_.mesh.peer_has_state(settings_.lease_s / 4) && age < unheard_s();
 }
 
 uint64_t Holder::strays() const {
--- a/src/protocol/tuning.cpp
+++ b/src/protocol/tuning.cpp
@@ -27,8 +27,10 @@
     {"straggler-min-successes", 1, 1000, nullptr, &Tuning::straggler_min_successes},
     {"grant-s", 1, 600, &Tuning::grant_s, nullptr},
     {"doubt-reports", 1.5, 100, &Tuning::doubt_reports, nullptr},
+    {"doubt-lease-share", 0.05, 10, &Tuning::doubt_lease_share, nullptr},
     {"return-reports", 2, 1000, &Tuning::return_reports, nullptr},
     {"return-lease-share", 0, 10, &Tuning::return_lease_share, nullptr},
+    {"return-lease-most", 0.1, 10, &Tuning::return_lease_most, nullptr},
     {"cancel-return-share", 0.1, 0.9, &Tuning::cancel_return_share, nullptr},
     {"spare-share", 0, 4, &Tuning::spare_share, nullptr},
 };
--- a/src/protocol/tuning.hpp
+++ b/src/protocol/tuning.hpp
@@ -15,11 +15,15 @@
   int straggler_min_successes = 5;
   // Seconds that a block is granted for.
   double grant_s = 30.0;
-  // No new tasks on a machine silent for this many report periods.
-  double doubt_reports = 1.75;
-  // A silent machine is returned after the larger of these two.
-  double return_reports = 3.0;
+  // No new tasks and no orders of their own to a machine silent for so many report periods, or for
+  // this share of its lease if that is shorter.
+  double doubt_reports = 2.5;
+  double doubt_lease_share = 0.33;
+  // A silent machine is returned after so many report periods, but within these shares of its lease:
+  // with rare reports waiting for many would leave nothing to be gained.
+  double return_reports = 4.0;
   double return_lease_share = 0.35;
+  double return_lease_most = 0.5;
   // Share of cancel_s after which a machine that still holds a cancelled task is returned.
   double cancel_return_share = 0.5;
   // Spare room to keep rented, as a share of what is in use.
