--- a/src/coordination/holder_cloud.cpp
+++ b/src/coordination/holder_cloud.cpp
@@ -12,8 +12,10 @@
 constexpr size_t max_returns_a_tick = 4;  // the cloud's calls are also wanted for rentals
 constexpr int max_rented_at_once = 50;
 constexpr int max_rentals_a_kind = 4;  // under way at once
-constexpr double slow_boot = 1.6;      // times boot_s: the room is no longer counted on
-constexpr double never_boots = 4.0;    // times boot_s: returned
+// A worker that gets no answer in 4 s goes to the next controller a second later.
+constexpr double worker_retry_s = 5;
+constexpr double slow_boot = 1.6;    // times boot_s: the room is no longer counted on
+constexpr double never_boots = 4.0;  // times boot_s: returned
 
 std::string kind_key(const std::string& type, const std::string& zone, bool spot) {
   return type + "/" + zone + (spot ? "/spot" : "/ordinary");
@@ -105,7 +107,8 @@
     // Never heard at all: it may be booting, or still be looking for the new holder, past
     // controllers that don't answer.
     if (m.session == 0)
-      limit += report * (cache_.assigned(id).empty() ? 2 : p_.mesh.silent_peers());
+      limit +=
+          cache_.assigned(id).empty() ? report * 2 : worker_retry_s * (1 + p_.mesh.silent_peers());
     if (quiet > limit && direct > give_up) {
       want_return(id, "silent for " + std::to_string(static_cast<int>(quiet)) + " s");
       given_up_.insert(id);
