--- a/src/coordination/holder_view.cpp
+++ b/src/coordination/holder_view.cpp
@@ -63,9 +63,6 @@
   auto hint = hints_.find(s.id);
   const bool held_back = hint != hints_.end() && hint->second.backoff_until > loop_.now();
   if (held_back) held_back_.insert(s.id);
-  v.lost = 0;
-  for (auto& [n, chunk] : job.chunks)
-    for (auto& w : chunk.record.waiting) v.lost += w.attempt > 0;
   v.waiting = job.cancelled || held_back ? 0 : static_cast<uint32_t>(job.unstarted());
 }
 
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -258,18 +258,15 @@
       if (left > 0 && team_allows(j)) note_full(job);
     }
     uint32_t patient = 0;
-    // A standing replica is stopped for one that was lost only where no machine on its way has
-    // room: the stopped one would be back later than that machine. What never ran yet is not kept
-    // waiting.
-    const bool may_wait = job.lost > 0;
     while (left > 0) {
       if (!team_allows(j)) break;
-      // Room that is being made already serves the most urgent first.
-      if (claim_coming(j) || make_room(j, !may_wait)) {
+      // Room that is being made already serves the most urgent first. Standing replicas are stopped
+      // only for what no machine on its way has room for: they would come back later than it.
+      if (claim_coming(j) || make_room(j, false)) {
         ++coming;
-      } else if (may_wait && claim_booting(j)) {
+      } else if (claim_booting(j)) {
         ++patient;
-      } else if (may_wait && make_room(j, true)) {
+      } else if (make_room(j, true)) {
         ++coming;
       } else {
         note_unplaced(j, left + patient, coming);
--- a/src/coordination/placement.hpp
+++ b/src/coordination/placement.hpp
@@ -89,7 +89,6 @@
   bool one_zone = false, spread = false, spot = false;
   uint32_t tasks = 1;       // in all
   uint32_t waiting = 0;     // may be started now
-  uint32_t lost = 0;        // of those, ran before
   uint32_t unfinished = 0;  // waiting, live and held back ones
   bool cancelled = false;
   double accepted_at = 0;
--- a/tests/trace_test.cpp
+++ b/tests/trace_test.cpp
@@ -102,7 +102,6 @@
       j.tasks = static_cast<uint32_t>(num(w, "tasks", 1));
       j.waiting = static_cast<uint32_t>(num(w, "waiting", j.tasks));
       j.unfinished = j.tasks;
-      j.lost = static_cast<uint32_t>(num(w, "lost"));
       j.start_within_s = num(w, "within");
       j.due_at = num(w, "due"), j.begun = w.contains("begun");
       j.accepted_at = static_cast<double>(input_.jobs.size());
