--- a/src/coordination/holder_cloud.cpp
+++ b/src/coordination/holder_cloud.cpp
@@ -59,6 +59,7 @@
           m.type = l.type;
           m.zone = l.zone;
           m.spot = l.spot;
+          dirty_machines_.insert(l.id);
         }
       }
     }
