One place each for contact with the state service, what a job may run on, and free places

Read over: the quarter of a lease that contact counts for stood five times in the holder, the rule for type, zone and kind twice in placement, taking a free place twice in the view; a wrapper around one look-up and a field that nothing reads go. No behaviour changes; tests and their bounds are as they were.

--- a/src/coordination/fleet.hpp
+++ b/src/coordination/fleet.hpp
@@ -50,7 +50,6 @@
   std::vector<Command> outbox;
   bool sending = false;
   int failed_sends = 0;
-  double next_send = 0;
 
   ImageCache images;
   std::map<std::string, double> fetching;  // image -> since
--- a/src/coordination/holder.cpp
+++ b/src/coordination/holder.cpp
@@ -33,13 +33,12 @@
 bool Holder::may_answer() const {
   if (!holding()) return false;
   double now = loop_.now();
-  double contact_age = now - p_.state.last_contact();
-  if (contact_age < settings_.lease_s / 4) return now < grant_until_ || cache_.loaded();
+  if (in_contact()) return now < grant_until_ || cache_.loaded();
   // Alone without the state service: the workers are better off with whoever still has it.
-  if (p_.mesh.peer_has_state(settings_.lease_s / 4)) return false;
+  if (p_.mesh.peer_has_state(contact_s())) return false;
   // In a cut others may take cancellations that we don't hear of; in an outage nobody can.
-  if (p_.mesh.alone() || p_.mesh.lost_a_zone()) return contact_age < unheard_s();
-  return p_.mesh.peer_lacks_state(settings_.lease_s / 4);
+  if (p_.mesh.alone() || p_.mesh.lost_a_zone()) return contact_age() < unheard_s();
+  return p_.mesh.peer_lacks_state(contact_s());
 }
 
 // How long after the last contact with the state service machines may be answered in a cut: a task
@@ -53,8 +52,8 @@
 // Without state service and peers we may be the one that is cut off, with a new holder elsewhere:
 // then the machines are to find it. One that comes back has found nobody.
 bool Holder::send_away(const Report& r) {
+  if (!p_.mesh.alone() || in_contact()) return false;
   const double now = loop_.now();
-  if (!p_.mesh.alone() || now - p_.state.last_contact() < settings_.lease_s / 4) return false;
   auto [it, fresh] = strays_.try_emplace(r.machine, Stray{now, now, false});
   it->second.last = now;
   return fresh;
--- a/src/coordination/holder.hpp
+++ b/src/coordination/holder.hpp
@@ -85,6 +85,10 @@
   const Grant* own_grant() const;
   Task<bool> keep_grant(std::stop_token token);
   void took_over();
+  // Seconds since the state service was reached; it counts as reached for a quarter of a lease.
+  double contact_age() const { return loop_.now() - p_.state.last_contact(); }
+  double contact_s() const { return settings_.lease_s / 4; }
+  bool in_contact() const { return contact_age() < contact_s(); }
   bool may_answer() const;
   double unheard_s() const;
   bool send_away(const Report& r);
@@ -144,7 +148,6 @@
   void watch_stragglers();
   bool refused(const std::string& kind) const;
   const MachineType* coming_type(const std::string& id, const Booting& b) const;
-  bool renting(const std::string& kind) const;
   Task<void> return_machines(std::stop_token token);
   Task<bool> mark_leaving(std::vector<std::string> machines);
   Task<bool> ask_return(std::vector<std::string> ask);
--- a/src/coordination/holder_cloud.cpp
+++ b/src/coordination/holder_cloud.cpp
@@ -290,7 +290,7 @@
     for (auto& zone : t.zones)
       for (bool spot : {false, true}) {
         auto kind = kind_key(t.name, zone, spot);
-        in.offers.push_back({t.name, zone, spot, refused(kind) || renting(kind)});
+        in.offers.push_back({t.name, zone, spot, refused(kind) || renting_.contains(kind)});
       }
   for (auto& [id, m] : machines_) {
     if (cache_.leaving(id) || to_return_.contains(id) || m.type.empty()) continue;
@@ -334,18 +334,19 @@
   // rents nothing twice.
   std::vector<RentalRequest> left;
   for (auto& [id, rental] : cache_.rentals())
-    if (!renting(kind_key(rental.request.type, rental.request.zone, rental.request.spot)))
+    if (!renting_.contains(kind_key(rental.request.type, rental.request.zone, rental.request.spot)))
       left.push_back(rental.request);
   for (auto& request : left) start_rental(std::move(request), token);
   auto input = sizing_input();
   for (auto& [id, m] : machines_) {
     auto kind = kind_key(m.type, m.zone, m.spot);
-    if (m.replacing_since == 0 || m.draining || m.replacement_asked || renting(kind)) continue;
+    if (m.replacing_since == 0 || m.draining || m.replacement_asked || renting_.contains(kind))
+      continue;
     m.replacement_asked = true;
     input.replacements.push_back({m.type, m.zone, m.spot, false});
   }
   std::erase_if(lost_, [&](auto& kind) {
-    if (renting(kind_key(kind.type, kind.zone, kind.spot))) return false;
+    if (renting_.contains(kind_key(kind.type, kind.zone, kind.spot))) return false;
     input.replacements.push_back(kind);
     return true;
   });
@@ -353,7 +354,7 @@
   for (auto& id : plan.give_back) want_return(id, "idle");
   for (auto& r : plan.rent) {
     auto key = kind_key(r.type, r.zone, r.spot);
-    if (renting(key)) continue;
+    if (renting_.contains(key)) continue;
     int left_to_rent = r.count;
     for (int calls = 0; left_to_rent > 0 && calls < max_rentals_a_kind; ++calls) {
       const int count = std::min(left_to_rent, max_rented_at_once);
@@ -367,8 +368,6 @@
   co_return;
 }
 
-bool Holder::renting(const std::string& kind) const { return renting_.contains(kind); }
-
 void Holder::start_rental(RentalRequest request, std::stop_token token) {
   ++renting_[kind_key(request.type, request.zone, request.spot)];
   loop_.spawn("rental", rental(std::move(request), token));
--- a/src/coordination/holder_view.cpp
+++ b/src/coordination/holder_view.cpp
@@ -5,6 +5,20 @@
 
 namespace damsonport {
 
+namespace {
+// A place that became free, or a new one at the end.
+template <class T>
+size_t take_slot(std::vector<size_t>& free, std::vector<T>& places) {
+  if (free.empty()) {
+    places.emplace_back();
+    return places.size() - 1;
+  }
+  const size_t slot = free.back();
+  free.pop_back();
+  return slot;
+}
+}  // namespace
+
 void Holder::reset_view() {
   view_ = {};
   view_.guarantee_within_s = settings_.guarantee_within();
@@ -21,15 +35,10 @@
 }
 
 void Holder::refresh_job(Job& job) {
-  auto [it, fresh] = job_slots_.try_emplace(&job, view_.jobs.size());
+  auto [it, fresh] = job_slots_.try_emplace(&job);
   if (fresh) {
-    if (free_job_slots_.empty()) {
-      view_.jobs.emplace_back();
-      slot_jobs_.emplace_back();
-    } else {
-      it->second = free_job_slots_.back();
-      free_job_slots_.pop_back();
-    }
+    it->second = take_slot(free_job_slots_, view_.jobs);
+    slot_jobs_.resize(view_.jobs.size());
     slot_jobs_[it->second] = &job;
   }
   auto& s = job.spec;
@@ -68,13 +77,7 @@
 
 void Holder::refresh_machine(Machine& m) {
   if (!m.slot) {
-    if (free_machine_slots_.empty()) {
-      m.slot = view_.machines.size();
-      view_.machines.emplace_back();
-    } else {
-      m.slot = free_machine_slots_.back();
-      free_machine_slots_.pop_back();
-    }
+    m.slot = take_slot(free_machine_slots_, view_.machines);
     view_.machines[*m.slot].id = m.id;
   }
   auto& v = view_.machines[*m.slot];
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -194,12 +194,18 @@
     return !job.spread || count[zone] + unknown + 1 <= (job.tasks + 1) / 2;
   }
 
+  // Type, zone and kind of machine, as the job's rules have them.
+  bool suits(size_t j, NameId type, NameId zone, bool spot) const {
+    auto& job = in_.jobs[j];
+    return (!spot || job.spot) && (job.types.empty() || contains(job.types, type)) &&
+           zone_allows(j, zone);
+  }
+
   bool allowed(size_t j, size_t m) const {
     auto& job = in_.jobs[j];
     auto& machine = in_.machines[m];
-    return machine.open && (!machine.spot || job.spot) &&
-           (job.types.empty() || contains(job.types, machine.type)) &&
-           job.need.fits(machine.total) && zone_allows(j, machine.zone) &&
+    return machine.open && job.need.fits(machine.total) &&
+           suits(j, machine.type, machine.zone, machine.spot) &&
            (machine.bad_jobs.empty() || !contains(machine.bad_jobs, job.id));
   }
 
@@ -383,9 +389,7 @@
   bool claim_booting(size_t j) {
     auto& job = in_.jobs[j];
     for (auto& b : booting_) {
-      if (!job.need.fits(b.room) || (b.spot && !job.spot) ||
-          (!job.types.empty() && !contains(job.types, b.type)) || !zone_allows(j, b.zone))
-        continue;
+      if (!job.need.fits(b.room) || !suits(j, b.type, b.zone, b.spot)) continue;
       b.room -= job.need;
       used_[job.team] += job.need;  // it starts there in a moment
       return true;
--- a/src/coordination/stand_in.cpp
+++ b/src/coordination/stand_in.cpp
@@ -34,7 +34,7 @@
                      cache_.leader().node == held->node;
   // Where only the way between controllers is closed the machine must be sent back to its holder
   // each other time, or it would seem lost to it. In a cut there is nowhere to send it.
-  const bool cut_off = apart && now - p_.state.last_contact() >= settings_.lease_s / 4;
+  const bool cut_off = apart && !in_contact();
   const bool wanted = cut_off || ((apart || now - s.since >= patience) && !s.answered);
   const bool answer = cache_.loaded() && r.token <= held->term && wanted && may_stand_in(apart);
   if (!answer) {
@@ -58,9 +58,8 @@
 // In a cut that also takes the state service away cancellations are unknown here, so there is an
 // end to it. A node that lost the state service alone leaves the machines to those that have it.
 bool Holder::may_stand_in(bool apart) const {
-  const double age = loop_.now() - p_.state.last_contact();
-  if (age < settings_.lease_s / 4) return true;
-  return apart && !p_.mesh.peer_has_state(settings_.lease_s / 4) && age < unheard_s();
+  if (in_contact()) return true;
+  return apart && !p_.mesh.peer_has_state(contact_s()) && contact_age() < unheard_s();
 }
 
 uint64_t Holder::strays() const {
