--- a/src/coordination/mesh.cpp
+++ b/src/coordination/mesh.cpp
@@ -7,15 +7,15 @@
 
 namespace damsonport {
 
-Mesh::Mesh(Loop& loop, const Settings& settings) : loop_(loop), period_(settings.report_s / 3) {
+Mesh::Mesh(Loop& loop, Network& network, const Settings& settings)
+    : loop_(loop), period_(settings.report_s / 3) {
   for (auto& p : settings.peers) {
-    links_.push_back(std::make_unique<StreamLink>(loop, p.mesh));
+    links_.push_back(network.link(p.mesh));
     seen_[p.name];
     if (p.zone != settings.zone) other_zones_[p.zone].push_back(p.name);
   }
-  listener_ =
-      std::make_unique<StreamListener>(loop, settings.mesh_listen, 2 + 4 * settings.peers.size(),
-                                       [this](std::string_view b) { return take(b); });
+  listener_ = network.listener(settings.mesh_listen, 2 + 4 * settings.peers.size(),
+                               [this](std::string_view b) { return take(b); });
 }
 
 long Mesh::take(std::string_view bytes) {
--- a/src/coordination/mesh.hpp
+++ b/src/coordination/mesh.hpp
@@ -6,13 +6,13 @@
 
 #include "protocol/settings.hpp"
 #include "protocol/varint.hpp"
-#include "transport/stream.hpp"
+#include "transport/network.hpp"
 
 namespace damsonport {
 
 class Mesh {
  public:
-  Mesh(Loop& loop, const Settings& settings);
+  Mesh(Loop& loop, Network& network, const Settings& settings);
   bool listening() const { return listener_ && listener_->listening(); }
   // Sends beats until stopped; `fill` makes one.
   Task<void> beat(std::function<Beat()> fill, std::stop_token token);
--- a/src/coordination/node.cpp
+++ b/src/coordination/node.cpp
@@ -25,30 +25,31 @@
 }
 }  // namespace
 
-Node::Node(Loop& loop, const Settings& settings)
+Node::Node(Loop& loop, Network& network, const Settings& settings)
     : loop_(loop),
       settings_(settings),
       incarnation_(new_incarnation(loop)),
-      http_(loop),
-      state_(loop, http_, settings.state, settings.state_rps, settings.state_write_rps),
+      http_(network.client()),
+      state_(loop, *http_, settings.state, settings.state_rps, settings.state_write_rps),
       changed_(loop),
       // A tenth of the node's plain share of requests goes to watching.
       cache_(loop, state_, 1.0 / std::max(settings.state_rps / settings.nodes * 0.2, 2.0)),
-      catalog_(loop, http_, settings),
-      mesh_(loop, settings),
+      catalog_(loop, *http_, settings),
+      mesh_(loop, network, settings),
       election_(loop, settings, state_, cache_, incarnation_, changed_),
-      holder_({loop, settings, state_, cache_, http_, catalog_, mesh_, election_, changed_,
+      holder_({loop, settings, state_, cache_, *http_, catalog_, mesh_, election_, changed_,
                incarnation_}),
       api_(loop, settings, state_, cache_, catalog_),
-      server_(loop, max_body,
-              static_cast<size_t>(
-                  std::max(settings.max_sockets - kept_sockets - Holder::direct_sockets(settings),
-                           settings.max_sockets / 2)),
-              idle_connection_s, [this](HttpRequest r) { return route(std::move(r)); }) {
+      server_(network.server(max_body,
+                             static_cast<size_t>(std::max(settings.max_sockets - kept_sockets -
+                                                              Holder::direct_sockets(settings),
+                                                          settings.max_sockets / 2)),
+                             idle_connection_s,
+                             [this](HttpRequest r) { return route(std::move(r)); })) {
   // Idle connections to workers take what the workers, users and orders under way leave.
-  http_.bound_idle([this] {
+  http_->bound_idle([this] {
     const auto all = static_cast<size_t>(settings_.max_sockets);
-    const auto taken = server_.open() + http_.in_use() + kept_sockets;
+    const auto taken = server_->open() + http_->in_use() + kept_sockets;
     return std::max(all > taken ? all - taken : 0, static_cast<size_t>(kept_sockets) / 4);
   });
   cache_.on_change = [this](Job* job) { holder_.job_changed(job); };
@@ -59,7 +60,7 @@
 }
 
 bool Node::start() {
-  if (!server_.bind(settings_.listen)) {
+  if (!server_->bind(settings_.listen)) {
     spdlog::error("cannot listen on {}", settings_.listen.text());
     return false;
   }
@@ -115,10 +116,10 @@
   while (!token.stop_requested()) {
     share_limits();
     api_.forget_refused();
-    http_.trim(idle_connection_s);
-    server_.tidy();
-    spdlog::debug("connections: {} of users and workers, {} calls, {} idle", server_.open(),
-                  http_.in_use(), http_.idle());
+    http_->trim(idle_connection_s);
+    server_->tidy();
+    spdlog::debug("connections: {} of users and workers, {} calls, {} idle", server_->open(),
+                  http_->in_use(), http_->idle());
     if (!co_await Sleep(loop_, period, token)) co_return;
   }
 }
@@ -137,7 +138,7 @@
 Task<HttpResponse> Node::route(HttpRequest r) {
   const bool of_user = r.path.starts_with(jobs_path);
   auto response = co_await dispatch(std::move(r));
-  response.close = of_user && server_.crowded();
+  response.close = of_user && server_->crowded();
   co_return response;
 }
 
--- a/src/coordination/node.hpp
+++ b/src/coordination/node.hpp
@@ -7,10 +7,10 @@
 
 class Node {
  public:
-  Node(Loop& loop, const Settings& settings);
+  Node(Loop& loop, Network& network, const Settings& settings);
   // False when an address can't be had.
   bool start();
-  uint16_t port() const { return server_.port(); }
+  uint16_t port() const { return server_->port(); }
 
  private:
   Task<HttpResponse> route(HttpRequest request);
@@ -23,7 +23,7 @@
   Loop& loop_;
   const Settings& settings_;
   uint64_t incarnation_;
-  HttpClient http_;
+  std::unique_ptr<HttpClient> http_;
   StateClient state_;
   Signal changed_;
   Cache cache_;
@@ -32,7 +32,7 @@
   Election election_;
   Holder holder_;
   UserApi api_;
-  HttpServer server_;
+  std::unique_ptr<HttpServer> server_;
 };
 
 }  // namespace damsonport
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -8,6 +8,7 @@
 #include <iostream>
 
 #include "coordination/node.hpp"
+#include "transport/event_network.hpp"
 
 namespace {
 
@@ -34,7 +35,8 @@
 }  // namespace
 
 int main(int argc, char** argv) {
-  CLI::App app{"damsonport: schedules the replicas and batches of language models on rented fleets"};
+  CLI::App app{
+      "damsonport: schedules the replicas and batches of language models on rented fleets"};
   std::string config;
   bool check = false;
   app.add_option("--config", config, "settings file (TOML) of this controller")->required();
@@ -56,12 +58,13 @@
     std::cout << config << ": ok\n";
     return 0;
   }
-  damsonport::Loop loop;
-  damsonport::Node node(loop, *settings);
+  damsonport::EventLoop loop;
+  damsonport::EventNetwork network(loop);
+  damsonport::Node node(loop, network, *settings);
   if (!node.start()) return 1;
   auto on_signal = [](evutil_socket_t, short, void* l) {
     spdlog::info("told to end");
-    static_cast<damsonport::Loop*>(l)->stop();
+    static_cast<damsonport::EventLoop*>(l)->stop();
   };
   event* ends[] = {evsignal_new(loop.base(), SIGTERM, on_signal, &loop),
                    evsignal_new(loop.base(), SIGINT, on_signal, &loop)};
--- a/src/storage/rate_limit.cpp
+++ b/src/storage/rate_limit.cpp
@@ -1,7 +1,5 @@
 #include "storage/rate_limit.hpp"
 
-#include <event2/event.h>
-
 #include <algorithm>
 
 namespace damsonport {
@@ -21,13 +19,8 @@
       write_rate_(all_writes_),
       requests_(0),
       writes_(0),
-      last_(loop.now()) {
-  timer_ = evtimer_new(
-      loop.base(),
-      [](evutil_socket_t, short, void* self) { static_cast<RateLimit*>(self)->pump(); }, this);
-}
-
-RateLimit::~RateLimit() { event_free(timer_); }
+      last_(loop.now()),
+      timer_(loop.timer([](void* self) { static_cast<RateLimit*>(self)->pump(); }, this)) {}
 
 double write_share(int nodes, double wanted, double wanted_by_others) {
   const double least = in_any_case / std::max(nodes, 1);
@@ -78,10 +71,7 @@
     missing = std::max(missing, (need - writes_) / write_rate_);
     break;
   }
-  missing = std::clamp(missing, 0.002, 1.0);
-  timeval tv{static_cast<time_t>(missing),
-             static_cast<suseconds_t>((missing - static_cast<time_t>(missing)) * 1e6)};
-  event_add(timer_, &tv);
+  timer_->arm(std::clamp(missing, 0.002, 1.0));
 }
 
 bool RateLimit::Turn::await_ready() {
--- a/src/storage/rate_limit.hpp
+++ b/src/storage/rate_limit.hpp
@@ -6,8 +6,6 @@
 
 #include "transport/loop.hpp"
 
-struct event;
-
 namespace damsonport {
 
 // Lower is served first.
@@ -21,7 +19,6 @@
 class RateLimit {
  public:
   RateLimit(Loop& loop, double requests_per_s, double writes_per_s);
-  ~RateLimit();
   RateLimit(const RateLimit&) = delete;
   RateLimit& operator=(const RateLimit&) = delete;
   // The shares of the limits, 0 to 1.
@@ -55,7 +52,7 @@
   double requests_, writes_;
   double last_;
   std::array<std::deque<Waiter>, 5> queues_;
-  event* timer_;
+  std::unique_ptr<Timer> timer_;
 };
 
 }  // namespace damsonport
--- a/src/transport/http_client.cpp
+++ b/src/transport/event_http_client.cpp
@@ -3,12 +3,12 @@
 #include <event2/http.h>
 #include <event2/http_struct.h>
 
-#include "transport/http.hpp"
+#include "transport/event_http.hpp"
 
 namespace damsonport {
 
-struct HttpClient::Call {
-  HttpClient& client;
+struct EventHttpClient::Call {
+  EventHttpClient& client;
   Endpoint to;
   Method method;
   std::string target;
@@ -91,11 +91,11 @@
   }
 };
 
-HttpClient::~HttpClient() {
+EventHttpClient::~EventHttpClient() {
   for (auto& idle : by_age_) evhttp_connection_free(idle.connection);
 }
 
-evhttp_connection* HttpClient::take(const Endpoint& to) {
+evhttp_connection* EventHttpClient::take(const Endpoint& to) {
   ++in_use_;
   if (auto it = idle_.find(to.text()); it != idle_.end()) {
     auto newest = it->second.back();
@@ -110,7 +110,7 @@
   return connection;
 }
 
-void HttpClient::give_back(const std::string& to, evhttp_connection* connection) {
+void EventHttpClient::give_back(const std::string& to, evhttp_connection* connection) {
   --in_use_;
   by_age_.push_back({to, connection, loop_.now()});
   idle_[to].push_back(std::prev(by_age_.end()));
@@ -118,12 +118,12 @@
   for (size_t most = most_idle_(); by_age_.size() > most;) close_oldest();
 }
 
-void HttpClient::discard(evhttp_connection* connection) {
+void EventHttpClient::discard(evhttp_connection* connection) {
   --in_use_;
   evhttp_connection_free(connection);
 }
 
-void HttpClient::close_oldest() {
+void EventHttpClient::close_oldest() {
   auto& oldest = by_age_.front();
   auto it = idle_.find(oldest.to);
   it->second.pop_front();  // those of one endpoint are in the same order
@@ -132,13 +132,13 @@
   by_age_.pop_front();
 }
 
-void HttpClient::trim(double idle_s) {
+void EventHttpClient::trim(double idle_s) {
   const double before = loop_.now() - idle_s;
   while (!by_age_.empty() && by_age_.front().since < before) close_oldest();
 }
 
-Task<HttpReply> HttpClient::request(Endpoint to, Method method, std::string target,
-                                    std::string body, double timeout_s) {
+Task<HttpReply> EventHttpClient::request(Endpoint to, Method method, std::string target,
+                                         std::string body, double timeout_s) {
   Call call{*this, std::move(to), method, std::move(target), std::move(body), timeout_s, {}, {}};
   co_return co_await call;
 }
--- a/src/transport/http_server.cpp
+++ b/src/transport/event_http_server.cpp
@@ -12,7 +12,7 @@
 #include <cmath>
 #include <stdexcept>
 
-#include "transport/http.hpp"
+#include "transport/event_http.hpp"
 
 namespace damsonport {
 
@@ -31,12 +31,12 @@
 }
 
 // A request being answered; `request` is cleared when its connection goes away first.
-struct HttpServer::Exchange {
+struct EventHttpServer::Exchange {
   evhttp_request* request;
 };
 
-HttpServer::HttpServer(Loop& loop, size_t max_body, size_t max_connections, double idle_s,
-                       Handler handler)
+EventHttpServer::EventHttpServer(EventLoop& loop, size_t max_body, size_t max_connections,
+                                 double idle_s, Handler handler)
     : loop_(loop),
       max_connections_(max_connections),
       idle_s_(idle_s),
@@ -51,13 +51,14 @@
                                         EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE | EVHTTP_REQ_OPTIONS |
                                         EVHTTP_REQ_TRACE | EVHTTP_REQ_CONNECT | EVHTTP_REQ_PATCH);
   evhttp_set_gencb(
-      http_, [](evhttp_request* r, void* self) { static_cast<HttpServer*>(self)->on_request(r); },
+      http_,
+      [](evhttp_request* r, void* self) { static_cast<EventHttpServer*>(self)->on_request(r); },
       this);
   // Called for every accepted connection.
   evhttp_set_bevcb(
       http_,
       [](event_base* base, void* self) {
-        static_cast<HttpServer*>(self)->accepted();
+        static_cast<EventHttpServer*>(self)->accepted();
         return bufferevent_socket_new(base, -1, 0);
       },
       this);
@@ -66,12 +67,12 @@
 // The number of connections is bounded by not accepting: those beyond wait in the backlog. evhttp
 // tells of a connection only with its first request, so until then it counts as silent, and a
 // silent one is closed by evhttp after the idle time.
-void HttpServer::accepted() {
+void EventHttpServer::accepted() {
   silent_since_.push_back(loop_.now());
   bound_connections();
 }
 
-void HttpServer::bound_connections() {
+void EventHttpServer::bound_connections() {
   if (!socket_) return;
   const double now = loop_.now();
   std::erase_if(silent_since_, [&](double since) { return now - since > idle_s_ + 1; });
@@ -83,13 +84,13 @@
   }
 }
 
-void HttpServer::note_connection(evhttp_connection* connection) {
+void EventHttpServer::note_connection(evhttp_connection* connection) {
   if (!open_.emplace(connection, nullptr).second) return;
   if (!silent_since_.empty()) silent_since_.pop_front();
   evhttp_connection_set_closecb(
       connection,
       [](evhttp_connection* c, void* arg) {
-        auto* self = static_cast<HttpServer*>(arg);
+        auto* self = static_cast<EventHttpServer*>(arg);
         if (auto it = self->open_.find(c); it != self->open_.end()) {
           if (it->second) it->second->request = nullptr;
           self->open_.erase(it);
@@ -99,13 +100,13 @@
       this);
 }
 
-HttpServer::~HttpServer() {
+EventHttpServer::~EventHttpServer() {
   // Freed with the rest, and connections closing meanwhile must not touch it.
   socket_ = nullptr;
   evhttp_free(http_);
 }
 
-bool HttpServer::bind(const Endpoint& at) {
+bool EventHttpServer::bind(const Endpoint& at) {
   // Bound here and not by evhttp, which would look the address up.
   sockaddr_in a{};
   a.sin_family = AF_INET;
@@ -120,14 +121,14 @@
   return socket_ != nullptr;
 }
 
-uint16_t HttpServer::port() const {
+uint16_t EventHttpServer::port() const {
   sockaddr_in address{};
   socklen_t size = sizeof address;
   getsockname(evhttp_bound_socket_get_fd(socket_), reinterpret_cast<sockaddr*>(&address), &size);
   return ntohs(address.sin_port);
 }
 
-void HttpServer::on_request(evhttp_request* req) {
+void EventHttpServer::on_request(evhttp_request* req) {
   HttpRequest request;
   switch (evhttp_request_get_command(req)) {
     case EVHTTP_REQ_GET:
@@ -153,7 +154,7 @@
   loop_.spawn("request", answer(std::move(exchange), std::move(request)));
 }
 
-Task<void> HttpServer::answer(std::shared_ptr<Exchange> exchange, HttpRequest request) {
+Task<void> EventHttpServer::answer(std::shared_ptr<Exchange> exchange, HttpRequest request) {
   HttpResponse response;
   try {
     response = co_await handler_(std::move(request));
--- a/src/transport/stream.cpp
+++ b/src/transport/event_stream.cpp
@@ -1,4 +1,4 @@
-#include "transport/stream.hpp"
+#include "transport/event_stream.hpp"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -20,13 +20,13 @@
 }
 }  // namespace
 
-void StreamLink::close() {
+void EventStreamLink::close() {
   if (stream_) bufferevent_free(stream_);
   stream_ = nullptr;
   up_ = false;
 }
 
-void StreamLink::send(const std::string& bytes) {
+void EventStreamLink::send(const std::string& bytes) {
   if (!stream_) {
     stream_ =
         bufferevent_socket_new(loop_.base(), -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
@@ -34,7 +34,7 @@
     bufferevent_setcb(
         stream_, nullptr, nullptr,
         [](bufferevent*, short what, void* arg) {
-          auto* self = static_cast<StreamLink*>(arg);
+          auto* self = static_cast<EventStreamLink*>(arg);
           if (what & BEV_EVENT_CONNECTED) {
             self->up_ = true;
           } else {
@@ -57,8 +57,8 @@
   bufferevent_write(stream_, bytes.data(), bytes.size());
 }
 
-struct StreamListener::Incoming {
-  StreamListener* owner;
+struct EventStreamListener::Incoming {
+  EventStreamListener* owner;
   bufferevent* stream;
   ~Incoming() {
     --owner->open_;
@@ -77,13 +77,14 @@
   }
 };
 
-StreamListener::StreamListener(Loop& loop, const Endpoint& at, size_t max_streams, OnBytes on_bytes)
+EventStreamListener::EventStreamListener(EventLoop& loop, const Endpoint& at, size_t max_streams,
+                                         OnBytes on_bytes)
     : loop_(loop), max_streams_(max_streams), on_bytes_(std::move(on_bytes)) {
   auto a = address_of(at);
   listener_ = evconnlistener_new_bind(
       loop.base(),
       [](evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* arg) {
-        auto* self = static_cast<StreamListener*>(arg);
+        auto* self = static_cast<EventStreamListener*>(arg);
         if (self->open_ >= self->max_streams_) {
           evutil_closesocket(fd);
           return;
@@ -105,7 +106,7 @@
       sizeof a);
 }
 
-StreamListener::~StreamListener() {
+EventStreamListener::~EventStreamListener() {
   if (listener_) evconnlistener_free(listener_);
 }
 
--- a/src/transport/http.hpp
+++ b/src/transport/http.hpp
@@ -1,21 +1,12 @@
-// HTTP over evhttp: a server whose handlers are routines, and a pooled client.
+// HTTP as the layers above see it: a server whose handlers are routines, and a client. The
+// program's are evhttp's; tests bring their own.
 #pragma once
-#include <deque>
 #include <functional>
-#include <list>
-#include <memory>
 #include <string>
 #include <string_view>
-#include <unordered_map>
-#include <vector>
 
 #include "transport/loop.hpp"
 
-struct evhttp;
-struct evhttp_request;
-struct evhttp_connection;
-struct evhttp_bound_socket;
-
 namespace damsonport {
 
 struct Endpoint {
@@ -44,37 +35,14 @@
 class HttpServer {
  public:
   using Handler = std::function<Task<HttpResponse>(HttpRequest)>;
-  HttpServer(Loop& loop, size_t max_body, size_t max_connections, double idle_s, Handler handler);
-  ~HttpServer();
-  HttpServer(const HttpServer&) = delete;
-  HttpServer& operator=(const HttpServer&) = delete;
-  bool bind(const Endpoint& at);
-  uint16_t port() const;
+  virtual ~HttpServer() = default;
+  virtual bool bind(const Endpoint& at) = 0;
+  virtual uint16_t port() const = 0;
   // Takes connections again when enough have gone; to be called now and then.
-  void tidy() { bound_connections(); }
-  size_t open() const { return open_.size() + silent_since_.size(); }
+  virtual void tidy() = 0;
+  virtual size_t open() const = 0;
   // So many are open that those of less use should not stay.
-  bool crowded() const {
-    return static_cast<double>(open()) > crowded_share * static_cast<double>(max_connections_);
-  }
-
- private:
-  struct Exchange;
-  static constexpr double crowded_share = 0.75;
-  void on_request(evhttp_request* req);
-  void accepted();
-  void note_connection(evhttp_connection* connection);
-  void bound_connections();
-  Task<void> answer(std::shared_ptr<Exchange> exchange, HttpRequest request);
-  Loop& loop_;
-  size_t max_connections_;
-  double idle_s_;
-  std::deque<double> silent_since_;  // accepted, no request yet
-  Handler handler_;
-  evhttp* http_;
-  evhttp_bound_socket* socket_ = nullptr;
-  // What each open connection is being answered, null between requests.
-  std::unordered_map<evhttp_connection*, std::shared_ptr<Exchange>> open_;
+  virtual bool crowded() const = 0;
 };
 
 // status 0: no answer came; whether the request was carried out is unknown.
@@ -86,35 +54,15 @@
 
 class HttpClient {
  public:
-  explicit HttpClient(Loop& loop) : loop_(loop) {}
-  ~HttpClient();
-  HttpClient(const HttpClient&) = delete;
-  HttpClient& operator=(const HttpClient&) = delete;
-  Task<HttpReply> request(Endpoint to, Method method, std::string target, std::string body,
-                          double timeout_s);
+  virtual ~HttpClient() = default;
+  virtual Task<HttpReply> request(Endpoint to, Method method, std::string target, std::string body,
+                                  double timeout_s) = 0;
   // Closes idle connections that were not used for `idle_s`.
-  void trim(double idle_s);
+  virtual void trim(double idle_s) = 0;
   // How many idle ones may stay open just now; beyond that the least recently used go.
-  void bound_idle(std::function<size_t()> most) { most_idle_ = std::move(most); }
-  size_t in_use() const { return in_use_; }
-  size_t idle() const { return by_age_.size(); }
-
- private:
-  struct Call;
-  struct Idle {
-    std::string to;
-    evhttp_connection* connection;
-    double since;
-  };
-  evhttp_connection* take(const Endpoint& to);
-  void give_back(const std::string& to, evhttp_connection* connection);
-  void discard(evhttp_connection* connection);
-  void close_oldest();
-  Loop& loop_;
-  std::function<size_t()> most_idle_;
-  size_t in_use_ = 0;
-  std::list<Idle> by_age_;                                                       // the oldest first
-  std::unordered_map<std::string, std::deque<std::list<Idle>::iterator>> idle_;  // by endpoint
+  virtual void bound_idle(std::function<size_t()> most) = 0;
+  virtual size_t in_use() const = 0;
+  virtual size_t idle() const = 0;
 };
 
 }  // namespace damsonport
--- a/src/transport/loop.hpp
+++ b/src/transport/loop.hpp
@@ -1,9 +1,9 @@
-// The event loop: time, sleeping, wake-ups and the set of running routines.
+// Time, sleeping, wake-ups and the set of running routines. What drives them is behind an
+// interface: the program's is an event loop, and tests bring a clock of their own.
 #pragma once
 #include <coroutine>
 #include <cstdint>
 #include <functional>
-#include <list>
 #include <memory>
 #include <random>
 #include <stop_token>
@@ -11,37 +11,47 @@
 
 #include "transport/task.hpp"
 
-struct event_base;
-struct event;
-
 namespace damsonport {
 
+// Fires once, some time after it was armed; arming it anew forgets the earlier time.
+class Timer {
+ public:
+  using Fire = void (*)(void*);
+  virtual ~Timer() = default;
+  // 0: on the loop's next turn, never from inside this call.
+  virtual void arm(double seconds) = 0;
+  virtual void disarm() = 0;
+};
+
 class Loop {
  public:
-  Loop();
-  ~Loop();
+  explicit Loop(std::seed_seq& seed) : random_(seed) {}
+  virtual ~Loop() = default;
   Loop(const Loop&) = delete;
   Loop& operator=(const Loop&) = delete;
 
-  event_base* base() const { return base_; }
   // Seconds of the steady clock.
-  double now() const;
+  virtual double now() const = 0;
   // Seconds since the epoch, only for what users see as times of day.
-  double wall() const;
+  virtual double wall() const = 0;
+  virtual std::unique_ptr<Timer> timer(Timer::Fire fire, void* argument) = 0;
   double uniform(double lo, double hi);
   uint64_t random64() { return random_(); }
 
-  void run();
-  // Asks every routine to end and leaves run() when they have.
+  // Asks every routine to end.
   void stop();
   std::stop_token stop_token() const { return stop_.get_token(); }
   // Starts a routine that nobody waits for; an exception in it is logged under `name`.
   void spawn(std::string name, Task<void> task);
 
+ protected:
+  int running() const { return running_; }
+  // Told to stop, and the last routine has ended.
+  virtual void ended() = 0;
+
  private:
   struct Detached;
   static Detached drive(Loop* loop, std::string name, Task<void> task);
-  event_base* base_;
   std::mt19937_64 random_;
   std::stop_source stop_;
   int running_ = 0;
@@ -52,7 +62,6 @@
  public:
   Sleep(Loop& loop, double seconds, std::stop_token token)
       : loop_(loop), seconds_(seconds), token_(std::move(token)) {}
-  ~Sleep();
   bool await_ready() const { return token_.stop_requested(); }
   void await_suspend(std::coroutine_handle<> h);
   bool await_resume() const { return !token_.stop_requested(); }
@@ -62,7 +71,7 @@
   double seconds_;
   std::stop_token token_;
   std::coroutine_handle<> handle_;
-  event* timer_ = nullptr;
+  std::unique_ptr<Timer> timer_;
   std::unique_ptr<std::stop_callback<std::function<void()>>> on_stop_;
 };
 
@@ -70,7 +79,6 @@
 class Signal {
  public:
   explicit Signal(Loop& loop) : loop_(loop) {}
-  ~Signal();
   void notify();
   // Waits for notify(), for `seconds`, or for the token.
   struct Waiter {
@@ -88,7 +96,7 @@
   Loop& loop_;
   bool set_ = false;
   std::coroutine_handle<> waiter_;
-  event* timer_ = nullptr;
+  std::unique_ptr<Timer> timer_;
   std::unique_ptr<std::stop_callback<std::function<void()>>> on_stop_;
 };
 
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -1,5 +1,5 @@
 // The server and the client over real loopback sockets on a free port.
-#include "transport/http.hpp"
+#include "transport/event_http.hpp"
 
 #include <gtest/gtest.h>
 
@@ -7,9 +7,9 @@
 namespace {
 
 struct Fixture {
-  Loop loop;
-  HttpClient client{loop};
-  HttpServer server;
+  EventLoop loop;
+  EventHttpClient client{loop};
+  EventHttpServer server;
   Endpoint at;
   Fixture()
       : server(loop, 1000, 16, 10, [](HttpRequest r) -> Task<HttpResponse> {
@@ -53,7 +53,7 @@
 // What is kept open is bounded by what others leave, and the least used goes first.
 TEST(Http, IdleConnectionsStayWithinTheirBound) {
   Fixture f;
-  HttpServer other(f.loop, 1000, 16, 10,
+  EventHttpServer other(f.loop, 1000, 16, 10,
                    [](HttpRequest) -> Task<HttpResponse> { co_return HttpResponse{}; });
   ASSERT_TRUE(other.bind({"127.0.0.1", 0}));
   size_t most = 2;
--- a/tests/records_test.cpp
+++ b/tests/records_test.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include "storage/cache.hpp"
+#include "transport/event_http.hpp"
 
 namespace damsonport {
 namespace {
@@ -67,8 +68,8 @@
 
 // A batch of marks is one record, and each of its machines is marked for good.
 TEST(Marks, OneRecordMarksManyMachines) {
-  Loop loop;
-  HttpClient http(loop);
+  EventLoop loop;
+  EventHttpClient http(loop);
   StateClient state(loop, http, {"127.0.0.1", 1}, 100, 100);
   Cache cache(loop, state, 1);
   cache.apply({keys::leaving("a"), {{"machines", {"i-1", "i-2"}}}, 5, 0});
@@ -85,8 +86,8 @@
 
 // However many keys are removed after it, a late copy of a read does not bring a job back.
 TEST(Removals, ALateCopyDoesNotBringBackWhatWasJustRemoved) {
-  Loop loop;
-  HttpClient http(loop);
+  EventLoop loop;
+  EventHttpClient http(loop);
   StateClient state(loop, http, {"127.0.0.1", 1}, 100, 100);
   Cache cache(loop, state, 1);
   const Item copy{keys::job("run-1"), encode_job(two_tasks()), 1, 0};
@@ -102,8 +103,8 @@
 
 // Only the tasks that a change moves are told of, not the whole chunk.
 TEST(Assignments, AChangeTouchesOnlyWhatDiffers) {
-  Loop loop;
-  HttpClient http(loop);
+  EventLoop loop;
+  EventHttpClient http(loop);
   StateClient state(loop, http, {"127.0.0.1", 1}, 100, 100);
   Cache cache(loop, state, 1);
   std::string told;
