--- /dev/null
+++ b/tests/world/fleet.hpp
@@ -0,0 +1,144 @@
+// Stand-ins for workers and cloud, and the judge of the protocol's rules. Written from the
+// protocol.
+#pragma once
+#include "protocol/messages.hpp"
+#include "protocol/settings.hpp"
+#include "world/world.hpp"
+
+namespace damsonport::world {
+
+class Fleet;
+
+// What users were told, and which rules are broken.
+class Judge {
+ public:
+  Judge(World& world, const Settings& settings, const Fleet& fleet)
+      : world_(world), settings_(settings), fleet_(fleet) {}
+  void submitted(const JobSpec& spec) { specs_.emplace(spec.id, spec); }
+  const JobSpec* spec(const std::string& job) const;
+  // A user got this answer to a question asked at `asked`.
+  void told(const std::string& job, int status, const std::string& state, double asked);
+  void asked_to_cancel(const std::string& job) { asked_to_cancel_.insert(job); }
+  void starts(const std::string& machine, const TaskName& task);
+  void done(const TaskName& task) { done_.insert(task); }
+  bool is_done(const TaskName& task) const { return done_.contains(task); }
+  void broke(const std::string& rule, const std::string& what);
+  const std::vector<std::string>& broken() const { return broken_; }
+  int starts_after_cancellation() const { return starts_after_cancellation_; }
+  bool was_told(const std::string& job, const std::string& state) const;
+  bool accepted(const std::string& job) const { return known_.contains(job); }
+
+ private:
+  void check_cancelled(const std::string& job);
+  World& world_;
+  const Settings& settings_;
+  const Fleet& fleet_;
+  std::map<std::string, JobSpec> specs_;
+  std::map<std::string, double> known_;                         // when it was told first
+  std::map<std::string, std::pair<double, std::string>> over_;  // done or aborted, as told first
+  std::set<std::string> asked_to_cancel_;
+  std::set<TaskName> done_;
+  std::vector<std::string> broken_;
+  int starts_after_cancellation_ = 0;
+};
+
+class Worker {
+ public:
+  Worker(World& world, Fleet& fleet, std::string id, std::string address, std::string type,
+         std::string zone, bool spot);
+  void begin();
+  void hang(double seconds);
+  void vanish();  // its machine is gone
+
+  struct Running {
+    TaskReport report;
+    double progress = 0, since = 0;
+    World::Key next{};
+    bool timed = false;
+  };
+  using Attempt = std::pair<TaskName, uint64_t>;
+  const std::map<Attempt, Running>& tasks() const { return tasks_; }
+  uint64_t session() const { return session_; }
+
+  std::string id, address, host, type, zone;
+  bool spot;
+  bool deaf = false, mute = false, gone = false;
+  // Keeps a copy of the newest report, to arrive once more at any time.
+  void keep_report() { kept_report_ = encode(report()); }
+  void repeat_kept_report(const std::string& node_host);
+
+ private:
+  Json report();
+  void send_report();
+  void schedule(double seconds);
+  void changed();
+  void answered(int status, const Json& body, uint64_t session, double sent);
+  void execute(const Json& orders);
+  void learn(uint64_t token);
+  void serve(Method method, const std::string& target, const std::string& body,
+             const World::Answer& answer);
+  void watch_lease();
+  void end_session();
+  void start(const Attempt& attempt);
+  void fetched(const Attempt& attempt);
+  void stop(Running& task, double grace);
+  void exit(Running& task, ExitCause cause, bool saved = false);
+  void time(Running& task, double seconds, std::function<void(Running&)> then);
+  bool hung() const { return world_.now() < hung_until_; }
+
+  World& world_;
+  Fleet& fleet_;
+  uint64_t session_ = 1, seq_ = 0, token_ = 0;
+  double acknowledged_ = 0, last_report_ = -1e9, hung_until_ = -1;
+  size_t node_ = 0;
+  bool in_flight_ = false;
+  uint64_t flight_ = 0;
+  World::Key next_report_{}, lease_{};
+  std::map<Attempt, Running> tasks_;
+  std::set<std::string> images_;
+  std::string kept_report_;
+};
+
+class Fleet {
+ public:
+  Fleet(World& world, const Settings& settings, std::vector<MachineType> types,
+        std::vector<std::pair<std::string, std::string>> nodes);
+  Judge& judge() { return judge_; }
+  // Up and reporting from now on.
+  Worker& add_up(const std::string& type, const std::string& zone, bool spot);
+  Worker* find(const std::string& id);
+  const std::map<std::string, std::unique_ptr<Worker>>& workers() const { return workers_; }
+  void set_run_time(const std::string& job, double seconds) { run_s_[job] = seconds; }
+  void set_capacity(int machines) { capacity_ = machines; }
+  void set_boot(double seconds) { boot_s_ = seconds; }
+
+  const Settings& settings;
+  const std::vector<MachineType> types;
+  const std::vector<std::pair<std::string, std::string>> nodes;  // name, host
+  int returned = 0, rented = 0;
+
+ private:
+  friend class Worker;
+  Worker& add(const std::string& type, const std::string& zone, bool spot);
+  void serve_cloud(Method method, const std::string& target, const std::string& body,
+                   const World::Answer& answer);
+  Json list() const;
+  World& world_;
+  Judge judge_;
+  std::map<std::string, std::unique_ptr<Worker>> workers_;
+  std::map<std::string, double> run_s_;
+  std::map<TaskName, double> saved_;  // progress kept outside the machines
+  struct Rented {
+    std::string type, zone;
+    bool spot;
+    double at;
+    bool up = false;
+  };
+  std::map<std::string, Rented> machines_;
+  std::map<std::string, Json> charters_;
+  std::vector<std::pair<double, Json>> lists_;
+  int next_id_ = 1, capacity_ = 0;
+  double boot_s_ = 0;  // 0: as the catalogue says
+};
+
+}  // namespace damsonport::world
--- /dev/null
+++ b/tests/world/meeting.cpp
@@ -0,0 +1,488 @@
+#include "world/meeting.hpp"
+
+#include <algorithm>
+#include <sstream>
+
+namespace damsonport::world {
+
+namespace {
+constexpr double user_patience_s = 5, poll_patience_s = 2, poll_every_s = 5, user_retry_s = 1,
+                 users_try_s = 60;
+const std::string state_host = "10.2.0.1", cloud_host = "10.2.0.2", user_host = "10.9.0.1";
+
+double num(const Words& w, const char* key, double otherwise = 0) {
+  auto it = w.find(key);
+  return it == w.end() ? otherwise : std::stod(it->second);
+}
+std::string str(const Words& w, const char* key, const std::string& otherwise = "") {
+  auto it = w.find(key);
+  return it == w.end() ? otherwise : it->second;
+}
+Words words(std::istringstream& in) {
+  Words out;
+  for (std::string word; in >> word;) {
+    auto eq = word.find('=');
+    out[word.substr(0, eq)] = eq == std::string::npos ? "yes" : word.substr(eq + 1);
+  }
+  return out;
+}
+std::vector<std::string> split(const std::string& text) {
+  std::vector<std::string> out;
+  std::istringstream in(text);
+  for (std::string item; std::getline(in, item, ',');) out.push_back(item);
+  return out;
+}
+}  // namespace
+
+std::vector<std::string> spell_out(const std::string& word) {
+  std::vector<std::string> out;
+  for (auto& part : split(word)) {
+    auto dots = part.find("..");
+    if (dots == std::string::npos) {
+      out.push_back(part);
+      continue;
+    }
+    const auto from = part.substr(0, dots), to = part.substr(dots + 2);
+    const auto digits = from.find_last_not_of("0123456789") + 1;
+    for (int n = std::stoi(from.substr(digits)); n <= std::stoi(to.substr(digits)); ++n)
+      out.push_back(from.substr(0, digits) + std::to_string(n));
+  }
+  return out;
+}
+
+Meeting::~Meeting() {
+  for (auto& c : controllers_)
+    if (c->network) c->network->end();
+}
+
+std::string Meeting::line(const std::string& text) {
+  std::istringstream in(text.substr(0, text.find('#')));
+  std::string verb, name;
+  in >> verb;
+  if (verb.empty()) return {};
+  if (verb == "controllers") {  // controllers N zones=a,b [drift=0.0005]
+    in >> node_count_;
+    auto w = words(in);
+    settings_.zones = split(str(w, "zones", "a"));
+    drift_ = num(w, "drift", drift_);
+  } else if (verb == "workers") {
+    auto w = words(in);
+    settings_.report_s = num(w, "report", 1.5);
+    settings_.lease_s = num(w, "lease", 12);
+    settings_.cancel_s = num(w, "cancel", 42);
+  } else if (verb == "state") {
+    auto w = words(in);
+    settings_.state_rps = num(w, "rps", 150);
+    settings_.state_write_rps = num(w, "writes", 50);
+    settings_.txn_ops = static_cast<int>(num(w, "ops", 12));
+  } else if (verb == "team") {
+    in >> name;
+    auto w = words(in);
+    settings_.teams.push_back(
+        {name, num(w, "cpus"), num(w, "cpus_max"), num(w, "gpus"), num(w, "gpus_max")});
+  } else if (verb == "type") {
+    MachineType t;
+    in >> t.name;
+    auto w = words(in);
+    t.cpus = num(w, "cpus"), t.gpus = num(w, "gpus"), t.memory_gb = num(w, "memory", 1000);
+    t.cache_gb = num(w, "cache", 500), t.fetch_gb_per_s = num(w, "fetch", 10);
+    t.price = num(w, "price", 10), t.spot_price = t.price / 4, t.boot_s = num(w, "boot", 30);
+    t.zones = split(str(w, "zones", "a"));
+    types_.push_back(t);
+  } else if (verb == "machines") {  // machines N type=T zone=Z [spot]: up from the start
+    int n = 0;
+    in >> n;
+    auto w = words(in);
+    for (int i = 0; i < n; ++i)
+      at_start_.push_back({str(w, "type"), str(w, "zone", "a"), w.contains("spot")});
+  } else if (verb == "cloud") {  // cloud capacity=N [boot=S]
+    auto w = words(in);
+    capacity_ = static_cast<int>(num(w, "capacity"));
+    boot_s_ = num(w, "boot");
+  } else if (verb == "jobs") {  // jobs NAMES tasks=N cpus=N run=S ...
+    in >> name;
+    auto w = words(in);
+    for (auto& id : spell_out(name)) {
+      JobSpec s;
+      s.id = id, s.cls = str(w, "class", "c"), s.team = str(w, "team", "t");
+      s.kind = w.contains("service") ? Kind::service : Kind::batch;
+      for (auto [word, p] : {std::pair{"idle", Priority::idle},
+                             {"normal", Priority::normal},
+                             {"high", Priority::high},
+                             {"production", Priority::production}})
+        if (w.contains(word)) s.priority = p;
+      s.tasks = static_cast<uint32_t>(num(w, "tasks", 1));
+      s.cpus = num(w, "cpus", 1), s.gpus = num(w, "gpus"), s.memory_gb = num(w, "memory", 1);
+      s.types = split(str(w, "types"));
+      s.zone = str(w, "zone");
+      s.one_zone = w.contains("one_zone"), s.spread = w.contains("spread");
+      s.spot = w.contains("spot");
+      s.image = str(w, "image", "img"), s.image_gb = num(w, "gb", 1);
+      s.checkpoint_s = num(w, "checkpoint"), s.save_s = num(w, "save");
+      run_s_[id] = num(w, "run", 60);
+      s.estimate_s = s.kind == Kind::service ? 0 : run_s_[id];
+      jobs_[id] = s;
+    }
+  } else if (verb == "quiet") {  // users don't poll by themselves
+    quiet_users_ = true;
+  } else if (verb == "until") {
+    in >> until_;
+  } else if (verb == "at" || verb == "expect") {
+    Happening h;
+    h.at = until_;
+    if (verb == "at") {
+      in >> h.at >> h.verb;
+      h.at += shift_s;
+    } else {
+      h.verb = "expect";
+    }
+    if (h.verb == "expect") {
+      std::string what;
+      in >> what;
+      h.verb = "expect " + what;
+    }
+    if (h.verb != "outage" && h.verb != "slow") in >> h.name;
+    h.words = words(in);
+    happenings_.push_back(std::move(h));
+  } else {
+    return "unknown line: " + text;
+  }
+  return {};
+}
+
+void Meeting::set_up() {
+  if (settings_.report_s == 0)
+    settings_.report_s = 1.5, settings_.lease_s = 12, settings_.cancel_s = 42;
+  if (settings_.state_rps == 0)
+    settings_.state_rps = 150, settings_.state_write_rps = 50, settings_.txn_ops = 12;
+  settings_.value_kb = 16;
+  settings_.cloud_rps = 5, settings_.list_lag_s = 4, settings_.max_sockets = 600;
+  if (settings_.zones.empty()) settings_.zones = {"a"};
+  settings_.nodes = node_count_;
+  settings_.state = {state_host, 2379};
+  settings_.cloud = {cloud_host, 8443};
+  if (settings_.teams.empty()) settings_.teams.push_back({"t", 0, 0, 0, 0});
+  std::vector<std::pair<std::string, std::string>> nodes;
+  for (int i = 0; i < node_count_; ++i)
+    nodes.emplace_back("n" + std::to_string(i), "10.0.0." + std::to_string(i + 1));
+  state_ = std::make_unique<StateService>(world_, state_host, settings_.state_rps,
+                                          settings_.state_write_rps, settings_.txn_ops,
+                                          settings_.value_kb);
+  fleet_ = std::make_unique<Fleet>(world_, settings_, types_, nodes);
+  fleet_->set_capacity(capacity_);
+  fleet_->set_boot(boot_s_);
+  for (auto& [job, seconds] : run_s_) fleet_->set_run_time(job, seconds);
+  for (auto& s : at_start_) {
+    auto& w = fleet_->add_up(s.type, s.zone, s.spot);
+    machine_order_.push_back(w.id);
+  }
+  for (int i = 0; i < node_count_; ++i) {
+    auto c = std::make_unique<Controller>();
+    c->name = nodes[static_cast<size_t>(i)].first, c->host = nodes[static_cast<size_t>(i)].second;
+    c->zone = settings_.zones[static_cast<size_t>(i) % settings_.zones.size()];
+    c->settings = settings_;
+    c->settings.node_name = c->name, c->settings.zone = c->zone;
+    c->settings.listen = {c->host, 8080}, c->settings.mesh_listen = {c->host, 8081};
+    for (int j = 0; j < node_count_; ++j)
+      if (j != i)
+        c->settings.peers.push_back(
+            {nodes[static_cast<size_t>(j)].first,
+             settings_.zones[static_cast<size_t>(j) % settings_.zones.size()],
+             {nodes[static_cast<size_t>(j)].second, 8081}});
+    c->rate = 1 + (i % 2 ? drift_ : 0);
+    controllers_.push_back(std::move(c));
+    start(*controllers_.back());
+  }
+}
+
+void Meeting::start(Controller& c) {
+  c.loop = std::make_unique<VirtualLoop>(world_, c.name,
+                                         std::seed_seq{static_cast<unsigned>(world_.random64()),
+                                                       static_cast<unsigned>(world_.random64())},
+                                         c.rate, world_.uniform(-0.02, 0.02));
+  c.network = std::make_unique<VirtualNetwork>(*c.loop, c.host, streams_);
+  c.node = std::make_unique<Node>(*c.loop, *c.network, c.settings);
+  c.node->start();
+}
+
+// The process ends at once: nothing more of it reaches the world. Its routines are told to stop,
+// and what is left of them is kept aside.
+void Meeting::crash(Controller& c, double for_s) {
+  if (!c.node) return;
+  c.network->end();
+  c.loop->stop();
+  auto old = std::make_unique<Controller>();
+  old->settings = c.settings;
+  std::swap(old->loop, c.loop);
+  std::swap(old->network, c.network);
+  std::swap(old->node, c.node);
+  ended_.push_back(std::move(old));
+  world_.in(for_s, [this, &c] { start(c); });
+}
+
+std::string Meeting::leader() const {
+  auto* value = state_->value("d/l");
+  return value ? value->value("node", std::string()) : std::string();
+}
+
+std::vector<Meeting::Controller*> Meeting::controllers(const std::string& word) {
+  std::vector<Controller*> out;
+  for (auto& part : split(word))
+    for (auto& c : controllers_) {
+      const bool leads = c->name == leader();
+      if (part == c->name || part == "nodes" || part == "all" || (part == "leader" && leads) ||
+          (part == "others" && !leads) || part == "zone:" + c->zone)
+        out.push_back(c.get());
+    }
+  return out;
+}
+
+std::vector<Worker*> Meeting::machines(const std::string& word) const {
+  std::vector<Worker*> out;
+  for (auto& part : split(word)) {
+    for (auto& [id, w] : fleet_->workers()) {
+      if (w->gone) continue;
+      auto place = std::find(machine_order_.begin(), machine_order_.end(), id);
+      const auto name = "m" + std::to_string(place - machine_order_.begin() + 1);
+      bool takes = part == "machines" || part == name || part == "zone:" + w->zone;
+      if (part.starts_with("with:"))
+        for (auto& [a, t] : w->tasks())
+          takes = takes || (a.first.job == part.substr(5) && t.report.state != TaskState::exited);
+      if (takes) out.push_back(w.get());
+    }
+  }
+  return out;
+}
+
+std::vector<std::string> Meeting::hosts(const std::string& word) const {
+  std::vector<std::string> out;
+  auto* self = const_cast<Meeting*>(this);
+  for (auto& part : split(word)) {
+    if (part == "state") out.push_back(state_host);
+    if (part == "cloud") out.push_back(cloud_host);
+    for (auto* c : self->controllers(part)) out.push_back(c->host);
+    for (auto* w : machines(part)) out.push_back(w->host);
+  }
+  return out;
+}
+
+void Meeting::cut(const std::string& a, const std::string& b, const Words& w) {
+  const auto how = str(w, "how", "hold") == "hold" ? World::Cut::hold : World::Cut::drop;
+  std::vector<std::pair<std::string, std::string>> ways;
+  for (auto& from : hosts(a))
+    for (auto& to : hosts(b)) {
+      if (from == to) continue;
+      ways.emplace_back(from, to);
+      if (!w.contains("one_way")) ways.emplace_back(to, from);
+    }
+  for (auto& [from, to] : ways) world_.cut(from, to, how);
+  world_.in(num(w, "for", 1e6), [this, ways] {
+    for (auto& [from, to] : ways) world_.heal(from, to);
+  });
+}
+
+std::vector<std::string> Meeting::jobs(const std::string& word) const { return spell_out(word); }
+
+void Meeting::happen(const Happening& h) {
+  auto& w = h.words;
+  const double for_s = num(w, "for", 1e6);
+  if (h.verb.starts_with("expect")) {
+    if (auto text = unmet(h); !text.empty())
+      unmet_.push_back("at " + std::to_string(world_.now()) + " " + text);
+  } else if (h.verb == "submit") {
+    double later = 0;
+    for (auto& id : jobs(h.name)) {
+      fleet_->judge().submitted(jobs_.at(id));
+      const auto via = str(w, "via");
+      world_.in(later, [this, id, via] { submit(id, pick(via), world_.now(), true); });
+      later += num(w, "every");
+    }
+  } else if (h.verb == "repeat") {  // the submission again, whatever became of it
+    for (auto& id : jobs(h.name))
+      for (auto* c : controllers(str(w, "via", "all")))
+        submit(id, static_cast<size_t>(c->name[1] - '0'), world_.now(), false);
+  } else if (h.verb == "cancel") {
+    double later = 0;
+    for (auto& id : jobs(h.name)) {
+      const auto via = str(w, "via");
+      world_.in(later, [this, id, via] {
+        fleet_->judge().asked_to_cancel(id);
+        cancel(id, pick(via), world_.now());
+      });
+      later += num(w, "every");
+    }
+  } else if (h.verb == "ask") {
+    for (double later = 0; later <= num(w, "for", 0); later += num(w, "every", 1))
+      for (auto& id : jobs(h.name)) {
+        const auto via = str(w, "via", "all");
+        world_.in(later, [this, id, via] {
+          for (auto* c : controllers(via)) poll(id, static_cast<size_t>(c->name[1] - '0'));
+        });
+      }
+  } else if (h.verb == "refuse") {
+    for (auto* c : controllers(h.name)) {
+      state_->refuse(c->host, true);
+      world_.in(for_s, [this, host = c->host] { state_->refuse(host, false); });
+    }
+  } else if (h.verb == "outage") {
+    state_->set_down(true);
+    world_.in(for_s, [this] { state_->set_down(false); });
+  } else if (h.verb == "fate") {  // fate late|lost [of=NODE] for=S
+    auto of = controllers(str(w, "of"));
+    state_->set_fate(
+        h.name == "late" ? StateService::Fate::applied_late : StateService::Fate::answer_lost,
+        of.empty() ? std::string() : of.front()->host);
+    world_.in(for_s, [this] { state_->set_fate(StateService::Fate::normal, {}); });
+  } else if (h.verb == "slow") {
+    state_->set_delay(num(w, "by"));
+    world_.in(for_s, [this] { state_->set_delay(0.004); });
+  } else if (h.verb == "crash") {
+    for (auto* c : controllers(h.name)) crash(*c, num(w, "for", 6));
+  } else if (h.verb == "cut") {
+    cut(h.name, str(w, "from"), w);
+  } else if (h.verb == "hang") {
+    for (auto* m : machines(h.name)) m->hang(for_s);
+  } else if (h.verb == "deaf" || h.verb == "mute") {
+    for (auto* m : machines(h.name)) {
+      (h.verb == "deaf" ? m->deaf : m->mute) = true;
+      world_.in(for_s, [this, id = m->id, deaf = h.verb == "deaf"] {
+        if (auto* again = fleet_->find(id)) (deaf ? again->deaf : again->mute) = false;
+      });
+    }
+  } else if (h.verb == "die") {
+    for (auto* m : machines(h.name)) m->vanish();
+  } else if (h.verb == "keep") {
+    for (auto* m : machines(h.name)) m->keep_report();
+  } else if (h.verb == "late_report") {
+    for (auto* m : machines(h.name))
+      for (auto& host : hosts(str(w, "to", "leader"))) m->repeat_kept_report(host);
+  } else {
+    unmet_.push_back("unknown verb " + h.verb);
+  }
+}
+
+void Meeting::count_tasks(const std::string& job, int& running, int& present) const {
+  for (auto& [id, m] : fleet_->workers())
+    for (auto& [a, t] : m->tasks()) {
+      if (a.first.job != job || t.report.state == TaskState::exited) continue;
+      ++present;
+      running += t.report.state == TaskState::running;
+    }
+}
+
+std::string Meeting::unmet(const Happening& h) {
+  const auto what = h.verb.substr(7);
+  std::string out;
+  auto complain = [&](const std::string& text) { out += what + " " + text + "; "; };
+  if (what == "returned") {
+    if (std::to_string(fleet_->returned) != h.name)
+      complain(h.name + ", but " + std::to_string(fleet_->returned) + " are returned");
+  } else if (what == "sessions") {  // expect sessions 1 of=machines
+    for (auto* m : machines(str(h.words, "of", "machines")))
+      if (std::to_string(m->session()) != h.name)
+        complain(h.name + ", but " + m->id + " is in " + std::to_string(m->session()));
+  } else if (what == "late_starts") {
+    if (std::to_string(fleet_->judge().starts_after_cancellation()) != h.name)
+      complain(h.name + ", but " + std::to_string(fleet_->judge().starts_after_cancellation()));
+  } else if (what == "running" || what == "gone" || what == "told" || what == "accepted") {
+    for (auto& id : jobs(h.name)) {
+      int running = 0, present = 0;
+      count_tasks(id, running, present);
+      if (what == "running" && running != static_cast<int>(num(h.words, "tasks", 1)))
+        complain(id + ", but " + std::to_string(running) + " tasks run");
+      if (what == "gone" && present)
+        complain(id + ", but " + std::to_string(present) + " are there");
+      if (what == "told" && !fleet_->judge().was_told(id, h.words.begin()->first))
+        complain(id + " " + h.words.begin()->first + ", but it was not");
+      if (what == "accepted" && !fleet_->judge().accepted(id)) complain(id + ", but it was not");
+    }
+  } else {
+    complain("is not known");
+  }
+  return out;
+}
+
+// --- users
+
+size_t Meeting::pick(const std::string& via) {
+  std::vector<Controller*> able;
+  for (auto* c : controllers(via.empty() ? "all" : via))
+    if (c->node) able.push_back(c);
+  if (able.empty()) return world_.random64() % controllers_.size();
+  return static_cast<size_t>(able[world_.random64() % able.size()]->name[1] - '0');
+}
+
+void Meeting::ask(size_t node, Method method, const std::string& path, const std::string& body,
+                  double patience, std::function<void(const HttpReply&, double)> then) {
+  const double asked = world_.now();
+  auto done = std::make_shared<bool>(false);
+  auto answer = [done, then = std::move(then), asked](HttpReply reply) {
+    if (*done) return;
+    *done = true;
+    then(reply, asked);
+  };
+  world_.in(patience, [answer] { answer({0, {}}); });
+  world_.ask(user_host, controllers_[node]->host, method, path, body, answer);
+}
+
+void Meeting::submit(const std::string& job, size_t node, double since, bool with_repeats) {
+  ask(node, Method::post, "/api/jobs", encode(encode_job(jobs_.at(job))), user_patience_s,
+      [this, job, node, since, with_repeats](const HttpReply& reply, double asked) {
+        auto m = decode_map(reply.body);
+        fleet_->judge().told(job, reply.status,
+                             m.is_object() ? m.value("status", std::string()) : "", asked);
+        if (reply.status == 200 || reply.status == 201) {
+          if (with_repeats && !quiet_users_) polls(job);
+          return;
+        }
+        if (!with_repeats || reply.status == 400 || reply.status == 422) return;
+        if (world_.now() - since < users_try_s)
+          world_.in(user_retry_s, [this, job, node, since] {
+            submit(job, (node + 1) % controllers_.size(), since, true);
+          });
+      });
+}
+
+void Meeting::cancel(const std::string& job, size_t node, double since) {
+  ask(node, Method::post, "/api/jobs/" + job + "/cancel", {}, user_patience_s,
+      [this, job, node, since](const HttpReply& reply, double asked) {
+        auto m = decode_map(reply.body);
+        if (reply.status == 200) {
+          fleet_->judge().told(job, 200, m.value("status", std::string()), asked);
+          return;
+        }
+        if (reply.status == 404) fleet_->judge().told(job, 404, "", asked);
+        if (world_.now() - since < users_try_s)
+          world_.in(user_retry_s, [this, job, node, since] {
+            cancel(job, (node + 1) % controllers_.size(), since);
+          });
+      });
+}
+
+void Meeting::poll(const std::string& job, size_t node) {
+  ask(node, Method::get, "/api/jobs/" + job, {}, poll_patience_s,
+      [this, job](const HttpReply& reply, double asked) {
+        auto m = decode_map(reply.body);
+        if (reply.status == 200 || reply.status == 404)
+          fleet_->judge().told(job, reply.status,
+                               m.is_object() ? m.value("status", std::string()) : "", asked);
+      });
+}
+
+void Meeting::polls(const std::string& job) {
+  poll(job, world_.random64() % controllers_.size());
+  world_.in(poll_every_s * world_.uniform(0.8, 1.2), [this, job] { polls(job); });
+}
+
+std::vector<std::string> Meeting::play() {
+  set_up();
+  std::stable_sort(happenings_.begin(), happenings_.end(),
+                   [](auto& a, auto& b) { return a.at < b.at; });
+  for (auto& h : happenings_) world_.at(std::min(h.at, until_ - 1e-6), [this, &h] { happen(h); });
+  world_.run_until(until_);
+  auto out = fleet_->judge().broken();
+  out.insert(out.end(), unmet_.begin(), unmet_.end());
+  return out;
+}
+
+}  // namespace damsonport::world
--- /dev/null
+++ b/tests/world/meeting.hpp
@@ -0,0 +1,89 @@
+// A meeting of troubles: whole controllers against the stand-ins, driven by a trace. See
+// traces/meetings/README.
+#pragma once
+#include "coordination/node.hpp"
+#include "world/fleet.hpp"
+#include "world/state_service.hpp"
+
+namespace damsonport::world {
+
+using Words = std::map<std::string, std::string>;
+
+class Meeting {
+ public:
+  explicit Meeting(uint64_t seed = 1) : world_(seed) {}
+  ~Meeting();
+  // One line of a trace; yields a complaint, or nothing.
+  std::string line(const std::string& text);
+  // Plays to the end; yields broken rules and expectations that were not met.
+  std::vector<std::string> play();
+  // Every happening of the trace begins `seconds` later, to try its times one against another.
+  double shift_s = 0;
+  const World& world() const { return world_; }
+
+ private:
+  struct Controller {
+    std::string name, host, zone;
+    Settings settings;
+    std::unique_ptr<VirtualLoop> loop;
+    std::unique_ptr<VirtualNetwork> network;
+    std::unique_ptr<Node> node;
+    double rate = 1;
+  };
+  struct Happening {
+    double at;
+    std::string verb, name;
+    Words words;
+  };
+  void set_up();
+  void start(Controller& c);
+  void crash(Controller& c, double for_s);
+  void happen(const Happening& h);
+  std::string unmet(const Happening& h);
+  std::string leader() const;
+  // Hosts that a word of a trace means: n0, leader, other, nodes, state, a zone, m3, with:JOB ...
+  std::vector<std::string> hosts(const std::string& word) const;
+  std::vector<Controller*> controllers(const std::string& word);
+  std::vector<Worker*> machines(const std::string& word) const;
+  std::vector<std::string> jobs(const std::string& word) const;
+  void cut(const std::string& a, const std::string& b, const Words& w);
+
+  // --- users
+  void submit(const std::string& job, size_t node, double since, bool with_repeats);
+  void cancel(const std::string& job, size_t node, double since);
+  void poll(const std::string& job, size_t node);
+  void ask(size_t node, Method method, const std::string& path, const std::string& body,
+           double patience, std::function<void(const HttpReply&, double asked)> then);
+  size_t pick(const std::string& via);
+  void polls(const std::string& job);
+  void count_tasks(const std::string& job, int& running, int& present) const;
+
+  World world_;
+  Settings settings_;
+  std::vector<MachineType> types_;
+  int node_count_ = 3;
+  struct Start {
+    std::string type, zone;
+    bool spot;
+  };
+  std::vector<Start> at_start_;
+  std::map<std::string, JobSpec> jobs_;
+  std::map<std::string, double> run_s_;
+  std::vector<Happening> happenings_;
+  double until_ = 100, boot_s_ = 0, drift_ = 0.0005;
+  int capacity_ = 0;
+  bool quiet_users_ = false;
+
+  std::unique_ptr<StateService> state_;
+  std::unique_ptr<Fleet> fleet_;
+  VirtualNetwork::Streams streams_;
+  std::vector<std::unique_ptr<Controller>> controllers_;
+  std::vector<std::unique_ptr<Controller>> ended_;
+  std::vector<std::string> machine_order_;
+  std::vector<std::string> unmet_;
+};
+
+// "run-1..run-4" and "run-1,run-2" spelt out.
+std::vector<std::string> spell_out(const std::string& word);
+
+}  // namespace damsonport::world
--- /dev/null
+++ b/tests/world/state_service.hpp
@@ -0,0 +1,79 @@
+// A stand-in for the state service, written from the protocol.
+#pragma once
+#include <list>
+#include <map>
+#include <set>
+
+#include "protocol/messages.hpp"
+#include "world/world.hpp"
+
+namespace damsonport::world {
+
+class StateService {
+ public:
+  StateService(World& world, std::string host, double rps, double write_rps, int txn_ops,
+               double value_kb);
+  // During an outage all get 503 and open watches wait; afterwards leases get their full time.
+  void set_down(bool down);
+  // One controller alone is refused, and its watches wait.
+  void refuse(const std::string& host, bool on);
+  // Of the transactions of a host (empty: of all): what becomes of them.
+  enum class Fate : uint8_t { normal, applied_late, answer_lost };
+  void set_fate(Fate fate, std::string host) { fate_ = fate, fate_host_ = std::move(host); }
+  void set_delay(double seconds) { delay_s_ = seconds; }
+
+  const Json* value(const std::string& key) const;
+  const std::map<std::string, std::pair<Json, uint64_t>>& all() const { return keys_; }
+  // Told of each change.
+  std::function<void(const std::string& key, const Json& value)> on_change;
+  size_t refused_for_rate() const { return over_rate_; }
+
+ private:
+  struct Watch {
+    std::string host, prefix;
+    uint64_t since;
+    World::Answer answer;
+    bool done = false;
+  };
+  struct Lease {
+    double life_s;
+    World::Key expiry;
+  };
+  void handle(const std::string& from, Method method, const std::string& target,
+              const std::string& body, World::Answer answer);
+  void txn(const std::string& from, const std::string& body, World::Answer answer);
+  HttpReply apply(const Json& m);
+  HttpReply list(const std::map<std::string, std::string>& query) const;
+  bool answer_watch(Watch& w, bool timed_out);
+  void put(const std::string& key, const Json& value, uint64_t lease);
+  void remove(const std::string& key);
+  void changed();
+  void end_lease(uint64_t id);
+  void renew(uint64_t id);
+  bool over_rate(int writes);
+
+  World& world_;
+  double rps_, write_rps_;
+  int txn_ops_;
+  double value_kb_;
+  bool down_ = false;
+  std::set<std::string> refused_;
+  Fate fate_ = Fate::normal;
+  std::string fate_host_;
+  double delay_s_ = 0.004;
+  std::map<std::string, std::pair<Json, uint64_t>> keys_;
+  std::map<std::string, uint64_t> lease_of_;
+  std::map<uint64_t, Lease> leases_;
+  struct Change {
+    std::string key;
+    Json value;
+    uint64_t revision;
+  };
+  std::deque<Change> changes_;
+  uint64_t revision_ = 100, next_lease_ = 1;
+  std::list<Watch> watches_;
+  double requests_, writes_, filled_at_ = 0;
+  size_t over_rate_ = 0;
+};
+
+}  // namespace damsonport::world
--- /dev/null
+++ b/tests/world/world.cpp
@@ -0,0 +1,237 @@
+#include "world/world.hpp"
+
+namespace damsonport::world {
+
+namespace {
+constexpr double least_delay_s = 0.0005, most_delay_s = 0.002;
+
+class VirtualTimer : public Timer {
+ public:
+  VirtualTimer(VirtualLoop& loop, Fire fire, void* argument)
+      : loop_(loop), fire_(fire), argument_(argument) {}
+  ~VirtualTimer() override { disarm(); }
+  void arm(double seconds) override {
+    disarm();
+    key_ = loop_.world().in(std::max(seconds, 0.0) / loop_.rate(), [this] {
+      armed_ = false;
+      loop_.enter();
+      fire_(argument_);  // may destroy the timer
+    });
+    armed_ = true;
+  }
+  void disarm() override {
+    if (armed_) loop_.world().cancel(key_);
+    armed_ = false;
+  }
+
+ private:
+  VirtualLoop& loop_;
+  Fire fire_;
+  void* argument_;
+  World::Key key_;
+  bool armed_ = false;
+};
+
+class VirtualClient : public HttpClient {
+ public:
+  VirtualClient(VirtualLoop& loop, std::string host, std::shared_ptr<bool> alive)
+      : loop_(loop), host_(std::move(host)), alive_(std::move(alive)) {}
+
+  Task<HttpReply> request(Endpoint to, Method method, std::string target, std::string body,
+                          double timeout_s) override {
+    auto exchange = std::make_shared<Exchange>();
+    auto& world = loop_.world();
+    if (!*alive_) {
+      timeout_s = 0;
+    } else {
+      world.ask(host_, to.host, method, std::move(target), std::move(body),
+                [exchange, &world, &loop = loop_, alive = alive_](HttpReply reply) {
+                  if (!*alive || exchange->done) return;
+                  loop.enter();
+                  exchange->reply = std::move(reply);
+                  exchange->done = true;
+                  world.cancel(exchange->expiry);
+                  if (exchange->waiter) exchange->waiter.resume();
+                });
+    }
+    Wait wait{loop_, exchange, timeout_s};
+    co_await wait;
+    co_return std::move(exchange->reply);
+  }
+  void trim(double) override {}
+  void bound_idle(std::function<size_t()>) override {}
+  size_t in_use() const override { return 0; }
+  size_t idle() const override { return 0; }
+
+ private:
+  struct Exchange {
+    std::coroutine_handle<> waiter;
+    HttpReply reply;
+    bool done = false;
+    World::Key expiry;
+  };
+  struct Wait {
+    VirtualLoop& loop;
+    std::shared_ptr<Exchange> exchange;
+    double timeout_s;
+    bool await_ready() const { return false; }
+    void await_suspend(std::coroutine_handle<> h) {
+      exchange->waiter = h;
+      exchange->expiry = loop.world().in(timeout_s / loop.rate(), [x = exchange, &l = loop] {
+        if (x->done) return;
+        l.enter();
+        x->done = true;
+        x->waiter.resume();
+      });
+    }
+    void await_resume() const {}
+  };
+  VirtualLoop& loop_;
+  std::string host_;
+  std::shared_ptr<bool> alive_;
+};
+
+class VirtualServer : public HttpServer {
+ public:
+  VirtualServer(VirtualLoop& loop, std::string host, size_t max_body, Handler handler,
+                std::shared_ptr<bool> alive)
+      : loop_(loop),
+        host_(std::move(host)),
+        max_body_(max_body),
+        handler_(std::move(handler)),
+        alive_(std::move(alive)) {}
+  bool bind(const Endpoint&) override {
+    loop_.world().serve(host_, [this](auto&, Method method, auto& target, auto& body, auto answer) {
+      if (body.size() > max_body_) return answer({413, {}});
+      loop_.enter();
+      HttpRequest request{method, target.substr(0, target.find('?')), body};
+      loop_.spawn("request", handle(std::move(request), std::move(answer), alive_));
+    });
+    return true;
+  }
+  uint16_t port() const override { return 0; }
+  void tidy() override {}
+  size_t open() const override { return 0; }
+  bool crowded() const override { return false; }
+
+ private:
+  Task<void> handle(HttpRequest request, World::Answer answer, std::shared_ptr<bool> alive) {
+    auto response = co_await handler_(std::move(request));
+    if (*alive) answer({response.status, std::move(response.body)});
+  }
+  VirtualLoop& loop_;
+  std::string host_;
+  size_t max_body_;
+  Handler handler_;
+  std::shared_ptr<bool> alive_;
+};
+
+class VirtualLink : public StreamLink {
+ public:
+  VirtualLink(VirtualLoop& loop, std::string from, std::string to, VirtualNetwork::Streams& streams,
+              std::shared_ptr<bool> alive)
+      : loop_(loop),
+        from_(std::move(from)),
+        to_(std::move(to)),
+        streams_(streams),
+        alive_(std::move(alive)) {}
+  void send(const std::string& bytes) override {
+    if (!*alive_) return;
+    loop_.world().send(from_, to_, [&streams = streams_, to = to_, bytes] {
+      if (auto it = streams.find(to); it != streams.end()) it->second(bytes);
+    });
+  }
+
+ private:
+  VirtualLoop& loop_;
+  std::string from_, to_;
+  VirtualNetwork::Streams& streams_;
+  std::shared_ptr<bool> alive_;
+};
+
+class VirtualListener : public StreamListener {
+ public:
+  bool listening() const override { return true; }
+};
+}  // namespace
+
+World::Key World::at(double time, std::function<void()> what) {
+  Key key{std::max(time, now_), ++sequence_};
+  events_.emplace(key, std::move(what));
+  return key;
+}
+
+void World::run_until(double time) {
+  while (!events_.empty() && events_.begin()->first.first <= time) {
+    auto node = events_.extract(events_.begin());
+    now_ = node.key().first;
+    node.mapped()();
+  }
+  now_ = time;
+}
+
+void World::cut(const std::string& from, const std::string& to, Cut how) {
+  cuts_[{from, to}].how = how;
+}
+
+void World::heal(const std::string& from, const std::string& to) {
+  auto it = cuts_.find({from, to});
+  if (it == cuts_.end()) return;
+  auto held = std::move(it->second.messages);
+  cuts_.erase(it);
+  double delay = most_delay_s;
+  for (auto& message : held) in(delay += 1e-5, std::move(message));
+}
+
+void World::send(const std::string& from, const std::string& to, std::function<void()> arrive) {
+  if (auto it = cuts_.find({from, to}); it != cuts_.end()) {
+    if (it->second.how == Cut::hold) it->second.messages.push_back(std::move(arrive));
+    return;
+  }
+  in(uniform(least_delay_s, most_delay_s), std::move(arrive));
+}
+
+void World::ask(const std::string& from, const std::string& to, Method method, std::string target,
+                std::string body, Answer answer) {
+  send(from, to,
+       [this, from, to, method, target = std::move(target), body = std::move(body), answer] {
+         Answer back = [this, from, to, answer](HttpReply reply) {
+           send(to, from, [answer, reply = std::move(reply)] { answer(reply); });
+         };
+         auto it = servers_.find(to);
+         if (it == servers_.end()) return back({0, {}});
+         it->second(from, method, target, body, back);
+       });
+}
+
+std::unique_ptr<Timer> VirtualLoop::timer(Timer::Fire fire, void* argument) {
+  return std::make_unique<VirtualTimer>(*this, fire, argument);
+}
+
+void VirtualNetwork::end() {
+  if (!*alive_) return;
+  *alive_ = false;
+  loop_.world().vanish(host_);
+  streams_.erase(host_);
+}
+
+std::unique_ptr<HttpClient> VirtualNetwork::client() {
+  return std::make_unique<VirtualClient>(loop_, host_, alive_);
+}
+
+std::unique_ptr<HttpServer> VirtualNetwork::server(size_t max_body, size_t, double,
+                                                   HttpServer::Handler handler) {
+  return std::make_unique<VirtualServer>(loop_, host_, max_body, std::move(handler), alive_);
+}
+
+std::unique_ptr<StreamLink> VirtualNetwork::link(const Endpoint& to) {
+  return std::make_unique<VirtualLink>(loop_, host_, to.host, streams_, alive_);
+}
+
+std::unique_ptr<StreamListener> VirtualNetwork::listener(const Endpoint&, size_t,
+                                                         StreamListener::OnBytes on_bytes) {
+  streams_[host_] = std::move(on_bytes);
+  return std::make_unique<VirtualListener>();
+}
+
+}  // namespace damsonport::world
