--- a/tests/meeting_test.cpp
+++ b/tests/meeting_test.cpp
@@ -10,6 +10,8 @@
 #include <fstream>
 #include <sstream>
 
+#include "world/random_meeting.hpp"
+
 namespace damsonport::world {
 namespace {
 
@@ -99,6 +101,25 @@
     }
 }
 
+// MEETING_FIRST and MEETING_COUNT play others than those of the suite.
+TEST(DrawnMeetings, BreakNoRule) {
+  const char* first = std::getenv("MEETING_FIRST");
+  const char* count = std::getenv("MEETING_COUNT");
+  const uint64_t from = first ? std::stoull(first) : 1, n = count ? std::stoull(count) : 24;
+  for (uint64_t seed = from; seed < from + n; ++seed) {
+    Meeting meeting(seed);
+    shown = &meeting.world();
+    spdlog::info("--- seed {}", seed);
+    for (auto& text : random_meeting(seed)) {
+      spdlog::info("{}", text);
+      auto complaint = meeting.line(text);
+      ASSERT_TRUE(complaint.empty()) << complaint;
+    }
+    for (auto& what : meeting.play()) ADD_FAILURE() << "seed " << seed << ": " << what;
+    shown = nullptr;
+  }
+}
+
 std::vector<std::string> meeting_names() {
   std::vector<std::string> out;
   for (auto& f : std::filesystem::directory_iterator(std::string(TRACE_DIR) + "/meetings"))
--- a/tests/world/fleet.hpp
+++ b/tests/world/fleet.hpp
@@ -27,6 +27,9 @@
   int starts_after_cancellation() const { return starts_after_cancellation_; }
   bool was_told(const std::string& job, const std::string& state) const;
   bool accepted(const std::string& job) const { return known_.contains(job); }
+  // Accepted, and nobody asked for its end.
+  std::vector<std::string> wanted() const;
+  double last_answered(const std::string& job) const;
 
  private:
   void check_cancelled(const std::string& job);
@@ -35,6 +38,7 @@
   const Fleet& fleet_;
   std::map<std::string, JobSpec> specs_;
   std::map<std::string, double> known_;                         // when it was told first
+  std::map<std::string, double> answered_;                      // and last
   std::map<std::string, std::pair<double, std::string>> over_;  // done or aborted, as told first
   std::set<std::string> asked_to_cancel_;
   std::set<TaskName> done_;
--- a/tests/world/judge.cpp
+++ b/tests/world/judge.cpp
@@ -37,6 +37,7 @@
   if (status != 200 && status != 201) return;
   if (!specs_.contains(job)) return broke("invented", job);
   known_.try_emplace(job, now);
+  answered_[job] = now;
   auto over = over_.find(job);
   if (over != over_.end() && over->second.first < asked && state != over->second.second)
     broke("went_back", job + " was " + over->second.second + " and is " + state);
@@ -56,6 +57,18 @@
   world_.in(settings_.cancel_s + 0.01, [this, job] { check_cancelled(job); });
 }
 
+std::vector<std::string> Judge::wanted() const {
+  std::vector<std::string> out;
+  for (auto& [job, at] : known_)
+    if (!asked_to_cancel_.contains(job)) out.push_back(job);
+  return out;
+}
+
+double Judge::last_answered(const std::string& job) const {
+  auto it = answered_.find(job);
+  return it == answered_.end() ? -1 : it->second;
+}
+
 void Judge::check_cancelled(const std::string& job) {
   for (auto& [id, w] : fleet_.workers())
     for (auto& [attempt, t] : w->tasks())
--- a/tests/world/meeting.cpp
+++ b/tests/world/meeting.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 constexpr double user_patience_s = 5, poll_patience_s = 2, poll_every_s = 5, user_retry_s = 1,
-                 users_try_s = 60;
+                 users_try_s = 60, forgotten_after_s = 75;
 const std::string state_host = "10.2.0.1", cloud_host = "10.2.0.2", user_host = "10.9.0.1";
 
 double num(const Words& w, const char* key, double otherwise = 0) {
@@ -143,7 +143,7 @@
       in >> what;
       h.verb = "expect " + what;
     }
-    if (h.verb != "outage" && h.verb != "slow") in >> h.name;
+    if (h.verb != "outage" && h.verb != "slow" && h.verb != "expect served") in >> h.name;
     h.words = words(in);
     happenings_.push_back(std::move(h));
   } else {
@@ -294,7 +294,6 @@
   } else if (h.verb == "submit") {
     double later = 0;
     for (auto& id : jobs(h.name)) {
-      fleet_->judge().submitted(jobs_.at(id));
       const auto via = str(w, "via");
       world_.in(later, [this, id, via] { submit(id, pick(via), world_.now(), true); });
       later += num(w, "every");
@@ -382,6 +381,20 @@
               most = dots == std::string::npos ? least : std::stoi(h.name.substr(dots + 2));
     if (fleet_->returned < least || fleet_->returned > most)
       complain(h.name + ", but " + std::to_string(fleet_->returned) + " are returned");
+  } else if (what == "served") {  // every job that was accepted and not called off
+    for (auto& id : fleet_->judge().wanted()) {
+      auto& spec = jobs_.at(id);
+      int running = 0, present = 0;
+      count_tasks(id, running, present);
+      if (spec.kind == Kind::service && running != static_cast<int>(spec.tasks))
+        complain("of " + id + " " + std::to_string(running) + " of " + std::to_string(spec.tasks) +
+                 " replicas run");
+      if (spec.kind == Kind::batch && !fleet_->judge().was_told(id, "done"))
+        complain(id + " is not done");
+      if (spec.kind == Kind::service &&
+          world_.now() - fleet_->judge().last_answered(id) > forgotten_after_s)
+        complain("nobody answers about " + id);
+    }
   } else if (what == "sessions") {  // expect sessions 1 of=machines
     for (auto* m : machines(str(h.words, "of", "machines")))
       if (std::to_string(m->session()) != h.name)
@@ -431,6 +444,7 @@
 }
 
 void Meeting::submit(const std::string& job, size_t node, double since, bool with_repeats) {
+  fleet_->judge().submitted(jobs_.at(job));
   ask(node, Method::post, "/api/jobs", encode(encode_job(jobs_.at(job))), user_patience_s,
       [this, job, node, since, with_repeats](const HttpReply& reply, double asked) {
         told(job, reply, asked);
--- /dev/null
+++ b/tests/world/random_meeting.cpp
@@ -0,0 +1,143 @@
+#include "world/random_meeting.hpp"
+
+#include <fmt/format.h>
+
+#include <random>
+
+namespace damsonport::world {
+
+namespace {
+class Draw {
+ public:
+  explicit Draw(uint64_t seed) : random_(seed) {}
+  double between(double low, double high) {
+    return std::uniform_real_distribution<double>(low, high)(random_);
+  }
+  int upto(int n) { return std::uniform_int_distribution<int>(0, n - 1)(random_); }
+  bool chance(double p) { return between(0, 1) < p; }
+  template <class... T>
+  std::string of(T... words) {
+    const char* all[] = {words...};
+    return all[upto(static_cast<int>(sizeof...(words)))];
+  }
+
+ private:
+  std::mt19937_64 random_;
+};
+}  // namespace
+
+std::vector<std::string> random_meeting(uint64_t seed) {
+  Draw draw(seed);
+  std::vector<std::string> out;
+  auto line = [&](std::string_view f, const auto&... args) {
+    out.push_back(fmt::format(fmt::runtime(f), args...));
+  };
+  const bool zones = draw.chance(0.4);
+  const bool rare = draw.chance(0.4);  // seldom reports, long leases
+  line("controllers {} zones={}", draw.chance(0.5) ? 3 : 5, zones ? "a,b" : "a");
+  line("workers report={} lease={} cancel={}", rare ? 4 : 1.5, rare ? 32 : 12, rare ? 62 : 42);
+  line("team t gpus_max={}", draw.chance(0.5) ? 64 : 14);
+  line("team u cpus_max={}", draw.chance(0.5) ? 200 : 40);
+  line("type g cpus=64 gpus=8 memory=512 zones={} fetch=4", zones ? "a,b" : "a");
+  line("machines 3 type=g zone=a");
+  if (zones) line("machines 2 type=g zone=b");
+  if (draw.chance(0.5)) line("machines 1 type=g zone=a spot");
+  line("cloud capacity={} boot={}", 8 + draw.upto(5), draw.of("1", "6", "15"));
+  if (draw.chance(0.3)) line("close_looks");
+  const auto place = [&] {
+    return zones ? draw.of("", "one_zone", "spread", "zone=a", "zone=b") : std::string();
+  };
+  // Named so that a word of a trace can mean several.
+  line("jobs run-1..run-4 tasks=3 gpus=1 run=40 checkpoint=10 save=2 {}", draw.of("", "spot"));
+  line("jobs run-5..run-7 team=u tasks={} cpus=3 run=25 gb={}", 1 + draw.upto(4),
+       draw.of("1", "20"));
+  line("jobs run-8..run-9 tasks=2 gpus=1 run=60 idle {}", place());
+  line("jobs run-10..run-12 service high tasks={} cpus=2 team=u {}", 1 + draw.upto(3), place());
+  line("jobs run-13..run-14 service production tasks=1 gpus=2 gb=8 image=big {}", place());
+  line("jobs run-15..run-34 tasks=1 cpus=1 run=6");
+  line("at 6 submit run-1..run-14 every={}", draw.of("0.05", "0.7", "2"));
+  line("at {} submit run-15..run-34 every=0.4", draw.between(8, 40));
+  const double last = 110;
+  for (int i = 0, n = 4 + draw.upto(8); i < n; ++i) {
+    const int job = 1 + draw.upto(34);
+    line("at {:.2f} cancel run-{} via={}", draw.between(8, last), job,
+         draw.of("others", "nodes", "leader"));
+  }
+  for (int i = 0, n = 3 + draw.upto(7); i < n; ++i) {
+    const double at = draw.between(10, last - 20);
+    const double for_s = draw.chance(0.6) ? draw.between(0.5, 12) : draw.between(12, 60);
+    const auto some = draw.of("m1", "m2,m3", "machines", "with:run-1", "with:run-10", "m4");
+    const auto who = draw.of("leader", "others", "n0", "n1", "nodes", "leader");
+    const auto how = draw.of("hold", "drop");
+    switch (draw.upto(17)) {
+      case 0:
+      case 1:
+        line("at {:.2f} crash {} for={:.2f}", at, who,
+             draw.of("0.3", "3", "9") == "0.3" ? 0.3 : 5.0);
+        break;
+      case 2:
+        line("at {:.2f} refuse leader for={:.2f}", at, for_s);
+        line("at {:.2f} outage for={:.2f}", at + draw.between(0.5, 3), for_s);
+        line("at {:.2f} cancel run-{},run-{} via=others", at + draw.between(0, 1.5),
+             1 + draw.upto(10), 10 + draw.upto(5));
+        break;
+      case 3:
+        line("at {:.2f} refuse {} for={:.2f}", at, who, for_s);
+        break;
+      case 4:
+        line("at {:.2f} outage for={:.2f}", at, for_s);
+        break;
+      case 5:
+        line("at {:.2f} fate {} {} for={:.2f}", at, draw.of("late", "lost"),
+             draw.of("", "of=leader", "of=n1"), std::min(for_s, 8.0));
+        break;
+      case 6:
+        line("at {:.2f} slow by={} for={:.2f}", at, draw.of("0.05", "0.4"), std::min(for_s, 20.0));
+        break;
+      case 7:
+        line("at {:.2f} cut {} from=nodes how={} {} for={:.2f}", at, some, how,
+             draw.of("", "one_way"), for_s);
+        break;
+      case 8:
+        line("at {:.2f} cut nodes from={} how={} one_way for={:.2f}", at, some, how, for_s);
+        break;
+      case 9:
+        line("at {:.2f} cut leader from=nodes,state how={} for={:.2f}", at, how, for_s);
+        break;
+      case 10:
+        line("at {:.2f} cut nodes from=nodes how={} for={:.2f}", at, how, for_s);
+        break;
+      case 11:
+        line("at {:.2f} hang {} for={:.2f}", at, some, for_s);
+        break;
+      case 12:
+        line("at {:.2f} {} {} for={:.2f}", at, draw.of("deaf", "mute"), some, for_s);
+        break;
+      case 13:
+        line("at {:.2f} die {}", at, draw.of("m1", "m2", "m3"));
+        break;
+      case 14: {
+        line("at {:.2f} keep machines", at);
+        for (int k = 0; k < 3; ++k)
+          line("at {:.2f} late_report machines to=nodes", at + draw.between(0.5, 30));
+        line("at {:.2f} crash leader for=3", at + draw.between(0, 10));
+        break;
+      }
+      case 15:
+        if (zones)
+          line("at {:.2f} cut zone:a from=zone:b how={} for={:.2f}", at, how, for_s);
+        else
+          line("at {:.2f} cut leader from=machines how={} for={:.2f}", at, how, for_s);
+        break;
+      case 16:
+        line("at {:.2f} repeat run-{},run-{} via=nodes", at, 1 + draw.upto(9), 10 + draw.upto(9));
+        line("at {:.2f} ask run-1..run-14 every=1 for=5", at);
+        break;
+    }
+  }
+  line("until 330");
+  line("expect served");
+  return out;
+}
+
+}  // namespace damsonport::world
--- /dev/null
+++ b/tests/world/random_meeting.hpp
@@ -0,0 +1,11 @@
+// A meeting drawn at random from all troubles, as lines of a trace.
+#pragma once
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace damsonport::world {
+
+std::vector<std::string> random_meeting(uint64_t seed);
+
+}  // namespace damsonport::world
