--- a/src/coordination/fleet.hpp
+++ b/src/coordination/fleet.hpp
@@ -56,8 +56,8 @@
   StragglerAverage straggler;
   double replacing_since = 0;  // a persistent straggler: a replacement is sought first
   bool replacement_asked = false;
-  bool replaces = false;              // it came for one such
-  std::set<std::string> failed_jobs;  // jobs whose tasks ended in error here
+  bool replaces = false;                      // it came for one such
+  std::map<std::string, double> failed_jobs;  // jobs whose tasks ended in error here, and when
   int errors_in_row = 0;
   bool draining = false;  // takes no new tasks
   std::string drain_why;
--- a/src/coordination/holder.cpp
+++ b/src/coordination/holder.cpp
@@ -127,8 +127,6 @@
   auto reply = co_await p_.state.commit(std::move(txn), Importance::lease);
   if (reply.outcome == Outcome::committed) {
     cache_.apply_writes(writes, reply.revision);
-    // Counted from before the request, on a clock that may run fast.
-    grant_until_ = asked + tuning_.grant_s * (1 - clock_drift);
     // Early and often: an outage must fit into what is left of the grant.
     next_renewal_ = asked + tuning_.grant_s / 6;
     if (!own) took_over();
--- a/src/coordination/holder.hpp
+++ b/src/coordination/holder.hpp
@@ -182,7 +182,6 @@
   // Of the present grant; cleared when it is taken over.
   uint64_t term_ = 0;
   uint64_t grant_version_ = 0;  // records must be complete up to here before anything is placed
-  double grant_until_ = 0;
   double next_renewal_ = 0;
   double took_over_at_ = 0;
   double quiet_base_ = 0;  // silence is counted from here at the earliest
--- a/src/coordination/holder_cloud.cpp
+++ b/src/coordination/holder_cloud.cpp
@@ -122,6 +122,10 @@
 void Holder::watch_drains() {
   const double now = loop_.now();
   for (auto& [id, m] : machines_) {
+    // Not for good: where few machines fit, a job that failed once on each would never run again.
+    if (std::erase_if(m.failed_jobs,
+                      [&](auto& failed) { return now - failed.second > 2 * settings_.lease_s; }))
+      dirty_machines_.insert(id);
     if (cache_.leaving(id) || to_return_.contains(id)) continue;
     if (m.notice_at) {
       // What can save is stopped in time to do it.
--- a/src/coordination/holder_machines.cpp
+++ b/src/coordination/holder_machines.cpp
@@ -223,7 +223,7 @@
   spdlog::info("a task of {} failed on {}{}", spec.id, m.id,
                job_at_fault ? "; it fails everywhere" : "");
   if (job_at_fault) return;
-  m.failed_jobs.insert(spec.id);
+  m.failed_jobs[spec.id] = loop_.now();
   ++m.errors_in_row;
   if (m.failed_jobs.size() >= 2 && m.errors_in_row >= 2 && !m.draining) {
     spdlog::warn("{} fails the tasks of different jobs: it takes no more", m.id);
--- a/src/coordination/holder_view.cpp
+++ b/src/coordination/holder_view.cpp
@@ -92,7 +92,8 @@
   for (auto& [image, use] : m.images.images()) v.images.push_back(view_.images.id(image));
   v.fetching.clear();
   for (auto& [image, since] : m.fetching) v.fetching.push_back(view_.images.id(image));
-  v.bad_jobs.assign(m.failed_jobs.begin(), m.failed_jobs.end());
+  v.bad_jobs.clear();
+  for (auto& [job, at] : m.failed_jobs) v.bad_jobs.push_back(job);
   v.live.clear();
   for (auto& [a, attempt] : cache_.assigned(m.id)) {
     placing::LiveView l;
--- a/src/coordination/user_api.cpp
+++ b/src/coordination/user_api.cpp
@@ -151,7 +151,7 @@
 }
 
 Task<HttpResponse> UserApi::submit(std::string body) {
-  auto spec = decode_job(decode_map(body));
+  auto spec = decode_submission(decode_map(body));
   body.clear();
   if (!spec) co_return HttpResponse{400, encode({{"error", spec.error()}}), 0};
   const std::string id = spec->id;
--- a/src/protocol/messages.cpp
+++ b/src/protocol/messages.cpp
@@ -157,6 +157,16 @@
   return s;
 }
 
+Result<JobSpec> decode_submission(const Json& m) {
+  for (const char* needed :
+       {"accelerators", "same_place", "spread", "tender", "voyage_s", "moor_s", "stow_s"})
+    if (!field(m, needed)) return Error{std::string(needed) + " is missing or invalid"};
+  auto spec = decode_job(m);
+  // Ours alone.
+  if (spec) spec->accepted_at = 0;
+  return spec;
+}
+
 Json encode_job(const JobSpec& s) {
   Json m = {{"ref", s.id},
             {"berth", s.cls},
--- a/src/protocol/messages.hpp
+++ b/src/protocol/messages.hpp
@@ -39,8 +39,10 @@
   double accepted_at = 0;
 };
 
-// The user's form; `stored` also carries accepted_at.
+// A job's record, which leaves out what is nothing.
 Result<JobSpec> decode_job(const Json& m);
+// A user's message: only hulls, dock and due_s may be null, and so left out.
+Result<JobSpec> decode_submission(const Json& m);
 Json encode_job(const JobSpec& spec);
 bool valid_job_id(std::string_view id);
 
--- a/tests/protocol_test.cpp
+++ b/tests/protocol_test.cpp
@@ -30,17 +30,24 @@
 }
 
 TEST(Job, MissingOrInvalidFieldsAreRefusedByName) {
-  for (const char* field : {"ref", "berth", "owner", "shape", "rank", "hands", "cores", "cargo"}) {
+  const auto whole = job_message();
+  for (auto& [field, value] : whole.items()) {
     auto m = job_message();
     m.erase(field);
-    auto spec = decode_job(m);
-    ASSERT_FALSE(spec);
+    auto spec = decode_submission(m);
+    m[field] = nullptr;
+    EXPECT_EQ(static_cast<bool>(decode_submission(m)), static_cast<bool>(spec)) << field;
+    if (field == "hulls" || field == "dock" || field == "due_s") {
+      EXPECT_TRUE(spec) << field;
+      continue;
+    }
+    ASSERT_FALSE(spec) << field;
     EXPECT_NE(spec.error().find(field), std::string::npos);
   }
   auto bad = [](const char* key, Json value) {
     auto m = job_message();
     m[key] = std::move(value);
-    return !decode_job(m);
+    return !decode_submission(m);
   };
   EXPECT_TRUE(bad("hands", 0));
   EXPECT_TRUE(bad("hands", 100001));
--- a/tests/world/fleet.cpp
+++ b/tests/world/fleet.cpp
@@ -233,6 +233,7 @@
   Running& t = tasks_.at(a);
   auto& spec = *fleet_.judge_.spec(a.first.job);
   images_.insert(spec.image);
+  if (sick) return exit(t, ExitCause::error);
   if (fleet_.judge_.is_done(a.first)) return exit(t, ExitCause::done);
   t.report.state = TaskState::running;
   t.progress = fleet_.saved_[a.first];
--- a/tests/world/fleet.hpp
+++ b/tests/world/fleet.hpp
@@ -66,7 +66,7 @@
 
   std::string id, address, host, type, zone;
   bool spot;
-  bool deaf = false, mute = false, gone = false;
+  bool deaf = false, mute = false, gone = false, sick = false;
   // Keeps a copy of the newest report, to arrive once more at any time.
   void keep_report() { kept_report_ = encode(report()); }
   void repeat_kept_report(const std::string& node_host);
--- a/tests/world/meeting.cpp
+++ b/tests/world/meeting.cpp
@@ -26,6 +26,15 @@
   }
   return out;
 }
+// The record leaves out what is nothing; a user's message may not.
+Json submission_of(const JobSpec& spec) {
+  Json m = {{"same_place", false}, {"spread", false}, {"tender", false},
+            {"voyage_s", 0.0},     {"moor_s", 0.0},   {"stow_s", 0.0}};
+  m.update(encode_job(spec));
+  m.erase("accepted_at");
+  return m;
+}
+
 std::vector<std::string> split(const std::string& text) {
   std::vector<std::string> out;
   std::istringstream in(text);
@@ -143,7 +152,8 @@
       in >> what;
       h.verb = "expect " + what;
     }
-    if (h.verb != "outage" && h.verb != "slow" && h.verb != "expect served") in >> h.name;
+    if (h.verb != "outage" && h.verb != "slow" && h.verb != "odd" && h.verb != "expect served")
+      in >> h.name;
     h.words = words(in);
     happenings_.push_back(std::move(h));
   } else {
@@ -343,13 +353,22 @@
     cut(h.name, str(w, "from"), w);
   } else if (h.verb == "hang") {
     for (auto* m : machines(h.name)) m->hang(for_s);
-  } else if (h.verb == "deaf" || h.verb == "mute") {
+  } else if (h.verb == "deaf" || h.verb == "mute" || h.verb == "sick") {
+    bool Worker::*trouble = h.verb == "deaf"   ? &Worker::deaf
+                            : h.verb == "mute" ? &Worker::mute
+                                               : &Worker::sick;
     for (auto* m : machines(h.name)) {
-      (h.verb == "deaf" ? m->deaf : m->mute) = true;
-      world_.in(for_s, [this, id = m->id, deaf = h.verb == "deaf"] {
-        if (auto* again = fleet_->find(id)) (deaf ? again->deaf : again->mute) = false;
+      m->*trouble = true;
+      world_.in(for_s, [this, id = m->id, trouble] {
+        if (auto* again = fleet_->find(id)) again->*trouble = false;
       });
     }
+  } else if (h.verb == "odd") {
+    for (double later = 0; later <= for_s; later += num(w, "every", 1))
+      world_.in(later, [this] {
+        odd_request(world_.random64() % controllers_.size(),
+                    static_cast<int>(world_.random64() % 24));
+      });
   } else if (h.verb == "die") {
     for (auto* m : machines(h.name)) m->vanish();
   } else if (h.verb == "keep") {
@@ -445,7 +464,7 @@
 
 void Meeting::submit(const std::string& job, size_t node, double since, bool with_repeats) {
   fleet_->judge().submitted(jobs_.at(job));
-  ask(node, Method::post, "/api/jobs", encode(encode_job(jobs_.at(job))), user_patience_s,
+  ask(node, Method::post, "/api/jobs", encode(submission_of(jobs_.at(job))), user_patience_s,
       [this, job, node, since, with_repeats](const HttpReply& reply, double asked) {
         told(job, reply, asked);
         if (reply.status == 200 || reply.status == 201) {
@@ -479,6 +498,34 @@
       });
 }
 
+void Meeting::odd_request(size_t node, int kind) {
+  auto spec = jobs_.begin()->second;
+  spec.id = "run-odd" + std::to_string(world_.random64() % 1000000);
+  auto m = submission_of(spec);
+  int expected = 422;
+  if (kind == 0) {
+    m["owner"] = "nobody";
+  } else if (kind == 1) {
+    m["cores"] = 100000.0;
+  } else if (kind == 2) {
+    m["dock"] = "nowhere";
+  } else {
+    // The field of that number, of those that a message must have.
+    auto it = m.begin();
+    std::advance(it, kind % static_cast<int>(m.size()));
+    m.erase(it);
+    expected = 400;
+  }
+  ask(node, Method::post, "/api/jobs", encode(m), user_patience_s,
+      [this, kind, expected](const HttpReply& reply, double) {
+        // Whoever can't say yet may tell the user to come back; nothing of the kind is ever
+        // accepted.
+        if (reply.status != expected && reply.status != 503 && reply.status != 0)
+          fleet_->judge().broke("odd request " + std::to_string(kind),
+                                "answered " + std::to_string(reply.status));
+      });
+}
+
 void Meeting::told(const std::string& job, const HttpReply& reply, double asked) {
   auto m = decode_map(reply.body);
   const auto status = m.is_object() ? m.value("status", std::string()) : std::string();
--- a/tests/world/meeting.hpp
+++ b/tests/world/meeting.hpp
@@ -52,6 +52,8 @@
   void submit(const std::string& job, size_t node, double since, bool with_repeats);
   void cancel(const std::string& job, size_t node, double since);
   void poll(const std::string& job, size_t node);
+  // A message that lacks a field, or a job that can never run.
+  void odd_request(size_t node, int kind);
   void told(const std::string& job, const HttpReply& reply, double asked);
   void ask(size_t node, Method method, const std::string& path, const std::string& body,
            double patience, std::function<void(const HttpReply&, double asked)> then);
