Whoever confirmed a cancellation minds its tasks where no holder can be told

Cause: with the controllers cut off from one another as well, the holder can't hear of it and stops answering in time, but a machine that hangs keeps its tasks past its lease. The controller that knows asks the machines named by the records, stops what is there under the holder's term and returns those that don't answer.

--- a/src/coordination/cancellations.cpp
+++ b/src/coordination/cancellations.cpp
@@ -31,6 +31,12 @@
   serial_.erase(it);
 }
 
+std::vector<std::pair<std::string, double>> Cancellations::known() const {
+  std::vector<std::pair<std::string, double>> out;
+  for (auto& [serial, entry] : known_) out.push_back(entry);
+  return out;
+}
+
 void Cancellations::fill(Beat& beat, const std::string& peer, double now) const {
   beat.sent_ms = to_ms(now);
   beat.last = beat.upto = last_;
--- a/src/coordination/cancellations.hpp
+++ b/src/coordination/cancellations.hpp
@@ -23,6 +23,9 @@
   bool know(const std::string& job, double since);
   void forget(const std::string& job);
 
+  // All that is known here, with when each was cancelled, or earlier.
+  std::vector<std::pair<std::string, double>> known() const;
+
   // What a beat to this peer says beside the rest.
   void fill(Beat& beat, const std::string& peer, double now) const;
   // Yields the jobs heard of for the first time.
--- a/src/coordination/holder.cpp
+++ b/src/coordination/holder.cpp
@@ -196,7 +196,10 @@
   while (!token.stop_requested()) {
     if (!co_await Sleep(loop_, tick, token)) co_return;
     forget_strays();
-    if (!holding() || superseded()) continue;
+    if (!holding() || superseded()) {
+      co_await mind_cancelled(token);
+      continue;
+    }
     double now = loop_.now();
     // A process that was held up, or that the state service left, heard nobody; that is no
     // machine's fault.
--- a/src/coordination/holder.hpp
+++ b/src/coordination/holder.hpp
@@ -111,6 +111,17 @@
   HttpResponse stand_in(const Report& r);
   void forget_strays();
 
+  // --- cancelled tasks that no holder minds (last_resort.cpp)
+  struct Minded {
+    std::string id, address;
+    std::vector<std::pair<TaskName, uint64_t>> tasks;
+    bool out_of_reach = false;
+  };
+  bool nobody_minds() const;
+  std::vector<Minded> unminded() const;
+  Task<void> mind_cancelled(std::stop_token token);
+  Task<void> mind(Minded& m, uint64_t term, size_t& left);
+
   // --- committing (holder_commit.cpp)
   Task<bool> commit_exits(std::stop_token token);
   Task<bool> commit_finals(std::stop_token token);
@@ -225,7 +236,7 @@
   std::vector<sizing::Demand> unplaced_;
   uint64_t waiting_tasks_ = 0;
   size_t uncommitted_starts_ = 0;  // decided by the last pass and put off
-  double next_list_ = 0, next_sizing_ = 0;
+  double next_list_ = 0, next_sizing_ = 0, next_minding_ = 0;
   bool place_again_ = true;
   double next_place_ = 0;
 
--- /dev/null
+++ b/src/coordination/last_resort.cpp
@@ -0,0 +1,110 @@
+// Where no holder can be told of a cancellation, whoever knows of it minds the machines.
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <map>
+
+#include "coordination/holder.hpp"
+
+namespace damsonport {
+
+namespace {
+constexpr double begin_share = 0.65;    // of cancel_s; before that a holder has time to act
+constexpr double too_late_share = 1.1;  // likewise; beyond it nothing is gained
+}  // namespace
+
+// Without state service, peers that have it, and the holder: then what was confirmed here may be
+// unknown to everybody else. A holder that doesn't know stops answering in time, which ends the
+// tasks of every machine that runs on; one that hangs keeps them.
+bool Holder::nobody_minds() const {
+  if (!cache_.loaded() || in_contact() || p_.mesh.peer_has_state(contact_s())) return false;
+  for (auto& g : cache_.blocks().grants)
+    if (g.rest && p_.mesh.alive(g.node)) return false;
+  return p_.mesh.newest_holder().second == 0;
+}
+
+std::vector<Holder::Minded> Holder::unminded() const {
+  std::map<std::string, Minded> out;
+  for (auto& [id, since] : p_.cancellations.known()) {
+    const double age = (loop_.now() - since) / settings_.cancel_s;
+    Job* job = cache_.job(id);
+    if (!job || age < begin_share || age > too_late_share) continue;
+    for (auto& [n, chunk] : job->chunks)
+      for (auto& t : chunk.record.live) {
+        auto& m = out[t.machine];
+        m.id = t.machine;
+        m.tasks.push_back({{id, n * job->chunk_size + t.index}, t.attempt});
+      }
+  }
+  std::vector<Minded> list;
+  for (auto& [id, m] : out) list.push_back(std::move(m));
+  return list;
+}
+
+// Asks each machine that may run a cancelled task, stops what is there under the holder's term, and
+// returns the machine if it doesn't answer. Nothing is committed and nothing proven by it.
+Task<void> Holder::mind_cancelled(std::stop_token token) {
+  if (loop_.now() < next_minding_ || !nobody_minds()) co_return;
+  next_minding_ = loop_.now() + settings_.report_s;
+  auto machines = unminded();
+  if (machines.empty()) co_return;
+  uint64_t term = 0;
+  for (auto& g : cache_.blocks().grants) term = std::max(term, g.term);
+  std::map<std::string, std::string> addresses;
+  std::string after;
+  for (bool more = true; more;) {
+    std::string target = "/hosts?limit=500";
+    if (!after.empty()) target += "&since=" + after;
+    auto reply = co_await p_.http.request(settings_.cloud, Method::get, target, {}, 3.0);
+    auto list = decode_machine_list(decode_map(reply.body));
+    if (reply.status != 200 || !list) co_return;
+    for (auto& l : list->machines) addresses[after = l.id] = l.address;
+    more = list->more && !list->machines.empty();
+  }
+  std::vector<std::string> back;
+  for (size_t done = 0; done < machines.size() && !token.stop_requested();) {
+    const size_t count =
+        std::min(machines.size() - done, static_cast<size_t>(direct_sockets(settings_)));
+    size_t left = count;
+    for (size_t i = done; i < done + count; ++i) {
+      machines[i].address = addresses[machines[i].id];
+      loop_.spawn("minding", mind(machines[i], term, left));
+    }
+    // Each ends by its own time-outs; their results stand in what this routine holds.
+    while (left > 0) co_await Sleep(loop_, settings_.report_s / 10, {});
+    for (size_t i = done; i < done + count; ++i)
+      if (machines[i].out_of_reach) back.push_back(machines[i].id);
+    done += count;
+  }
+  constexpr size_t most = 100;
+  for (size_t i = 0; i < back.size(); i += most) {
+    std::vector<std::string> some(
+        back.begin() + static_cast<long>(i),
+        back.begin() + static_cast<long>(std::min(i + most, back.size())));
+    spdlog::warn("returning {} machines out of reach that may keep cancelled tasks", some.size());
+    co_await p_.http.request(settings_.cloud, Method::post, "/hosts/return", encode_return(some),
+                             3.0);
+  }
+}
+
+Task<void> Holder::mind(Minded& m, uint64_t term, size_t& left) {
+  Endpoint to;
+  m.out_of_reach = true;
+  if (parse_endpoint(m.address, to)) {
+    auto shown = co_await p_.http.request(to, Method::get, "/show", {}, settings_.report_s);
+    if (auto report = decode_report(decode_map(shown.body)); shown.status == 200 && report) {
+      m.out_of_reach = false;
+      std::vector<Command> stops;
+      for (auto& t : report->tasks)
+        for (auto& [name, attempt] : m.tasks)
+          if (t.task == name && t.state != TaskState::exited)
+            stops.push_back({Command::Op::stop, t.task, t.attempt, 0});
+      if (!stops.empty())
+        co_await p_.http.request(to, Method::post, "/commands",
+                                 encode_direct(term, report->session, stops), settings_.report_s);
+    }
+  }
+  --left;
+}
+
+}  // namespace damsonport
