--- a/src/coordination/cancellations.cpp
+++ b/src/coordination/cancellations.cpp
@@ -1,7 +1,6 @@
 #include "coordination/cancellations.hpp"
 
 #include <algorithm>
-#include <limits>
 
 namespace damsonport {
 
--- a/src/coordination/cancellations.hpp
+++ b/src/coordination/cancellations.hpp
@@ -18,8 +18,7 @@
   Cancellations(uint64_t incarnation, const std::vector<std::string>& peers);
 
   // Known here, from before anybody is told of it until the records say that its tasks are gone.
-  // `since`: when it was cancelled, or earlier.
-  // True the first time.
+  // `since`: when it was cancelled, or earlier. True the first time.
   bool know(const std::string& job, double since);
   void forget(const std::string& job);
 
--- a/src/coordination/mesh.cpp
+++ b/src/coordination/mesh.cpp
@@ -12,7 +12,6 @@
   for (auto& p : settings.peers) {
     links_[p.name] = network.link(p.mesh);
     seen_[p.name];
-    if (p.zone != settings.zone) other_zones_[p.zone].push_back(p.name);
   }
   listener_ = network.listener(settings.mesh_listen, 2 + 4 * settings.peers.size(),
                                [this](std::string_view b) { return take(b); });
@@ -65,13 +64,6 @@
   return sum;
 }
 
-bool Mesh::lost_a_zone() const {
-  return std::any_of(other_zones_.begin(), other_zones_.end(), [&](auto& zone) {
-    return std::none_of(zone.second.begin(), zone.second.end(),
-                        [&](auto& node) { return alive(node); });
-  });
-}
-
 int Mesh::silent_peers() const {
   return static_cast<int>(
       std::count_if(seen_.begin(), seen_.end(), [&](auto& s) { return !alive(s.first); }));
@@ -83,12 +75,6 @@
   return false;
 }
 
-bool Mesh::peer_lacks_state(double max_age_s) const {
-  for (auto& [node, s] : seen_)
-    if (alive(node) && static_cast<double>(s.beat.state_age_ms) / 1000 >= max_age_s) return true;
-  return false;
-}
-
 std::pair<std::string, uint64_t> Mesh::newest_holder() const {
   std::pair<std::string, uint64_t> newest{{}, 0};
   for (auto& [node, s] : seen_)
--- a/src/coordination/mesh.hpp
+++ b/src/coordination/mesh.hpp
@@ -1,5 +1,5 @@
-// What the other controllers say of themselves: hints for liveness and for telling a shared outage
-// of the state service from one's own.
+// What the other controllers say of themselves: hints for liveness, for telling a shared outage of
+// the state service from one's own, and what is cancelled.
 #pragma once
 #include <map>
 #include <memory>
@@ -27,14 +27,12 @@
   double silence(const std::string& node) const;
   // Writes that live peers want, all together.
   uint64_t wanted_writes() const;
-  // No peer is heard; all those of some other zone are not heard.
+  // No peer is heard.
   bool alone() const { return silent_peers() == static_cast<int>(seen_.size()); }
-  bool lost_a_zone() const;
   // Peers that are not heard.
   int silent_peers() const;
-  // Some live peer has contact with the state service / some live peer lacks it too.
+  // Some live peer has contact with the state service.
   bool peer_has_state(double max_age_s) const;
-  bool peer_lacks_state(double max_age_s) const;
   // The live peer with the newest grant by its own word, and its term; 0: none holds one.
   std::pair<std::string, uint64_t> newest_holder() const;
   // The most machines that come to one live peer without being its own.
@@ -51,7 +49,6 @@
   double period_;
   Signal hurry_;
   std::map<std::string, Seen> seen_;
-  std::map<std::string, std::vector<std::string>> other_zones_;  // their nodes
   std::map<std::string, std::unique_ptr<StreamLink>> links_;
   std::unique_ptr<StreamListener> listener_;
 };
