--- a/tests/meeting_test.cpp
+++ b/tests/meeting_test.cpp
@@ -101,11 +101,16 @@
     }
 }
 
-// MEETING_FIRST and MEETING_COUNT play others than those of the suite.
-TEST(DrawnMeetings, BreakNoRule) {
+// Groups of three. MEETING_FIRST and MEETING_COUNT play others than those of the suite.
+constexpr uint64_t drawn_groups = 8, drawn_in_a_group = 3;
+
+class DrawnMeetings : public testing::TestWithParam<uint64_t> {};
+
+TEST_P(DrawnMeetings, BreakNoRule) {
   const char* first = std::getenv("MEETING_FIRST");
   const char* count = std::getenv("MEETING_COUNT");
-  const uint64_t from = first ? std::stoull(first) : 1, n = count ? std::stoull(count) : 24;
+  const uint64_t n = count ? std::stoull(count) : drawn_in_a_group;
+  const uint64_t from = (first ? std::stoull(first) : 1) + GetParam() * n;
   for (uint64_t seed = from; seed < from + n; ++seed) {
     Meeting meeting(seed);
     shown = &meeting.world();
@@ -120,6 +125,8 @@
   }
 }
 
+INSTANTIATE_TEST_SUITE_P(Suite, DrawnMeetings, testing::Range(uint64_t{0}, drawn_groups));
+
 std::vector<std::string> meeting_names() {
   std::vector<std::string> out;
   for (auto& f : std::filesystem::directory_iterator(std::string(TRACE_DIR) + "/meetings"))
