--- /dev/null
+++ b/src/coordination/placement_pass.hpp
@@ -0,0 +1,161 @@
+// One pass of placement: the state it keeps while it decides for one waiting job after another.
+// Internal to placement; its parts are in placement.cpp (order, rules, plain jobs),
+// placement_cost.cpp, placement_preemption.cpp and placement_gang.cpp.
+#pragma once
+#include <algorithm>
+#include <array>
+#include <limits>
+#include <vector>
+
+#include "coordination/placement.hpp"
+
+namespace damsonport::placing {
+
+constexpr int urgent_priority = 2;  // high and production
+constexpr double never = std::numeric_limits<double>::infinity();
+constexpr size_t nowhere = static_cast<size_t>(-1);
+
+template <class T>
+bool contains(const std::vector<T>& list, const T& item) {
+  return std::find(list.begin(), list.end(), item) != list.end();
+}
+
+class PlacementPass {
+ public:
+  explicit PlacementPass(const Input& in);
+  // Decides for every waiting job, the most urgent first.
+  Decisions run();
+
+ private:
+  // Where the tasks of a waiting job are.
+  struct Tally {
+    std::vector<uint32_t> in_zone;
+    std::vector<size_t> on;  // machines, one entry a task
+  };
+
+  Tally& tally(size_t j) { return tallies_[tally_of_[j]]; }
+
+  const Tally& tally(size_t j) const { return tallies_[tally_of_[j]]; }
+
+  // The one look at everything that is on the machines.
+  void count_machine(size_t m);
+
+  bool is_stopping(const LiveView& l) const { return l.stopping || in_.jobs[l.job].cancelled; }
+
+  static bool has_room(const Amounts& a) { return a.cpus > 0 || a.gpus > 0 || a.memory_gb > 0; }
+
+  // Replicas of the job being placed, by machine; wiped when it is done with.
+  void recall_replicas(size_t j);
+
+  // The shapes that matter for keeping room whole: the most accelerators that one task asks for,
+  // and the CPUs and memory that go with an accelerator. Work that may use spot machines has room
+  // of its own there and counts only where there is no other.
+  void measure_shapes();
+
+  // Accelerators that can be used in this room, going by the CPUs and memory beside them.
+  double usable_gpus(const Amounts& room) const;
+
+  // A job is within its team's guarantee when it fits into it with the team's earlier ones.
+  void judge_guarantees();
+
+  int urgency(size_t j) const;
+
+  bool before(size_t a, size_t b) const;
+
+  // Among equals by deadline, and by age where there is none. When more is asked than can be done,
+  // what can't be in time any more would make the next one late too, so it goes behind for a while;
+  // but not for ever, since it has to run as well.
+  double turn(const JobView& job) const;
+
+  bool team_allows(size_t j) const;
+
+  bool zone_allows(size_t j, NameId zone) const;
+
+  // Type, zone and kind of machine, as the job's rules have them.
+  bool suits(size_t j, NameId type, NameId zone, bool spot) const;
+
+  bool allowed(size_t j, size_t m) const;
+
+  double image_delay(const JobView& job, const MachineView& m) const;
+
+  // Chance that a fetch of this length, give or take a third, is too long for what is expected.
+  static double miss_chance(double fetch, double within);
+
+  // Seconds, or what counts like them: the lower, the better the machine for this task.
+  double cost(size_t j, size_t m, const Amounts& room) const;
+
+  void place_job(size_t j);
+
+  // The machines are judged once for the whole job: what one start changes is the judgement of its
+  // own machine, and of those that the job's zones then rule out.
+  uint32_t start_what_fits(size_t j, uint32_t most);
+
+  // Free room only shrinks during a pass, so where a task found none, no task that needs at least
+  // as much under the same rules does: under overload the like are decided as a class. Jobs bound
+  // to the zones of their own tasks, or kept off some machines, speak for themselves only.
+  static bool same_rules(const JobView& a, const JobView& b);
+
+  bool known_full(const JobView& job) const;
+
+  bool speaks_for_others(const JobView& job) const;
+
+  void note_full(const JobView& job);
+
+  // All of it or nothing, and nothing is stopped for it.
+  void place_gang(size_t j);
+
+  void note_unplaced(size_t j, uint32_t left, uint32_t coming);
+
+  void occupy(size_t j, size_t m);
+
+  bool claim_coming(size_t j);
+
+  bool claim_booting(size_t j);
+
+  // Uses what is free first and takes the rest from what comes free.
+  void take_future(size_t j, size_t m);
+
+  static bool standing(const JobView& job);
+
+  bool may_stop(size_t j, const LiveView& v) const;
+
+  // Within how many seconds this job is expected to start.
+  double expected_within(size_t j) const;
+
+  double age(const LiveView& v) const { return std::max(in_.steady_now - v.since, 0.0); }
+
+  // Work lost by stopping it without time to save.
+  double abrupt_loss(const LiveView& v) const;
+
+  // What saves by itself loses half an interval when it is stopped at once, about what the saving
+  // would take. It is stopped so for what could not wait for the saving.
+  bool abruptly(size_t j, size_t m, const LiveView& v) const;
+
+  double loss(const LiveView& v, bool abrupt) const;
+
+  // Where a job found nothing to be stopped, none finds it that needs as much under the same rules
+  // and may stop no more.
+  bool known_hopeless(size_t j, bool also_standing) const;
+
+  bool make_room(size_t j, bool also_standing);
+
+  const Input& in_;
+  std::vector<Amounts> free_, future_, used_;
+  std::vector<uint32_t> replicas_;
+  std::vector<int> least_urgent_;             // of what could be stopped, by machine
+  std::vector<std::vector<size_t>> stopped_;  // in this pass, by machine
+  std::vector<size_t> tally_of_;              // by job: its place in tallies_
+  std::vector<Tally> tallies_;
+  std::vector<size_t> order_;         // waiting jobs
+  std::vector<size_t> coming_;        // machines where room comes free; some may stand in it twice
+  std::vector<const JobView*> full_;  // found no free room in this pass
+  // Found nothing to be stopped since the last stop: without standing replicas, and with them.
+  std::array<std::vector<size_t>, 2> hopeless_;
+  std::vector<BootingView> booting_;
+  std::vector<bool> guaranteed_;
+  std::vector<int> urgency_;
+  double large_gpus_ = 0, cpus_per_gpu_ = 0, memory_per_gpu_ = 0;
+  Decisions out_;
+};
+
+}  // namespace damsonport::placing
--- /dev/null
+++ b/src/coordination/placement_preemption.cpp
@@ -0,0 +1,114 @@
+// What may be stopped to make room, and at what cost.
+#include "coordination/placement_pass.hpp"
+
+namespace damsonport::placing {
+
+bool PlacementPass::standing(const JobView& job) {
+  return job.service && job.priority >= urgent_priority;
+}
+
+bool PlacementPass::may_stop(size_t j, const LiveView& v) const {
+  auto& job = in_.jobs[j];
+  auto& victim = in_.jobs[v.job];
+  // Only what would also be placed after it: what is placed first would take the room again, and
+  // the two would drive one another out for ever.
+  if (urgency_[j] <= urgency_[v.job] || is_stopping(v)) return false;
+  if (victim.priority < job.priority) return true;
+  // For its guarantee a team may take back what another team borrows; standing replicas of the
+  // same or a higher rank are left alone all the same, since each stop is seen by users.
+  return guaranteed_[j] && !guaranteed_[v.job] && victim.team != job.team && !victim.service &&
+         victim.priority < 3;
+}
+
+double PlacementPass::expected_within(size_t j) const {
+  double s = never;
+  if (in_.jobs[j].start_within_s > 0) s = in_.jobs[j].start_within_s;
+  if (guaranteed_[j] && in_.guarantee_within_s > 0) s = std::min(s, in_.guarantee_within_s);
+  return s;
+}
+
+double PlacementPass::abrupt_loss(const LiveView& v) const {
+  return std::min(age(v), in_.jobs[v.job].checkpoint_s / 2);
+}
+
+bool PlacementPass::abruptly(size_t j, size_t m, const LiveView& v) const {
+  const double grace = in_.jobs[v.job].grace_s;
+  return grace > 0 && abrupt_loss(v) <= 2 * grace &&
+         image_delay(in_.jobs[j], in_.machines[m]) + grace > expected_within(j);
+}
+
+double PlacementPass::loss(const LiveView& v, bool abrupt) const {
+  auto& victim = in_.jobs[v.job];
+  // Stopped with time to save it loses nothing but that time.
+  const double lost =
+      victim.checkpoint_s > 0 ? 0 : std::min(age(v), std::max(victim.estimate_s, 1.0) * 2);
+  double c = (abrupt ? abrupt_loss(v) : lost + victim.grace_s) + 2 + victim.priority * 15;
+  if (victim.service) c += 60;
+  if (age(v) < in_.start_counts_s) c += 10;
+  if (guaranteed_[v.job]) c += 15;
+  return c;
+}
+
+bool PlacementPass::known_hopeless(size_t j, bool also_standing) const {
+  auto& known = hopeless_[also_standing];
+  return std::any_of(known.begin(), known.end(), [&](size_t h) {
+    auto &a = in_.jobs[h], &b = in_.jobs[j];
+    return a.need.fits(b.need) && same_rules(a, b) && urgency_[j] <= urgency_[h] &&
+           b.priority <= a.priority && (!guaranteed_[j] || (guaranteed_[h] && a.team == b.team));
+  });
+}
+
+bool PlacementPass::make_room(size_t j, bool also_standing) {
+  if (known_hopeless(j, also_standing)) return false;
+  auto& job = in_.jobs[j];
+  double best = never;
+  size_t where = 0;
+  std::vector<size_t> best_set, victims, set;
+  for (size_t m = 0; m < in_.machines.size(); ++m) {
+    if (least_urgent_[m] >= urgency_[j]) continue;
+    ++out_.examined;
+    if (!allowed(j, m)) continue;
+    auto& live = in_.machines[m].live;
+    victims.clear();
+    for (size_t i = 0; i < live.size(); ++i)
+      if (may_stop(j, live[i]) && (also_standing || !standing(in_.jobs[live[i].job])) &&
+          !contains(stopped_[m], i))
+        victims.push_back(i);
+    auto lost = [&](size_t i) { return loss(live[i], abruptly(j, m, live[i])); };
+    std::sort(victims.begin(), victims.end(),
+              [&](size_t a, size_t b) { return lost(a) < lost(b); });
+    Amounts room = free_[m];
+    room += future_[m];
+    set.clear();
+    double c = image_delay(job, in_.machines[m]);
+    for (size_t i : victims) {
+      if (job.need.fits(room)) break;
+      auto& need = in_.jobs[live[i].job].need;
+      bool helps = (need.gpus > 0 && job.need.gpus > room.gpus) ||
+                   (need.cpus > 0 && job.need.cpus > room.cpus) ||
+                   (need.memory_gb > 0 && job.need.memory_gb > room.memory_gb);
+      if (!helps) continue;
+      room += need;
+      c += lost(i);
+      set.push_back(i);
+    }
+    if (!set.empty() && job.need.fits(room) && c < best) best = c, where = m, best_set = set;
+  }
+  if (best == never) {
+    if (speaks_for_others(job)) hopeless_[also_standing].push_back(j);
+    return false;
+  }
+  auto& live = in_.machines[where].live;
+  for (size_t i : best_set) {
+    out_.stops.push_back(
+        {where, i, abruptly(j, where, live[i]) ? 0 : in_.jobs[live[i].job].grace_s});
+    stopped_[where].push_back(i);
+    future_[where] += in_.jobs[live[i].job].need;
+  }
+  take_future(j, where);
+  coming_.push_back(where);
+  for (auto& known : hopeless_) known.clear();  // more may be coming now than this job takes
+  return true;
+}
+
+}  // namespace damsonport::placing
