--- a/src/coordination/catalog.cpp
+++ b/src/coordination/catalog.cpp
@@ -34,6 +34,14 @@
   return nullptr;
 }
 
+void keep_known_types(JobSpec& job, const std::vector<MachineType>& types) {
+  std::vector<std::string> known;
+  for (auto& type : types)
+    if (std::find(job.types.begin(), job.types.end(), type.name) != job.types.end())
+      known.push_back(type.name);
+  if (!known.empty()) job.types = std::move(known);
+}
+
 Verdict judge_job(const JobSpec& job, const Settings& settings,
                   const std::vector<MachineType>& types) {
   auto* team = settings.team(job.team);
--- a/src/coordination/catalog.hpp
+++ b/src/coordination/catalog.hpp
@@ -23,6 +23,9 @@
 
 enum class Verdict : uint8_t { ok, unknown_team, fits_no_type, over_limit };
 // Whether the job could ever run.
+// Leaves out of the job's list those machine types that the cloud doesn't have.
+void keep_known_types(JobSpec& job, const std::vector<MachineType>& types);
+
 Verdict judge_job(const JobSpec& job, const Settings& settings,
                   const std::vector<MachineType>& types);
 
--- /dev/null
+++ b/src/coordination/gangs.hpp
@@ -0,0 +1,38 @@
+// What is to be done about a gang, judged by its records and reports. Pure.
+//
+// All tasks of an attempt share its number. A gang is started by one decision; until it runs, a
+// task that is proven gone is replaced under the same attempt, and once it has run, or the missing
+// task can't be replaced in time, the attempt is given up as a whole.
+#pragma once
+#include <cstdint>
+
+#include "storage/cache.hpp"
+
+namespace damsonport {
+
+struct GangStanding {
+  uint32_t tasks = 0;
+  uint32_t live = 0;  // by the records
+  uint32_t done = 0;
+  bool ran = false;         // a task of this attempt was seen running or saving
+  bool broken = false;      // a task of this attempt ended because of the others, or was stopped
+  bool stopping = false;    // the attempt is being stopped
+  double incomplete_s = 0;  // since some task of the attempt is missing
+};
+
+enum class GangAction : uint8_t {
+  none,      // nothing is missing, or it has to be waited for
+  start,     // nothing of it is left: the whole gang may be started, under a new attempt
+  complete,  // the missing tasks may be started under the attempt of the others
+  give_up,   // the rest of the attempt has to be stopped
+};
+
+// `patience_s`: how long a missing task may take to be replaced while the others hold their places.
+GangAction gang_action(const GangStanding& gang, double patience_s);
+
+// The attempt of the tasks that are live; 0: none is.
+uint64_t live_attempt(const Job& gang);
+// The attempt under which the missing tasks are started next.
+uint64_t next_attempt(const Job& gang);
+
+}  // namespace damsonport
--- a/src/coordination/holder.cpp
+++ b/src/coordination/holder.cpp
@@ -211,6 +211,7 @@
     watch_cancelled();
     watch_stragglers();
     watch_drains();
+    review_gangs();
     // What changes with time alone: pauses that are over, machines in doubt.
     if (waiting_tasks_ > 0 || !held_back_.empty()) place_again_ = true;
     if (p_.election.leading()) {
--- a/src/coordination/holder.hpp
+++ b/src/coordination/holder.hpp
@@ -11,12 +11,14 @@
 #include "coordination/catalog.hpp"
 #include "coordination/election.hpp"
 #include "coordination/fleet.hpp"
+#include "coordination/gangs.hpp"
 #include "coordination/mesh.hpp"
 #include "coordination/placement.hpp"
 #include "coordination/reconcile.hpp"
 #include "coordination/silence.hpp"
 #include "coordination/sizing.hpp"
 #include "coordination/straggler.hpp"
+#include "coordination/version_registry.hpp"
 
 namespace damsonport {
 
@@ -32,6 +34,7 @@
     Mesh& mesh;
     const Cancellations& cancellations;
     Election& election;
+    const VersionRegistry& versions;
     Signal& changed;
     uint64_t incarnation;
   };
@@ -71,11 +74,19 @@
     ExitCause cause;
     std::string machine;
   };
+  // What was seen of a gang's present attempt; lost with the process.
+  struct GangHints {
+    uint64_t attempt = 0;
+    bool ran = false;             // some task was seen running or saving
+    bool broken = false;          // some task ended because of the others, or was stopped
+    double incomplete_since = 0;  // 0: no task is missing
+  };
   struct JobHints {
     double backoff_until = 0;
     int errors = 0;
     std::set<std::string> error_machines;
     RunTimes run_times;
+    GangHints gang;
   };
   struct Booting {
     std::string type, zone;
@@ -126,11 +137,52 @@
   Task<bool> commit_exits(std::stop_token token);
   Task<bool> commit_finals(std::stop_token token);
   Task<bool> commit_starts(std::stop_token token);
+  // A start that was decided, or committed and not ordered yet.
+  struct DecidedStart {
+    std::string job, machine;
+    bool image_cached;
+  };
+  struct CommittedStart {
+    TaskName task;
+    uint64_t attempt;
+    std::string machine;
+    bool image_cached;
+  };
+  void order_stops(const placing::Decisions& decided);
+  void note_unplaced(const placing::Decisions& decided);
+  DecidedStart by_name(size_t job, size_t machine) const;
+  Task<bool> commit_gang_starts(std::vector<std::vector<DecidedStart>> gangs,
+                                std::stop_token token);
+  Task<bool> commit_gang_start(const std::vector<DecidedStart>& gang, std::stop_token token);
+  Task<bool> commit_single_starts(std::vector<DecidedStart> decided, std::stop_token token);
+  void order_starts(const std::vector<CommittedStart>& starts);
   Task<bool> settle(Txn txn, std::stop_token token, bool starts = false);
   Task<void> reread(std::vector<std::string> failed);
   bool records_current() const;
   static bool is_over(const Job& job) { return job.cancelled ? job.live == 0 : job.finished(); }
 
+  // --- gangs (holder_gangs.cpp)
+  // Takes note of a proven exit; of a gang it says something about the other tasks too.
+  void note_exit(const TaskName& task, PendingExit exit);
+  GangHints& gang_hints(const Job& gang);
+  GangStanding gang_standing(const Job& gang);
+  GangAction next_gang_action(const Job& gang);
+  // Tasks that may be started now.
+  uint32_t startable_gang_tasks(const Job& gang);
+  void review_gang(const Job& gang);
+  void review_gangs();
+  void finish_gang(const Job& gang, uint64_t attempt);
+  // Tells every task of the attempt at once.
+  void stop_gang(const Job& gang, double grace_s);
+  struct LiveTaskRef {
+    TaskName name;
+    uint64_t attempt;
+    std::string machine;
+  };
+  // A task that the records place on a machine.
+  std::vector<LiveTaskRef> live_tasks(const Job& job) const;
+  void stop_task(const LiveTaskRef& task, double grace_s);
+
   // --- what placement sees (holder_view.cpp)
   void reset_view();
   void refresh_view();
--- a/src/coordination/holder_cloud.cpp
+++ b/src/coordination/holder_cloud.cpp
@@ -137,9 +137,11 @@
         if (stopping_.contains(name)) continue;
         bool saves = s.checkpoint_s > 0;
         if (saves ? left < grace + 2 * settings_.report_s : left < settings_.report_s / 2) {
-          stopping_[name] = {attempt, grace};
-          dirty_machines_.insert(id);
-          if (m.tasks.contains(name)) order(m, {Command::Op::stop, name, attempt, grace});
+          if (s.kind == Kind::gang) {
+            stop_gang(*a.job, grace);
+          } else {
+            stop_task({name, attempt, id}, grace);
+          }
         }
       }
     }
@@ -178,9 +180,10 @@
 // Many machines fail together, and each waits with all that ran on it: so they are marked in bulk,
 // a hundred in one record, and those of the most urgent tasks go first.
 Task<void> Holder::return_machines(bool overdue_only, std::stop_token token) {
+  const size_t max_marked_at_once = machines_in_a_mark(settings_.state_limits.always().value_kb);
   if (!unmarked_.empty() && in_contact()) {
     std::vector<std::string> late(unmarked_.begin(), unmarked_.end());
-    if (late.size() > max_returned_at_once) late.resize(max_returned_at_once);
+    if (late.size() > max_marked_at_once) late.resize(max_marked_at_once);
     if (co_await mark_leaving(late))
       for (auto& id : late) unmarked_.erase(id);
   }
@@ -197,7 +200,7 @@
         urgency[id] += a.job->spec.priority >= Priority::high && !a.job->cancelled;
     std::stable_sort(mark.begin(), mark.end(),
                      [&](auto& a, auto& b) { return urgency[a] > urgency[b]; });
-    if (mark.size() > max_returned_at_once) mark.resize(max_returned_at_once);
+    if (mark.size() > max_marked_at_once) mark.resize(max_marked_at_once);
     if (!mark.empty()) {
       const bool marked = co_await mark_leaving(mark);
       if (!holding()) co_return;
@@ -256,7 +259,7 @@
     forget_machine(id);
     for (auto& [a, attempt] : cache_.assigned(id)) {
       TaskName name{a.job->spec.id, a.index};
-      exits_[name] = {attempt, ExitCause::stopped, id};
+      note_exit(name, {attempt, ExitCause::stopped, id});
     }
   }
   spdlog::info("returned {} machine{}", ask.size(), ask.size() == 1 ? "" : "s");
--- a/src/coordination/holder_commit.cpp
+++ b/src/coordination/holder_commit.cpp
@@ -83,7 +83,7 @@
 
 Task<bool> Holder::commit_exits(std::stop_token token) {
   if (exits_.empty() || !records_current()) co_return false;
-  ChunkEdits edits(cache_, settings_.txn_ops);
+  ChunkEdits edits(cache_, settings_.state_limits.always().txn_writes);
   std::vector<TaskName> taken;
   for (auto it = exits_.begin(); it != exits_.end();) {
     auto& [name, exit] = *it;
@@ -92,7 +92,8 @@
     const LiveTask* live = nullptr;
     if (job && job->chunks.contains(chunk))
       live = job->chunks[chunk].record.find_live(name.index % job->chunk_size);
-    if (!live || live->attempt != exit.attempt) {
+    // A gang's task may have gone to another machine under the same attempt.
+    if (!live || live->attempt != exit.attempt || live->machine != exit.machine) {
       it = exits_.erase(it);  // the records are past it
       continue;
     }
@@ -120,7 +121,7 @@
   if (!records_current()) co_return false;
   Txn txn;
   std::vector<std::string> ended;
-  int room = settings_.txn_ops;
+  int room = settings_.state_limits.always().txn_writes;
   for (auto it = over_.begin(); it != over_.end();) {
     const std::string& id = *it;
     Job* job = cache_.job(id);
@@ -133,7 +134,7 @@
     if (cache_.revision() < job->version) continue;
     int chunks = static_cast<int>(job->chunks.size());
     // Chunks that don't fit in become orphans, which are swept later.
-    int with = std::min(chunks, std::max(0, settings_.txn_ops - 2));
+    int with = std::min(chunks, std::max(0, settings_.state_limits.always().txn_writes - 2));
     if (room < 2 + with) break;
     room -= 2 + with;
     txn.conditions[keys::job(id)] = job->version;
@@ -174,54 +175,125 @@
   place_again_ = false;
 
   refresh_view();
-  auto decided = placing::place(view_);
+  const auto decided = placing::place(view_);
+  note_unplaced(decided);
+  order_stops(decided);
 
+  // By name from here on: places in the view are used anew while the commits are under way.
+  std::vector<DecidedStart> singles;
+  for (auto& start : decided.starts) singles.push_back(by_name(start.job, start.machine));
+  std::vector<std::vector<DecidedStart>> gangs;
+  for (auto& gang : decided.gangs) {
+    auto& starts = gangs.emplace_back();
+    for (size_t m : gang.machines) starts.push_back(by_name(gang.job, m));
+  }
+  bool any = co_await commit_gang_starts(std::move(gangs), token);
+  any = co_await commit_single_starts(std::move(singles), token) || any;
+  co_return any;
+}
+
+void Holder::note_unplaced(const placing::Decisions& decided) {
   unplaced_.clear();
   waiting_tasks_ = 0;
   for (auto& u : decided.unplaced) {
     waiting_tasks_ += u.count;
     if (u.room_coming) continue;
     auto& s = slot_jobs_[u.job]->spec;
-    unplaced_.push_back({need_of(s), u.count, s.types, s.zone, s.spot});
+    sizing::Demand demand{need_of(s), u.missing, s.types, s.zone, s.spot};
+    if (s.kind == Kind::gang) {
+      demand.gang = true;
+      demand.one_zone = s.one_zone;
+      for (auto& zone : settings_.zones)
+        if (u.zone != 0 && view_.zones.id(zone) == u.zone) demand.zone = zone;
+    }
+    unplaced_.push_back(std::move(demand));
   }
+}
+
+void Holder::order_stops(const placing::Decisions& decided) {
   for (auto& s : decided.stops) {
     auto& live = view_.machines[s.machine].live[s.live];
-    TaskName name{slot_jobs_[live.job]->spec.id, live.index};
-    Machine& m = machine(view_.machines[s.machine].id);
-    stopping_[name] = {live.attempt, s.grace_s};
-    spdlog::info("stopping {} attempt {} on {} to make room", name.text(), live.attempt, m.id);
-    auto reported = m.tasks.find(name);
-    if (reported != m.tasks.end() && reported->second.attempt == live.attempt)
-      order(m, {Command::Op::stop, name, live.attempt, s.grace_s});
-    dirty_machines_.insert(m.id);
+    const std::string& machine_id = view_.machines[s.machine].id;
+    const TaskName name{slot_jobs_[live.job]->spec.id, live.index};
+    spdlog::info("stopping {} attempt {} on {} to make room", name.text(), live.attempt,
+                 machine_id);
+    stop_task({name, live.attempt, machine_id}, s.grace_s);
   }
+}
 
-  // By name from here on: places in the view are used anew while the commits are under way.
-  struct Planned {
-    std::string job, machine;
-    bool cached;
-  };
-  std::vector<Planned> planned;
-  for (auto& s : decided.starts)
-    planned.push_back({view_.jobs[s.job].id, view_.machines[s.machine].id,
-                       placing::holds(view_.machines[s.machine], view_.jobs[s.job].image)});
-  struct Started {
-    TaskName task;
-    uint64_t attempt;
-    std::string machine;
-    bool cached;
-  };
+Holder::DecidedStart Holder::by_name(size_t job, size_t machine) const {
+  auto& m = view_.machines[machine];
+  auto& j = view_.jobs[job];
+  return {j.id, m.id, placing::holds(m, j.image)};
+}
+
+// A gang is started by one transaction where its records fit into one. Otherwise one after the
+// other under the same attempt: a holder that ends halfway leaves a gang with missing tasks, which
+// the next one completes or gives up like any other.
+Task<bool> Holder::commit_gang_start(const std::vector<DecidedStart>& gang, std::stop_token token) {
+  const std::string id = gang.front().job;
+  uint64_t attempt = 0;
+  std::vector<CommittedStart> committed;
+  while (committed.size() < gang.size()) {
+    Job* job = cache_.job(id);
+    // Changed while it was being committed: the next pass sees it as it is.
+    if (!job || is_cancelled(*job) || !holding()) break;
+    if (attempt == 0) attempt = next_attempt(*job);
+    ChunkEdits edits(cache_, settings_.state_limits.always().txn_writes);
+    edits.txn().conditions[keys::job(id)] = job->version;
+    std::vector<CommittedStart> started;
+    for (uint32_t n = 0; n < job->chunk_count(); ++n) {
+      auto known = job->chunks.find(n);
+      const bool all_started = known != job->chunks.end() &&
+                               known->second.record.next == job->size_of(n) &&
+                               known->second.record.waiting.empty();
+      if (all_started) continue;
+      auto* record = edits.edit(*job, n);
+      if (!record) break;
+      uint32_t index = 0;
+      uint64_t own_attempt = 0;
+      while (committed.size() + started.size() < gang.size() &&
+             record->peek_startable(job->size_of(n), 0, index, own_attempt)) {
+        auto& place = gang[committed.size() + started.size()];
+        record->start(index, attempt, place.machine);
+        started.push_back(
+            {{id, n * job->chunk_size + index}, attempt, place.machine, place.image_cached});
+      }
+    }
+    if (started.empty() || !co_await settle(edits.finish(), token, true)) break;
+    committed.insert(committed.end(), started.begin(), started.end());
+  }
+  order_starts(committed);
+  co_return committed.size() == gang.size();
+}
+
+Task<bool> Holder::commit_gang_starts(std::vector<std::vector<DecidedStart>> gangs,
+                                      std::stop_token token) {
+  const double begun = loop_.now();
+  for (auto& gang : gangs) {
+    if (!holding()) break;
+    if (loop_.now() - begun > settings_.report_s * starts_share) {
+      place_again_ = true;
+      break;
+    }
+    if (!co_await commit_gang_start(gang, token)) place_again_ = true;
+  }
+  co_return !gangs.empty();
+}
+
+Task<bool> Holder::commit_single_starts(std::vector<DecidedStart> planned, std::stop_token token) {
+  const double begun = loop_.now();
   size_t next = 0;
   bool any = false;
   while (next < planned.size() && holding()) {
     // A long run of starts must not hold up renewals, exits and what became more urgent meanwhile.
-    if (loop_.now() - now > settings_.report_s * starts_share) {
+    if (loop_.now() - begun > settings_.report_s * starts_share) {
       place_again_ = true;
       uncommitted_starts_ = planned.size() - next;
       break;
     }
-    ChunkEdits edits(cache_, settings_.txn_ops);
-    std::vector<Started> started;
+    ChunkEdits edits(cache_, settings_.state_limits.always().txn_writes);
+    std::vector<CommittedStart> started;
     for (; next < planned.size(); ++next) {
       auto& s = planned[next];
       Job* job = cache_.job(s.job);
@@ -248,7 +320,8 @@
       if (!record) continue;
       record->start(index, attempt, s.machine);
       edits.txn().conditions[keys::job(s.job)] = job->version;
-      started.push_back({{s.job, chunk * job->chunk_size + index}, attempt, s.machine, s.cached});
+      started.push_back(
+          {{s.job, chunk * job->chunk_size + index}, attempt, s.machine, s.image_cached});
     }
     if (started.empty()) break;
     any = true;
@@ -256,25 +329,29 @@
       place_again_ = true;
       break;
     }
-    const double at = loop_.now();
-    for (auto& s : started) {
-      attempts_[s.task] = {{s.attempt, {at, 0, s.cached}}};
-      stopping_.erase(s.task);
-      spdlog::debug("start {} attempt {} on {}{}", s.task.text(), s.attempt, s.machine,
-                    s.cached ? "" : " (image to be fetched)");
-      // Returned while this was committed, which may take as long as an outage: the start was never
-      // ordered and the machine is gone, which is proof.
-      if (returned_.contains(s.machine))
-        exits_[s.task] = {s.attempt, ExitCause::stopped, s.machine};
-      auto it = machines_.find(s.machine);
-      if (it == machines_.end()) continue;
-      it->second.idle_since = at;
-      // Cancelled while it was committed: never ordered, it is gone by the next report.
-      if (Job* job = cache_.job(s.task.job); !job || is_cancelled(*job)) continue;
-      order(it->second, {Command::Op::start, s.task, s.attempt, 0});
-    }
+    order_starts(started);
   }
   co_return any;
 }
 
+void Holder::order_starts(const std::vector<CommittedStart>& starts) {
+  const double at = loop_.now();
+  for (auto& s : starts) {
+    attempts_[s.task] = {{s.attempt, {at, 0, s.image_cached}}};
+    stopping_.erase(s.task);
+    spdlog::debug("start {} attempt {} on {}{}", s.task.text(), s.attempt, s.machine,
+                  s.image_cached ? "" : " (image to be fetched)");
+    // Returned while this was committed, which may take as long as an outage: the start was never
+    // ordered and the machine is gone, which is proof.
+    if (returned_.contains(s.machine))
+      note_exit(s.task, {s.attempt, ExitCause::stopped, s.machine});
+    auto it = machines_.find(s.machine);
+    if (it == machines_.end()) continue;
+    it->second.idle_since = at;
+    // Cancelled while it was committed: never ordered, it is gone by the next report.
+    if (Job* job = cache_.job(s.task.job); !job || is_cancelled(*job)) continue;
+    order(it->second, {Command::Op::start, s.task, s.attempt, 0});
+  }
+}
+
 }  // namespace damsonport
--- a/src/coordination/holder_machines.cpp
+++ b/src/coordination/holder_machines.cpp
@@ -102,7 +102,7 @@
     if (exits_.contains(e.task)) continue;
     spdlog::debug("{} attempt {} ended on {}: cause {}", e.task.text(), e.attempt, m.id,
                   static_cast<int>(e.cause));
-    exits_[e.task] = {e.attempt, e.cause, m.id};
+    note_exit(e.task, {e.attempt, e.cause, m.id});
     p_.changed.notify();
   }
   // An exit that waits for its commit is not forgotten yet, and its start not repeated.
@@ -153,6 +153,9 @@
     }
     bool had_it = t.state != TaskState::exited || t.cause == ExitCause::done;
     if (had_it && type) m.images.used(s.image, s.image_gb, now, type->cache_gb);
+    const bool ran = t.state == TaskState::running || t.state == TaskState::saving;
+    if (ran && s.kind == Kind::gang)
+      if (auto& gang = gang_hints(*job); gang.attempt == t.attempt) gang.ran = true;
     if (t.state == TaskState::running)
       if (auto a = attempts_.find(name); a != attempts_.end())
         if (auto i = a->second.find(t.attempt); i != a->second.end() && !i->second.running_at) {
@@ -186,6 +189,8 @@
     case ExitCause::done: {
       m.errors_in_row = 0;
       if (!seen.image_cached || seen.ordered_at == 0) break;
+      // A gang's tasks all take the time of its slowest machine: their median says nothing of any.
+      if (job->spec.kind == Kind::gang) break;
       double run = std::max(now - seen.ordered_at, settings_.report_s);
       auto fraction = hints.run_times.add(run, tuning_.straggler_min_successes);
       if (fraction && fold(m.straggler, *fraction, tuning_)) {
@@ -203,6 +208,8 @@
     case ExitCause::unknown:
       spdlog::info("{} was refused by {}", task.text(), m.id);
       hints.backoff_until = now + settings_.report_s / 2;
+      // Its place in the gang is filled elsewhere, under the attempt that this machine has refused.
+      if (job->spec.kind == Kind::gang) m.failed_jobs[task.job] = now;
       break;
     default:
       break;
--- a/src/coordination/holder_view.cpp
+++ b/src/coordination/holder_view.cpp
@@ -22,6 +22,8 @@
 void Holder::reset_view() {
   view_ = {};
   view_.guarantee_within_s = settings_.guarantee_within();
+  view_.gang_hold_after_s = settings_.gang_wait_s * tuning_.gang_hold_after_share;
+  view_.gang_hold_for_s = settings_.gang_wait_s * tuning_.gang_hold_for_share;
   for (auto& t : settings_.teams)
     view_.teams.push_back({t.name, {t.cpus, t.gpus, 0}, {t.cpus_max, t.gpus_max, 0}});
   slot_jobs_.clear();
@@ -72,7 +74,9 @@
   auto hint = hints_.find(s.id);
   const bool held_back = hint != hints_.end() && hint->second.backoff_until > loop_.now();
   if (held_back) held_back_.insert(s.id);
-  v.waiting = v.cancelled || held_back ? 0 : static_cast<uint32_t>(job.unstarted());
+  v.waiting = v.cancelled || held_back ? 0
+              : v.gang                 ? startable_gang_tasks(job)
+                                       : static_cast<uint32_t>(job.unstarted());
 }
 
 void Holder::refresh_machine(Machine& m) {
@@ -86,6 +90,7 @@
   v.spot = m.spot;
   v.total = total_of(m);
   v.free = free_of(m);
+  v.straggler = m.straggler.flagged;
   v.speed = m.straggler.updates >= tuning_.straggler_test_every ? m.straggler.average : 1.0;
   if (auto* type = p_.catalog.type(m.type)) v.fetch_gb_per_s = type->fetch_gb_per_s;
   v.images.clear();
--- a/src/coordination/node.cpp
+++ b/src/coordination/node.cpp
@@ -23,6 +23,13 @@
   return out;
 }
 
+// A fifth of the node's plain share of requests goes to watching.
+double watch_gap(const Settings& settings) {
+  constexpr double watch_share = 0.2, least_per_s = 2.0;
+  const double share = settings.state_limits.always().requests_per_s / settings.nodes;
+  return 1.0 / std::max(share * watch_share, least_per_s);
+}
+
 // Of the requests: the others confirm what users are told.
 double share_of(bool leading, int nodes) {
   if (nodes <= 1) return 1;
@@ -36,18 +43,17 @@
       settings_(settings),
       incarnation_(new_incarnation(loop)),
       http_(network.client()),
-      state_(loop, *http_, settings.state, settings.state_rps, settings.state_write_rps),
+      state_(loop, *http_, settings.state, settings.state_limits),
       changed_(loop),
-      // A tenth of the node's plain share of requests goes to watching.
-      cache_(loop, state_, 1.0 / std::max(settings.state_rps / settings.nodes * 0.2, 2.0),
-             settings.clock_off_s),
+      cache_(loop, state_, watch_gap(settings), settings.clock_off_s),
       catalog_(loop, *http_, settings),
       cancellations_(incarnation_, peer_names(settings)),
       mesh_(loop, network, settings, cancellations_),
+      versions_(loop, settings, state_, cache_),
       election_(loop, settings, state_, cache_, incarnation_, changed_),
       holder_({loop, settings, state_, cache_, *http_, catalog_, mesh_, cancellations_, election_,
-               changed_, incarnation_}),
-      api_(loop, settings, state_, cache_, catalog_),
+               versions_, changed_, incarnation_}),
+      api_(loop, settings, state_, cache_, catalog_, versions_),
       server_(network.server(max_body,
                              static_cast<size_t>(std::max(settings.max_sockets - kept_sockets -
                                                               Holder::direct_sockets(settings),
@@ -92,6 +98,7 @@
   loop_.spawn("cache", cache_.follow(token));
   loop_.spawn("catalogue", catalog_.follow(token));
   loop_.spawn("mesh", mesh_.beat([this] { return beat(); }, token));
+  loop_.spawn("version", versions_.announce(token));
   loop_.spawn("election", election_.run(token));
   loop_.spawn("holder", holder_.run(token));
   loop_.spawn("machines", holder_.tend(token));
@@ -119,14 +126,15 @@
 double Node::wanted_writes() const {
   const double wanted = static_cast<double>(api_.waiting_submissions());
   if (!election_.leading()) return wanted;
-  return wanted + settings_.state_write_rps / 2 + static_cast<double>(holder_.waiting_writes());
+  return wanted + settings_.state_limits.present().writes_per_s / 2 +
+         static_cast<double>(holder_.waiting_writes());
 }
 
 void Node::share_limits() {
   const bool leading = election_.leading();
   double others = static_cast<double>(mesh_.wanted_writes());
   if (!leading && !(cache_.has_leader() && mesh_.alive(cache_.leader().node)))
-    others += settings_.state_write_rps;
+    others += settings_.state_limits.present().writes_per_s;
   state_.limit().set_shares(share_of(leading, settings_.nodes),
                             write_share(settings_.nodes, wanted_writes(), others));
 }
--- a/src/coordination/node.hpp
+++ b/src/coordination/node.hpp
@@ -31,6 +31,7 @@
   Catalog catalog_;
   Cancellations cancellations_;
   Mesh mesh_;
+  VersionRegistry versions_;
   Election election_;
   Holder holder_;
   UserApi api_;
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -1,6 +1,7 @@
 // Order, rules, and the placing of jobs whose tasks start one by one.
 #include "coordination/placement.hpp"
 
+#include <cmath>
 #include <numeric>
 
 #include "coordination/placement_pass.hpp"
@@ -53,6 +54,7 @@
     } else {
       least_urgent_[m] = std::min(least_urgent_[m], urgency_[l.job]);
     }
+    if (job.gang) gang_parts_[l.job].push_back({m, static_cast<size_t>(&l - machine.live.data())});
     if (tally_of_[l.job] == nowhere) continue;
     ++tally(l.job).in_zone[machine.zone];
     tally(l.job).on.push_back(m);
@@ -247,8 +249,8 @@
 }
 
 void PlacementPass::note_unplaced(size_t j, uint32_t left, uint32_t coming) {
-  if (left) out_.unplaced.push_back({j, left, guaranteed_[j], false});
-  if (coming) out_.unplaced.push_back({j, coming, guaranteed_[j], true});
+  if (left) out_.unplaced.push_back({j, left, guaranteed_[j], false, left});
+  if (coming) out_.unplaced.push_back({j, coming, guaranteed_[j], true, coming});
 }
 
 void PlacementPass::occupy(size_t j, size_t m) {
@@ -300,6 +302,17 @@
   occupy(j, m);
 }
 
+uint32_t count_fitting(const Amounts& need, const Amounts& room) {
+  double n = 1e6;
+  auto bound = [&](double want, double have) {
+    if (want > 0) n = std::min(n, std::floor(have / want + 1e-6));
+  };
+  bound(need.cpus, room.cpus);
+  bound(need.gpus, room.gpus);
+  bound(need.memory_gb, room.memory_gb);
+  return static_cast<uint32_t>(std::max(n, 0.0));
+}
+
 bool holds(const MachineView& m, NameId image) {
   return contains(m.images, image) && !contains(m.fetching, image);
 }
--- a/src/coordination/placement.hpp
+++ b/src/coordination/placement.hpp
@@ -23,6 +23,9 @@
   }
 };
 
+// How many of the like fit into this room.
+uint32_t count_fitting(const Amounts& need, const Amounts& room);
+
 // Names as small numbers, so that comparing them costs nothing. 0 stands for the empty name.
 using NameId = uint32_t;
 class Names {
@@ -55,6 +58,7 @@
   Amounts total, free;
   double fetch_gb_per_s = 1;
   double speed = 1.0;                 // straggler average
+  bool straggler = false;             // flagged by it
   std::vector<NameId> images;         // held
   std::vector<NameId> fetching;       // under way
   std::vector<std::string> bad_jobs;  // failed here: not again
@@ -81,8 +85,9 @@
   NameId image = 0;
   double image_gb = 0;
   bool service = false;
-  bool gang = false;  // all that wait start together or none
-  int priority = 0;   // higher is more urgent
+  // All that wait start together or none. A gang that runs is stopped as a whole, too.
+  bool gang = false;
+  int priority = 0;  // higher is more urgent
   Amounts need;
   std::vector<NameId> types;
   NameId zone = 0;
@@ -115,11 +120,19 @@
   // has not begun counts as any other, and one that has begun three times later.
   double begin_within_s = 120;
   double guarantee_within_s = 0;  // what is expected of work within a guarantee; 0: nothing
+  // A gang that has waited this long keeps free room from less urgent work, and for how long.
+  double gang_hold_after_s = never_held, gang_hold_for_s = 0;
+  static constexpr double never_held = 1e18;
 };
 
 struct Start {
   size_t job, machine;
 };
+// All waiting tasks of a gang: one machine for each.
+struct GangStart {
+  size_t job;
+  std::vector<size_t> machines;
+};
 struct Stop {
   size_t machine, live;  // the place in the machine's list
   double grace_s;
@@ -129,9 +142,12 @@
   uint32_t count;
   bool within_guarantee;
   bool room_coming;  // room for it is already being made
+  uint32_t missing;  // of them, those for which there is no room: a gang waits whole
+  NameId zone = 0;   // where a gang bound to one zone has the most room; 0: anywhere
 };
 struct Decisions {
   std::vector<Start> starts;
+  std::vector<GangStart> gangs;
   std::vector<Stop> stops;
   std::vector<Unplaced> unplaced;  // for want of room; team limits excluded
   size_t examined = 0;             // machines looked at for some task: the work of this pass
--- a/src/coordination/placement_gang.cpp
+++ b/src/coordination/placement_gang.cpp
@@ -1,22 +1,191 @@
 // Gangs: all their tasks are placed by one decision or none is.
+#include <cmath>
+
 #include "coordination/placement_pass.hpp"
 
 namespace damsonport::placing {
 
+namespace {
+// Seconds that each further machine of a gang counts for: the loss of any one stops all of it.
+constexpr double machine_cost = 2;
+// Seconds that a CPU task on a machine with accelerators counts for, and an accelerator that loses
+// the CPUs or memory beside it.
+constexpr double accelerator_machine_cost = 15, lost_accelerator_cost = 10;
+constexpr double slow_machine_cost = 20;
+}  // namespace
+
+bool PlacementPass::team_allows_whole(size_t j) const {
+  auto& job = in_.jobs[j];
+  if (job.team == no_team) return false;
+  constexpr double eps = 1e-6;
+  auto& limit = in_.teams[job.team].limit;
+  auto& used = used_[job.team];
+  const double tasks = job.waiting;
+  return (limit.cpus <= 0 || used.cpus + tasks * job.need.cpus <= limit.cpus + eps) &&
+         (limit.gpus <= 0 || used.gpus + tasks * job.need.gpus <= limit.gpus + eps);
+}
+
+// How many more tasks of the job this zone may take.
+uint32_t PlacementPass::zone_allowance(size_t j, NameId zone) const {
+  auto& job = in_.jobs[j];
+  if (!zone_allows(j, zone)) return 0;
+  if (!job.spread) return job.waiting;
+  auto& count = tally(j).in_zone;
+  return (job.tasks + 1) / 2 - count[zone] - count[0];
+}
+
+// The gang starts with its slowest fetch and runs at the speed of its slowest machine.
+double PlacementPass::gang_machine_cost(size_t j, size_t m, uint32_t tasks) const {
+  auto& job = in_.jobs[j];
+  auto& machine = in_.machines[m];
+  double c = image_delay(job, machine);
+  c += (1.0 - std::min(machine.speed, 1.0)) * slow_machine_cost;
+  c += machine_cost * std::ceil(static_cast<double>(job.waiting) / tasks);
+  if (machine.total.gpus > 0 && job.need.gpus <= 0) {
+    Amounts left = free_[m];
+    for (uint32_t i = 0; i < tasks; ++i) left -= job.need;
+    c += accelerator_machine_cost;
+    c += lost_accelerator_cost * (usable_gpus(free_[m]) - usable_gpus(left));
+  }
+  return c;
+}
+
+PlacementPass::GangPlan PlacementPass::plan_gang_in(size_t j, NameId zone,
+                                                    bool only_with_image) const {
+  auto& job = in_.jobs[j];
+  struct Candidate {
+    double cost;
+    size_t machine;
+    uint32_t fits;
+    bool operator<(const Candidate& o) const {
+      return cost != o.cost ? cost < o.cost : machine < o.machine;
+    }
+  };
+  std::vector<Candidate> candidates;
+  for (size_t m = 0; m < in_.machines.size(); ++m) {
+    auto& machine = in_.machines[m];
+    if (!job.need.fits(free_[m]) || machine.straggler || !allowed(j, m)) continue;
+    if (zone != 0 && machine.zone != zone) continue;
+    if (only_with_image && !holds(machine, job.image)) continue;
+    const uint32_t fits = std::min(count_fitting(job.need, free_[m]), job.waiting);
+    if (fits > 0) candidates.push_back({gang_machine_cost(j, m, fits), m, fits});
+  }
+  std::sort(candidates.begin(), candidates.end());
+
+  GangPlan plan;
+  std::vector<uint32_t> in_zone(in_.zones.size());
+  for (auto& c : candidates) {
+    const NameId where = in_.machines[c.machine].zone;
+    const auto left = job.waiting - static_cast<uint32_t>(plan.machines.size());
+    const uint32_t allowance = zone_allowance(j, where) - in_zone[where];
+    const uint32_t tasks = std::min({c.fits, left, allowance});
+    if (tasks == 0) continue;
+    in_zone[where] += tasks;
+    plan.machines.insert(plan.machines.end(), tasks, c.machine);
+    plan.cost = std::max(plan.cost, c.cost);
+    if (plan.machines.size() == job.waiting) break;
+  }
+  return plan;
+}
+
+PlacementPass::GangPlan PlacementPass::plan_gang(size_t j) const {
+  auto& job = in_.jobs[j];
+  std::vector<NameId> zones{0};
+  if (job.one_zone) {
+    zones.clear();
+    for (NameId z = 1; z < in_.zones.size(); ++z)
+      if (zone_allows(j, z)) zones.push_back(z);
+  }
+  GangPlan best;
+  auto consider = [&](GangPlan plan) {
+    if (plan.machines.size() < best.machines.size()) return;
+    const bool better = plan.machines.size() > best.machines.size() || plan.cost < best.cost;
+    if (better) best = std::move(plan);
+  };
+  // Machines that all hold the image start the gang at once; one fetch holds all of it up.
+  for (NameId zone : zones) consider(plan_gang_in(j, zone, true));
+  if (best.machines.size() == job.waiting) return best;
+  best = {};
+  for (NameId zone : zones) consider(plan_gang_in(j, zone, false));
+  return best;
+}
+
+void PlacementPass::take_gang_plan(size_t j, const GangPlan& plan) {
+  for (size_t m : plan.machines) {
+    free_[m] -= in_.jobs[j].need;
+    occupy(j, m);
+  }
+}
+
+NameId PlacementPass::zone_of(const GangPlan& plan) const {
+  return plan.machines.empty() ? 0 : in_.machines[plan.machines.front()].zone;
+}
+
+bool PlacementPass::may_hold_room(size_t j) const {
+  const double waited = in_.now - in_.jobs[j].accepted_at;
+  return !room_held_ && waited >= in_.gang_hold_after_s &&
+         waited < in_.gang_hold_after_s + in_.gang_hold_for_s;
+}
+
+bool PlacementPass::reserve_for_gang(size_t j, const GangPlan& partial) {
+  // What a failed try changed is put back: nothing is stopped for a gang that doesn't start.
+  auto free = free_, future = future_, used = used_;
+  auto replicas = replicas_;
+  auto stopped = stopped_;
+  auto coming_machines = coming_;
+  auto booting = booting_;
+  auto places = tally(j);
+  auto hopeless = hopeless_;
+  const size_t stops = out_.stops.size();
+
+  take_gang_plan(j, partial);
+  uint32_t coming = 0, booted = 0;
+  auto left = in_.jobs[j].waiting - static_cast<uint32_t>(partial.machines.size());
+  for (; left > 0; --left) {
+    if (claim_coming(j) || make_room(j, false)) {
+      ++coming;
+    } else if (claim_booting(j)) {
+      ++booted;
+    } else if (make_room(j, true)) {
+      ++coming;
+    } else {
+      break;
+    }
+  }
+  if (left == 0) {
+    note_unplaced(j, booted, coming);
+    return true;
+  }
+  free_ = std::move(free);
+  future_ = std::move(future);
+  used_ = std::move(used);
+  replicas_ = std::move(replicas);
+  stopped_ = std::move(stopped);
+  coming_ = std::move(coming_machines);
+  booting_ = std::move(booting);
+  tally(j) = std::move(places);
+  hopeless_ = std::move(hopeless);
+  out_.stops.resize(stops);
+  return false;
+}
+
 void PlacementPass::place_gang(size_t j) {
-  const auto& job = in_.jobs[j];
-  const size_t before = out_.starts.size();
-  const auto used = used_;
-  const auto places = tally(j);
-  if (start_what_fits(j, job.waiting) == job.waiting) return;
-  for (size_t i = before; i < out_.starts.size(); ++i) {
-    free_[out_.starts[i].machine] += job.need;
-    --replicas_[out_.starts[i].machine];
-  }
-  out_.starts.resize(before);
-  used_ = used;
-  tally(j) = places;
+  auto& job = in_.jobs[j];
+  if (!team_allows_whole(j)) return;
+  const GangPlan plan = plan_gang(j);
+  if (plan.machines.size() == job.waiting) {
+    take_gang_plan(j, plan);
+    out_.gangs.push_back({j, plan.machines});
+    return;
+  }
+  if (reserve_for_gang(j, plan)) return;
+  if (may_hold_room(j)) {
+    room_held_ = true;
+    take_gang_plan(j, plan);
+  }
   note_unplaced(j, job.waiting, 0);
+  out_.unplaced.back().missing = job.waiting - static_cast<uint32_t>(plan.machines.size());
+  out_.unplaced.back().zone = job.one_zone ? zone_of(plan) : 0;
 }
 
 }  // namespace damsonport::placing
--- a/src/coordination/placement_pass.hpp
+++ b/src/coordination/placement_pass.hpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <limits>
+#include <unordered_map>
 #include <vector>
 
 #include "coordination/placement.hpp"
@@ -101,8 +102,27 @@
 
   void note_full(const JobView& job);
 
-  // All of it or nothing, and nothing is stopped for it.
+  // --- gangs
+  // Machines for the tasks of a gang, one entry a task; fewer than wait where room is short.
+  struct GangPlan {
+    std::vector<size_t> machines;
+    double cost = 0;
+  };
+  // All of it or nothing: decided once for the whole gang.
   void place_gang(size_t j);
+  bool team_allows_whole(size_t j) const;
+  // The best among the zones that the gang may start in.
+  GangPlan plan_gang(size_t j) const;
+  GangPlan plan_gang_in(size_t j, NameId zone, bool only_with_image) const;
+  double gang_machine_cost(size_t j, size_t m, uint32_t tasks) const;
+  uint32_t zone_allowance(size_t j, NameId zone) const;
+  void take_gang_plan(size_t j, const GangPlan& plan);
+  // Where free room is short: what comes free, what boots, and what may be stopped. Changes nothing
+  // unless there is enough for all.
+  bool reserve_for_gang(size_t j, const GangPlan& partial);
+  // One gang at a time keeps what room there is, for a bounded time.
+  bool may_hold_room(size_t j) const;
+  NameId zone_of(const GangPlan& plan) const;
 
   void note_unplaced(size_t j, uint32_t left, uint32_t coming);
 
@@ -138,6 +158,10 @@
   bool known_hopeless(size_t j, bool also_standing) const;
 
   bool make_room(size_t j, bool also_standing);
+  void stop_task(size_t m, size_t live, double grace_s);
+  // Stops every task of a gang at once: one alone could not save.
+  void stop_gang(size_t victim_job);
+  bool gang_is_stopping(size_t victim_job) const;
 
   const Input& in_;
   std::vector<Amounts> free_, future_, used_;
@@ -155,6 +179,12 @@
   std::vector<bool> guaranteed_;
   std::vector<int> urgency_;
   double large_gpus_ = 0, cpus_per_gpu_ = 0, memory_per_gpu_ = 0;
+  // By job: where the tasks of a gang are, as machine and place in its list.
+  struct GangPart {
+    size_t machine, live;
+  };
+  std::unordered_map<size_t, std::vector<GangPart>> gang_parts_;
+  bool room_held_ = false;  // for a gang, in this pass
   Decisions out_;
 };
 
--- a/src/coordination/placement_preemption.cpp
+++ b/src/coordination/placement_preemption.cpp
@@ -13,6 +13,7 @@
   // Only what would also be placed after it: what is placed first would take the room again, and
   // the two would drive one another out for ever.
   if (urgency_[j] <= urgency_[v.job] || is_stopping(v)) return false;
+  if (victim.gang && gang_is_stopping(v.job)) return false;
   if (victim.priority < job.priority) return true;
   // For its guarantee a team may take back what another team borrows; standing replicas of the
   // same or a higher rank are left alone all the same, since each stop is seen by users.
@@ -32,6 +33,7 @@
 }
 
 bool PlacementPass::abruptly(size_t j, size_t m, const LiveView& v) const {
+  if (in_.jobs[v.job].gang) return false;  // its tasks save together
   const double grace = in_.jobs[v.job].grace_s;
   return grace > 0 && abrupt_loss(v) <= 2 * grace &&
          image_delay(in_.jobs[j], in_.machines[m]) + grace > expected_within(j);
@@ -46,6 +48,8 @@
   if (victim.service) c += 60;
   if (age(v) < in_.start_counts_s) c += 10;
   if (guaranteed_[v.job]) c += 15;
+  // The whole gang goes with one of its tasks.
+  if (victim.gang) c *= static_cast<double>(gang_parts_.at(v.job).size());
   return c;
 }
 
@@ -58,6 +62,26 @@
   });
 }
 
+void PlacementPass::stop_task(size_t m, size_t live, double grace_s) {
+  out_.stops.push_back({m, live, grace_s});
+  stopped_[m].push_back(live);
+  future_[m] += in_.jobs[in_.machines[m].live[live].job].need;
+}
+
+void PlacementPass::stop_gang(size_t victim_job) {
+  for (auto& part : gang_parts_.at(victim_job)) {
+    stop_task(part.machine, part.live, in_.jobs[victim_job].grace_s);
+    coming_.push_back(part.machine);
+  }
+}
+
+bool PlacementPass::gang_is_stopping(size_t victim_job) const {
+  auto& parts = gang_parts_.at(victim_job);
+  return std::any_of(parts.begin(), parts.end(), [&](const GangPart& p) {
+    return is_stopping(in_.machines[p.machine].live[p.live]);
+  });
+}
+
 bool PlacementPass::make_room(size_t j, bool also_standing) {
   if (known_hopeless(j, also_standing)) return false;
   auto& job = in_.jobs[j];
@@ -100,10 +124,13 @@
   }
   auto& live = in_.machines[where].live;
   for (size_t i : best_set) {
-    out_.stops.push_back(
-        {where, i, abruptly(j, where, live[i]) ? 0 : in_.jobs[live[i].job].grace_s});
-    stopped_[where].push_back(i);
-    future_[where] += in_.jobs[live[i].job].need;
+    const size_t victim = live[i].job;
+    if (contains(stopped_[where], i)) continue;  // with another task of its gang
+    if (in_.jobs[victim].gang) {
+      stop_gang(victim);
+    } else {
+      stop_task(where, i, abruptly(j, where, live[i]) ? 0 : in_.jobs[victim].grace_s);
+    }
   }
   take_future(j, where);
   coming_.push_back(where);
--- a/src/coordination/sizing.cpp
+++ b/src/coordination/sizing.cpp
@@ -12,18 +12,6 @@
 constexpr double new_share = 0.25;
 constexpr int new_at_least = 8;
 
-// How many of the like fit into this room.
-uint32_t count_fitting(const Amounts& need, const Amounts& room) {
-  double n = 1e6;
-  auto bound = [&](double want, double have) {
-    if (want > 0) n = std::min(n, std::floor(have / want + 1e-6));
-  };
-  bound(need.cpus, room.cpus);
-  bound(need.gpus, room.gpus);
-  bound(need.memory_gb, room.memory_gb);
-  return static_cast<uint32_t>(std::max(n, 0.0));
-}
-
 struct Room {
   const MachineType* type;
   std::string zone;
@@ -129,8 +117,43 @@
     return false;
   }
 
+  // Machines for all of a gang in one of its zones, or none.
+  void serve_gang(const Demand& d) {
+    std::vector<std::string> zones{d.zone};
+    if (d.one_zone && d.zone.empty()) {
+      zones.clear();
+      for (auto& o : in_.offers)
+        if (std::find(zones.begin(), zones.end(), o.zone) == zones.end()) zones.push_back(o.zone);
+    }
+    for (auto& zone : zones) {
+      Demand in_zone = d;
+      in_zone.zone = zone;
+      const auto rooms = rooms_;
+      const auto rent = out_.rent;
+      const int added = added_;
+      if (serve_all(in_zone)) return;
+      rooms_ = rooms;
+      out_.rent = rent;
+      added_ = added;
+    }
+  }
+
+  bool serve_all(const Demand& d) {
+    for (uint32_t left = d.count; left > 0; --left) {
+      if (take_room(d)) continue;
+      if (added_ >= max_new_) return false;
+      add(best_for(d));
+      if (!take_room(d)) return false;
+    }
+    return true;
+  }
+
   void serve_demand() {
     for (auto& d : in_.demand) {
+      if (d.gang) {
+        serve_gang(d);
+        continue;
+      }
       for (uint32_t left = d.count; left > 0; --left) {
         if (take_room(d)) continue;
         if (added_ >= max_new_) return;
@@ -157,7 +180,7 @@
       uint32_t left = d.count;
       auto fill_up = [&](Room& r) {
         if (left == 0 || !suits(d, r.type->name, r.zone, true)) return;
-        uint32_t n = std::min(left, count_fitting(d.need, r.free));
+        uint32_t n = std::min(left, placing::count_fitting(d.need, r.free));
         for (uint32_t i = 0; i < n; ++i) r.free -= d.need;
         left -= n;
       };
--- a/src/coordination/user_api.cpp
+++ b/src/coordination/user_api.cpp
@@ -28,12 +28,13 @@
 };
 
 UserApi::UserApi(Loop& loop, const Settings& settings, StateClient& state, Cache& cache,
-                 Catalog& catalog)
+                 Catalog& catalog, const VersionRegistry& versions)
     : loop_(loop),
       settings_(settings),
       state_(state),
       cache_(cache),
       catalog_(catalog),
+      versions_(versions),
       submitted_(loop),
       asked_(loop) {}
 
@@ -104,7 +105,8 @@
 
 // Many polls share one transaction that only compares.
 Task<void> UserApi::confirm_duty(std::stop_token token) {
-  const size_t max_conditions = static_cast<size_t>(settings_.txn_ops) * 4;
+  const size_t max_conditions =
+      static_cast<size_t>(settings_.state_limits.always().txn_conditions());
   while (!token.stop_requested()) {
     if (questions_.empty()) {
       co_await asked_.wait(60, token);
@@ -168,6 +170,8 @@
     }
     co_return known;
   }
+  // An older controller would run a gang's tasks one by one.
+  if (spec->kind == Kind::gang && !versions_.all_have(VersionRegistry::gangs)) co_return busy();
   // Nobody is held beyond what can be written soon; whoever comes later is told when to come back.
   const double rate = state_.limit().writes_per_s();
   if (static_cast<double>(submissions_.size()) >= std::max(rate * longest_wait_s, 1.0)) {
@@ -176,6 +180,9 @@
     co_return HttpResponse{429, {}, std::clamp(ahead / rate, come_back_s, latest_return_s)};
   }
   spec->accepted_at = loop_.wall();
+  keep_known_types(*spec, catalog_.types());
+  if (!job_record_fits(*spec, settings_.state_limits.always().value_kb))
+    co_return HttpResponse{400, encode({{"error", "the job's names are too long"}}), 0};
   Submission s;
   s.spec = std::move(*spec);
   co_await Queued<Submission>{submissions_, s, submitted_};
@@ -186,7 +193,8 @@
 
 // Submissions that come close together share a transaction.
 Task<void> UserApi::accept_duty(std::stop_token token) {
-  const uint32_t chunk = chunk_size(settings_.value_kb);
+  const auto max_writes = static_cast<size_t>(settings_.state_limits.always().txn_writes);
+  const uint32_t chunk = chunk_size(settings_.state_limits.always().value_kb);
   while (!token.stop_requested()) {
     if (submissions_.empty()) {
       co_await submitted_.wait(60, token);
@@ -195,8 +203,7 @@
     std::vector<Submission*> batch;
     std::set<std::string> ids;
     size_t bytes = 0;
-    for (auto it = submissions_.begin();
-         it != submissions_.end() && batch.size() < static_cast<size_t>(settings_.txn_ops);) {
+    for (auto it = submissions_.begin(); it != submissions_.end() && batch.size() < max_writes;) {
       auto* s = *it;
       size_t size = 1024 + s->spec.types.size() * 210;
       // The same job twice: the second waits for the next transaction.
@@ -213,9 +220,7 @@
       for (auto* s : batch) {
         txn.conditions[keys::job(s->spec.id)] = 0;
         txn.conditions[keys::final_state(s->spec.id)] = 0;
-        auto value = encode_job(s->spec);
-        value["chunk"] = chunk;
-        txn.writes.push_back({keys::job(s->spec.id), std::move(value), 0});
+        txn.writes.push_back({keys::job(s->spec.id), encode_job_record(s->spec, chunk), 0});
       }
       auto writes = txn.writes;
       auto reply = co_await state_.commit(std::move(txn), Importance::accepting);
--- a/src/coordination/user_api.hpp
+++ b/src/coordination/user_api.hpp
@@ -3,13 +3,15 @@
 #include <deque>
 
 #include "coordination/catalog.hpp"
+#include "coordination/version_registry.hpp"
 #include "storage/cache.hpp"
 
 namespace damsonport {
 
 class UserApi {
  public:
-  UserApi(Loop& loop, const Settings& settings, StateClient& state, Cache& cache, Catalog& catalog);
+  UserApi(Loop& loop, const Settings& settings, StateClient& state, Cache& cache, Catalog& catalog,
+          const VersionRegistry& versions);
   Task<void> accept_duty(std::stop_token token);
   Task<void> confirm_duty(std::stop_token token);
   // Submissions that wait, or that were told to come back a moment ago.
@@ -44,6 +46,7 @@
   StateClient& state_;
   Cache& cache_;
   Catalog& catalog_;
+  const VersionRegistry& versions_;
   Signal submitted_, asked_;
   std::deque<Submission*> submissions_;
   size_t refused_ = 0, refused_lately_ = 0;
--- /dev/null
+++ b/src/coordination/version_registry.cpp
@@ -0,0 +1,43 @@
+#include "coordination/version_registry.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+namespace damsonport {
+
+namespace {
+constexpr double retry_s = 0.5;
+}  // namespace
+
+bool VersionRegistry::has(const std::string& node, uint64_t version) const {
+  auto it = cache_.versions().find(node);
+  return it != cache_.versions().end() && it->second >= version;
+}
+
+bool VersionRegistry::all_have(uint64_t version) const {
+  return has(settings_.node_name, version) &&
+         std::all_of(settings_.peers.begin(), settings_.peers.end(),
+                     [&](const Peer& peer) { return has(peer.name, version); });
+}
+
+Task<void> VersionRegistry::announce(std::stop_token token) {
+  while (!token.stop_requested()) {
+    if (cache_.loaded()) {
+      if (has(settings_.node_name, current)) co_return;
+      Txn txn;
+      // Only this controller writes the key, and always the same value: a late copy does no harm.
+      txn.writes.push_back({keys::version(settings_.node_name), {{"v", current}}, 0});
+      const auto writes = txn.writes;
+      auto reply = co_await state_.commit(std::move(txn), Importance::accepting);
+      if (reply.outcome == Outcome::committed) {
+        cache_.apply_writes(writes, reply.revision);
+        spdlog::info("recorded version {} of this controller", current);
+        co_return;
+      }
+    }
+    if (!co_await Sleep(loop_, retry_s * loop_.uniform(0.5, 1.5), token)) co_return;
+  }
+}
+
+}  // namespace damsonport
--- /dev/null
+++ b/src/coordination/version_registry.hpp
@@ -0,0 +1,36 @@
+// Which version of the program each controller runs, as recorded in the state service.
+//
+// During a rolling upgrade old and new controllers serve side by side. What the old version does
+// not understand begins only when every controller has recorded the new one. A record outlives the
+// process that wrote it, so a controller must not be put back to an older version afterwards.
+#pragma once
+#include "protocol/settings.hpp"
+#include "storage/cache.hpp"
+#include "storage/state_client.hpp"
+
+namespace damsonport {
+
+class VersionRegistry {
+ public:
+  // The first version whose gangs are started, stopped and restarted as a whole.
+  static constexpr uint64_t gangs = 1;
+  static constexpr uint64_t current = gangs;
+
+  VersionRegistry(Loop& loop, const Settings& settings, StateClient& state, Cache& cache)
+      : loop_(loop), settings_(settings), state_(state), cache_(cache) {}
+
+  // Records this controller's version; ends when that is done.
+  Task<void> announce(std::stop_token token);
+  // Every controller of the deployment has recorded this version or a later one.
+  bool all_have(uint64_t version) const;
+
+ private:
+  bool has(const std::string& node, uint64_t version) const;
+
+  Loop& loop_;
+  const Settings& settings_;
+  StateClient& state_;
+  Cache& cache_;
+};
+
+}  // namespace damsonport
--- a/src/protocol/messages.cpp
+++ b/src/protocol/messages.cpp
@@ -60,7 +60,7 @@
 
 constexpr std::string_view kinds[] = {"batch", "service", "ensemble"};
 constexpr std::string_view priorities[] = {"idle", "normal", "high", "production"};
-constexpr std::string_view states[] = {"fetching", "running", "flushing", "exited"};
+constexpr std::string_view states[] = {"fetching", "running", "flushing", "exited", "waiting"};
 constexpr std::string_view causes[] = {"",     "done",    "stopped", "error", "no_room",
                                        "busy", "no_such", "peers",   "alone"};
 
--- a/src/protocol/messages.hpp
+++ b/src/protocol/messages.hpp
@@ -16,8 +16,7 @@
 Json decode_map(const std::string& body);
 std::string encode(const Json& value);
 
-// A gang's tasks run only together. The platform's programs submit such jobs, although no class of
-// either deployment is one.
+// A gang's tasks run only together: all of them at the same time, or none.
 enum class Kind : uint8_t { batch, service, gang };
 // Higher is more urgent.
 enum class Priority : uint8_t { idle, normal, high, production };
@@ -46,7 +45,9 @@
 Json encode_job(const JobSpec& spec);
 bool valid_job_id(std::string_view id);
 
-enum class TaskState : uint8_t { fetching, running, saving, exited };
+// waiting: a gang's task that has its image and waits for the other tasks of its attempt.
+enum class TaskState : uint8_t { fetching, running, saving, exited, waiting };
+// peers: another task of the gang is gone. alone: the gang was not complete in time.
 enum class ExitCause : uint8_t { none, done, stopped, error, no_room, busy, unknown, peers, alone };
 
 // A task is named by its job and index.
--- a/src/protocol/settings.cpp
+++ b/src/protocol/settings.cpp
@@ -30,6 +30,11 @@
     if (!(*v >= low) || *v > 1e12) fail(prefix + key, "is out of range");
     return *v;
   }
+  // As number(), but a field that is missing has a default.
+  double number_or(const toml::table& t, const char* key, const std::string& prefix, double low,
+                   double otherwise) {
+    return t.contains(key) ? number(t, key, prefix, low) : otherwise;
+  }
   Endpoint endpoint(const toml::table& t, const char* key, const std::string& prefix = {}) {
     Endpoint out;
     auto value = text(t, key, prefix);
@@ -60,6 +65,41 @@
   }
 }
 
+// The least that the service must offer for the records to be written at all.
+constexpr double least_rate = 1, least_value_kb = 1, least_txn_writes = 3;
+
+StateLimits read_present_limits(Reader& r, const toml::table& t, const std::string& prefix) {
+  StateLimits out;
+  out.requests_per_s = r.number(t, "rps", prefix, least_rate);
+  out.writes_per_s = r.number(t, "write_rps", prefix, least_rate);
+  out.value_kb = r.number(t, "value_kb", prefix, least_value_kb);
+  out.txn_writes = static_cast<int>(r.number(t, "txn_ops", prefix, least_txn_writes));
+  return out;
+}
+
+// What `next` does not name stays as it is.
+StateLimits read_announced_limits(Reader& r, const toml::table& t, const std::string& prefix,
+                                  const StateLimits& present) {
+  StateLimits out;
+  out.requests_per_s = r.number_or(t, "rps", prefix, least_rate, present.requests_per_s);
+  out.writes_per_s = r.number_or(t, "write_rps", prefix, least_rate, present.writes_per_s);
+  out.value_kb = r.number_or(t, "value_kb", prefix, least_value_kb, present.value_kb);
+  out.txn_writes =
+      static_cast<int>(r.number_or(t, "txn_ops", prefix, least_txn_writes, present.txn_writes));
+  return out;
+}
+
+StateLimitSettings read_state_limits(Reader& r, const toml::table& state) {
+  const StateLimits present = read_present_limits(r, state, "deployment.state.");
+  if (!state.contains("next")) return {present, present};
+  auto* next = state["next"].as_table();
+  if (!next) {
+    r.fail("deployment.state.next", "must be a table");
+    return {present, present};
+  }
+  return {present, read_announced_limits(r, *next, "deployment.state.next.", present)};
+}
+
 }  // namespace
 
 double Settings::within(const std::string& kind, const std::string& cls) const {
@@ -120,11 +160,10 @@
   s.report_s = r.number(workers, "report_s", "deployment.workers.", 0.01);
   s.lease_s = r.number(workers, "lease_s", "deployment.workers.", 0.01);
   s.cancel_s = r.number(workers, "cancel_s", "deployment.workers.", 0.01);
-  auto& state = r.table(d, "state", "deployment.");
-  s.state_rps = r.number(state, "rps", "deployment.state.", 1);
-  s.state_write_rps = r.number(state, "write_rps", "deployment.state.", 1);
-  s.value_kb = r.number(state, "value_kb", "deployment.state.", 1);
-  s.txn_ops = static_cast<int>(r.number(state, "txn_ops", "deployment.state.", 3));
+  // Known to every platform that has gangs; elsewhere they only bound how long a gang is held.
+  s.gang_wait_s = r.number_or(workers, "gang_wait_s", "deployment.workers.", 0.01, s.cancel_s);
+  s.gang_peer_s = r.number_or(workers, "gang_peer_s", "deployment.workers.", 0.01, s.lease_s / 2);
+  s.state_limits = read_state_limits(r, r.table(d, "state", "deployment."));
   auto& cloud = r.table(d, "cloud", "deployment.");
   s.cloud_rps = r.number(cloud, "rps", "deployment.cloud.", 0.01);
   s.list_lag_s = r.number(cloud, "list_lag_s", "deployment.cloud.", 0);
--- a/src/protocol/settings.hpp
+++ b/src/protocol/settings.hpp
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "protocol/result.hpp"
+#include "protocol/state_limits.hpp"
 #include "protocol/tuning.hpp"
 #include "transport/http.hpp"
 
@@ -37,8 +38,9 @@
   std::vector<TeamSettings> teams;
   std::vector<Objective> objectives;
   double report_s = 0, lease_s = 0, cancel_s = 0;
-  double state_rps = 0, state_write_rps = 0, value_kb = 0;
-  int txn_ops = 0;
+  // How long a gang's task waits for the others, and how soon it notices that one is gone.
+  double gang_wait_s = 0, gang_peer_s = 0;
+  StateLimitSettings state_limits;
   double cloud_rps = 0, list_lag_s = 0;
   int max_sockets = 0;
   Tuning tuning;
--- a/src/protocol/tuning.cpp
+++ b/src/protocol/tuning.cpp
@@ -32,6 +32,9 @@
     {"return-lease-share", 0, 10, &Tuning::return_lease_share, nullptr},
     {"return-lease-most", 0.1, 10, &Tuning::return_lease_most, nullptr},
     {"cancel-return-share", 0.1, 0.9, &Tuning::cancel_return_share, nullptr},
+    {"gang-hold-after-share", 0, 100, &Tuning::gang_hold_after_share, nullptr},
+    {"gang-hold-for-share", 0, 100, &Tuning::gang_hold_for_share, nullptr},
+    {"gang-replacement-share", 0, 0.9, &Tuning::gang_replacement_share, nullptr},
     {"spare-share", 0, 4, &Tuning::spare_share, nullptr},
 };
 
--- a/src/protocol/tuning.hpp
+++ b/src/protocol/tuning.hpp
@@ -26,6 +26,12 @@
   double return_lease_most = 0.5;
   // Share of cancel_s after which a machine that still holds a cancelled task is returned.
   double cancel_return_share = 0.5;
+  // Shares of gang_wait_s: after which a waiting gang keeps free room from less urgent work, how
+  // long it may do so, and how long the tasks of a gang that has not started wait for a missing one
+  // to be replaced.
+  double gang_hold_after_share = 0.5;
+  double gang_hold_for_share = 4.0;
+  double gang_replacement_share = 0.5;
   // Spare room to keep rented, as a share of what is in use.
   double spare_share = 0.25;
 };
--- a/src/storage/cache.cpp
+++ b/src/storage/cache.cpp
@@ -84,6 +84,9 @@
                        v.value("spot", false), v.value("count", 0)},
                       item.version};
     }
+  } else if (key.starts_with(keys::versions)) {
+    if (item.value.is_object())
+      versions_[tail(keys::versions)] = item.value.value("v", uint64_t{0});
   }
   if (item.value.is_null() && item.version) {
     // Never all at once: a read under way just now may bring what was removed a moment ago.
--- a/src/storage/cache.hpp
+++ b/src/storage/cache.hpp
@@ -91,6 +91,9 @@
   };
   const std::map<std::string, Rental>& rentals() const { return rentals_; }
 
+  // The version that each controller has recorded of itself.
+  const std::map<std::string, uint64_t>& versions() const { return versions_; }
+
   // Called after every applied change; the argument is the job concerned, or null.
   std::function<void(Job*)> on_change;
   // Called for each task that a change puts on a machine or takes from it.
@@ -131,6 +134,7 @@
   bool has_leader_ = false;
   std::map<std::string, std::string> leaving_;
   std::map<std::string, Rental> rentals_;
+  std::map<std::string, uint64_t> versions_;
 };
 
 }  // namespace damsonport
--- a/src/storage/rate_limit.cpp
+++ b/src/storage/rate_limit.cpp
@@ -9,18 +9,40 @@
 constexpr double safety = 0.92;
 // Of the writes, divided among all nodes whatever they want.
 constexpr double in_any_case = 0.2;
+// How long lowered rates are kept to after a refusal, at first and at the most.
+constexpr double first_lowered_s = 30, longest_lowered_s = 600;
 }  // namespace
 
-RateLimit::RateLimit(Loop& loop, double requests_per_s, double writes_per_s)
+RateLimit::RateLimit(Loop& loop, const StateLimitSettings& limits)
     : loop_(loop),
-      all_requests_(requests_per_s * safety),
-      all_writes_(writes_per_s * safety),
-      request_rate_(all_requests_),
-      write_rate_(all_writes_),
+      limits_(limits),
       requests_(0),
       writes_(0),
       last_(loop.now()),
-      timer_(loop.timer([](void* self) { static_cast<RateLimit*>(self)->pump(); }, this)) {}
+      timer_(loop.timer([](void* self) { static_cast<RateLimit*>(self)->pump(); }, this)) {
+  use(limits_.present());
+}
+
+void RateLimit::use(const StateLimits& limits) {
+  all_requests_ = limits.requests_per_s * safety;
+  all_writes_ = limits.writes_per_s * safety;
+  request_rate_ = all_requests_ * request_share_;
+  write_rate_ = all_writes_ * write_share_;
+}
+
+void RateLimit::refused() {
+  if (lowered_until_ > 0) return;
+  refill();
+  lowered_for_s_ = std::clamp(lowered_for_s_ * 2, first_lowered_s, longest_lowered_s);
+  lowered_until_ = loop_.now() + lowered_for_s_;
+  use(limits_.always());
+}
+
+void RateLimit::try_present_again() {
+  if (lowered_until_ == 0 || loop_.now() < lowered_until_) return;
+  lowered_until_ = 0;
+  use(limits_.present());
+}
 
 double write_share(int nodes, double wanted, double wanted_by_others) {
   const double least = in_any_case / std::max(nodes, 1);
@@ -30,6 +52,9 @@
 
 void RateLimit::set_shares(double requests, double writes) {
   refill();
+  try_present_again();
+  request_share_ = requests;
+  write_share_ = writes;
   request_rate_ = all_requests_ * requests;
   write_rate_ = all_writes_ * writes;
 }
--- a/src/storage/rate_limit.hpp
+++ b/src/storage/rate_limit.hpp
@@ -4,6 +4,7 @@
 #include <coroutine>
 #include <deque>
 
+#include "protocol/state_limits.hpp"
 #include "transport/loop.hpp"
 
 namespace damsonport {
@@ -18,12 +19,15 @@
 
 class RateLimit {
  public:
-  RateLimit(Loop& loop, double requests_per_s, double writes_per_s);
+  RateLimit(Loop& loop, const StateLimitSettings& limits);
   RateLimit(const RateLimit&) = delete;
   RateLimit& operator=(const RateLimit&) = delete;
   // The shares of the limits, 0 to 1.
   void set_shares(double requests, double writes);
   double writes_per_s() const { return write_rate_; }
+  // The service refused a request for its rate: the announced limits may be in force. They are kept
+  // to for a while, longer each time, before the present ones are tried again.
+  void refused();
   // Waiting users of one importance; callers refuse new work over a bound instead of queueing it.
   size_t waiting(Importance i) const { return queues_[static_cast<size_t>(i)].size(); }
 
@@ -43,12 +47,19 @@
     int writes;
   };
   void refill();
+  void use(const StateLimits& limits);
+  void try_present_again();
   bool spend(int writes);
   void pump();
   void arm();
   Loop& loop_;
-  double all_requests_, all_writes_;
-  double request_rate_, write_rate_;
+  const StateLimitSettings limits_;
+  double all_requests_ = 0, all_writes_ = 0;    // of the whole service
+  double request_share_ = 1, write_share_ = 1;  // of this node
+  double request_rate_ = 0, write_rate_ = 0;
+  // Steady time until which the announced limits are kept to; 0: the present ones are.
+  double lowered_until_ = 0;
+  double lowered_for_s_ = 0;
   double requests_, writes_;
   double last_;
   std::array<std::deque<Waiter>, 5> queues_;
--- a/src/storage/records.cpp
+++ b/src/storage/records.cpp
@@ -4,6 +4,10 @@
 
 namespace damsonport {
 
+size_t stored_size(const Json& value) {
+  return value.dump(-1, ' ', false, Json::error_handler_t::replace).size();
+}
+
 LiveTask* ChunkRecord::find_live(uint32_t index) {
   auto it = std::lower_bound(live.begin(), live.end(), index,
                              [](const LiveTask& t, uint32_t i) { return t.index < i; });
@@ -49,6 +53,13 @@
   waiting.insert(at, {index, attempt});
 }
 
+uint64_t ChunkRecord::last_attempt() const {
+  uint64_t last = 0;
+  for (auto& t : live) last = std::max(last, t.attempt);
+  for (auto& t : waiting) last = std::max(last, t.attempt);
+  return last;
+}
+
 Json encode_chunk(const ChunkRecord& c) {
   Json m = {{"n", c.next}};
   if (!c.live.empty()) {
@@ -74,6 +85,18 @@
   return c;
 }
 
+Json encode_job_record(const JobSpec& spec, uint32_t chunk_size) {
+  auto record = encode_job(spec);
+  record["chunk"] = chunk_size;
+  return record;
+}
+
+bool job_record_fits(const JobSpec& spec, double value_kb) {
+  constexpr size_t cancellation_bytes = 64;  // added when the job is cancelled
+  const auto record = encode_job_record(spec, chunk_size(value_kb));
+  return static_cast<double>(stored_size(record) + cancellation_bytes) <= value_kb * 1024;
+}
+
 uint32_t chunk_size(double value_kb) {
   // The longest entry in text: [9999,1844674407370955161,"i-0000000000"], with room to spare.
   constexpr double entry_bytes = 48, head_bytes = 64;
@@ -81,6 +104,12 @@
   return static_cast<uint32_t>(std::clamp(fits, 1.0, 1024.0));
 }
 
+size_t machines_in_a_mark(double value_kb) {
+  constexpr double longest_name_bytes = 24, head_bytes = 64, most = 100;
+  const double fits = (value_kb * 1024 - head_bytes) / longest_name_bytes;
+  return static_cast<size_t>(std::clamp(fits, 1.0, most));
+}
+
 Json encode_blocks(const Blocks& b) {
   Json grants = Json::array();
   for (auto& g : b.grants) {
--- a/src/storage/records.hpp
+++ b/src/storage/records.hpp
@@ -18,12 +18,14 @@
 inline const std::string chunks = "d/t/";
 inline const std::string machines = "d/m/";
 inline const std::string rentals = "d/r/";
+inline const std::string versions = "d/v/";
 inline std::string job(const std::string& id) { return jobs + id; }
 inline std::string chunk(const std::string& id, uint32_t n) {
   return chunks + id + "/" + std::to_string(n);
 }
 inline std::string leaving(const std::string& batch) { return machines + batch; }
 inline std::string rental(const std::string& id) { return rentals + id; }
+inline std::string version(const std::string& node) { return versions + node; }
 inline std::string final_state(const std::string& id) { return "f/" + id; }
 }  // namespace keys
 
@@ -33,6 +35,9 @@
 inline constexpr const char* cancelled_at = "x_at";  // time of day
 }  // namespace fields
 
+// A value's size as the state service counts it: in the JSON form.
+size_t stored_size(const Json& value);
+
 // The tasks [first, first + size) of a job. Tasks below `next` that are neither waiting nor live
 // are done; those from `next` on were never started. So the record's size is bounded by the
 // chunk's size, however many tasks are done.
@@ -56,11 +61,16 @@
   void start(uint32_t index, uint64_t attempt, const std::string& machine);
   // The attempt is proven gone: to be started again, or done.
   void end(uint32_t index, bool done);
+  // The highest attempt that any of the tasks has had, as far as the record knows; 0: none.
+  uint64_t last_attempt() const;
   bool finished(uint32_t size) const { return next == size && live.empty() && waiting.empty(); }
   uint32_t done_count() const { return next - static_cast<uint32_t>(live.size() + waiting.size()); }
 };
 Json encode_chunk(const ChunkRecord& c);
 ChunkRecord decode_chunk(const Json& m);
+// A job's record, and whether it stays below `value_kb` for as long as the job exists.
+Json encode_job_record(const JobSpec& spec, uint32_t chunk_size);
+bool job_record_fits(const JobSpec& spec, double value_kb);
 // Tasks in one chunk so that its record stays below `value_kb` whatever its state.
 uint32_t chunk_size(double value_kb);
 
@@ -79,6 +89,9 @@
 Json encode_blocks(const Blocks& b);
 Blocks decode_blocks(const Json& m);
 
+// Machines whose marks fit into one value.
+size_t machines_in_a_mark(double value_kb);
+
 struct LeaderRecord {
   std::string node;
   uint64_t incarnation = 0;
--- a/src/storage/state_client.cpp
+++ b/src/storage/state_client.cpp
@@ -22,9 +22,9 @@
 }
 }  // namespace
 
-StateClient::StateClient(Loop& loop, HttpClient& http, Endpoint endpoint, double rps,
-                         double write_rps)
-    : loop_(loop), http_(http), endpoint_(std::move(endpoint)), limit_(loop, rps, write_rps) {}
+StateClient::StateClient(Loop& loop, HttpClient& http, Endpoint endpoint,
+                         const StateLimitSettings& limits)
+    : loop_(loop), http_(http), endpoint_(std::move(endpoint)), limit_(loop, limits) {}
 
 Task<HttpReply> StateClient::call(Method method, std::string target, std::string body,
                                   Importance importance, int writes, double timeout_s) {
@@ -32,6 +32,7 @@
   auto reply =
       co_await http_.request(endpoint_, method, std::move(target), std::move(body), timeout_s);
   if (reply.answered() && reply.status != 503) last_contact_ = loop_.now();
+  if (reply.status == 429) limit_.refused();
   co_return reply;
 }
 
--- a/src/storage/state_client.hpp
+++ b/src/storage/state_client.hpp
@@ -58,7 +58,7 @@
 
 class StateClient {
  public:
-  StateClient(Loop& loop, HttpClient& http, Endpoint endpoint, double rps, double write_rps);
+  StateClient(Loop& loop, HttpClient& http, Endpoint endpoint, const StateLimitSettings& limits);
   Task<TxnReply> commit(Txn txn, Importance importance);
   // Repeats until the outcome is definite: see the reasoning at its definition.
   Task<TxnReply> commit_surely(Txn txn, Importance importance, std::stop_token token);
--- /dev/null
+++ b/tests/gangs_test.cpp
@@ -0,0 +1,76 @@
+// Decisions about gangs that need no controller, and what decides when they may begin.
+#include "coordination/gangs.hpp"
+
+#include <gtest/gtest.h>
+
+namespace damsonport {
+namespace {
+
+constexpr double patience_s = 20;
+
+GangStanding standing(uint32_t live, uint32_t done = 0) {
+  GangStanding gang;
+  gang.tasks = 4;
+  gang.live = live;
+  gang.done = done;
+  return gang;
+}
+
+TEST(Gang, StartsWhenNothingOfItIsLeft) {
+  EXPECT_EQ(gang_action(standing(0), patience_s), GangAction::start);
+  EXPECT_EQ(gang_action(standing(4), patience_s), GangAction::none);
+  EXPECT_EQ(gang_action(standing(0, 4), patience_s), GangAction::none);
+  // What is left of a finished gang only has to report it.
+  EXPECT_EQ(gang_action(standing(0, 3), patience_s), GangAction::start);
+  EXPECT_EQ(gang_action(standing(1, 2), patience_s), GangAction::none);
+}
+
+TEST(Gang, AMissingTaskIsReplacedUntilTheGangRuns) {
+  auto gang = standing(3);
+  EXPECT_EQ(gang_action(gang, patience_s), GangAction::complete);
+  gang.incomplete_s = patience_s;
+  EXPECT_EQ(gang_action(gang, patience_s), GangAction::give_up);
+  gang = standing(3);
+  gang.ran = true;
+  EXPECT_EQ(gang_action(gang, patience_s), GangAction::give_up);
+  gang = standing(3);
+  gang.stopping = true;
+  EXPECT_EQ(gang_action(gang, patience_s), GangAction::give_up);
+}
+
+TEST(Gang, ABrokenAttemptIsGivenUpAsAWhole) {
+  auto gang = standing(4);
+  gang.broken = true;
+  EXPECT_EQ(gang_action(gang, patience_s), GangAction::give_up);
+}
+
+Job gang_of(uint32_t tasks, uint32_t chunk_size) {
+  Job job;
+  job.spec.kind = Kind::gang;
+  job.spec.tasks = tasks;
+  job.chunk_size = chunk_size;
+  return job;
+}
+
+TEST(Gang, AllTasksOfAnAttemptShareItsNumber) {
+  auto gang = gang_of(4, 2);
+  EXPECT_EQ(next_attempt(gang), 1u);
+  auto& first = gang.chunks[0].record;
+  first.start(0, 1, "i-1");
+  first.start(1, 1, "i-2");
+  // Halfway through a start, or with a task missing: the rest joins the attempt.
+  EXPECT_EQ(live_attempt(gang), 1u);
+  EXPECT_EQ(next_attempt(gang), 1u);
+  first.end(0, false);
+  EXPECT_EQ(next_attempt(gang), 1u);
+  first.end(1, false);
+  EXPECT_EQ(live_attempt(gang), 0u);
+  EXPECT_EQ(next_attempt(gang), 2u);
+  // Attempts that an older version counted task by task.
+  gang.chunks[1].record.start(0, 7, "i-1");
+  gang.chunks[1].record.end(0, false);
+  EXPECT_EQ(next_attempt(gang), 8u);
+}
+
+}  // namespace
+}  // namespace damsonport
--- a/tests/protocol_test.cpp
+++ b/tests/protocol_test.cpp
@@ -132,6 +132,92 @@
   EXPECT_NE(broken.error().find("line 1"), std::string::npos);
 }
 
+std::string settings_with(const std::string& announced) {
+  return R"(node_name = "quay-0"
+location = "a"
+listen = "10.0.0.1:8080"
+mesh_addr = "10.0.0.1:8081"
+[endpoints]
+cloud = "10.2.0.2:8443"
+state = "10.2.0.1:2379"
+[deployment]
+initial_size = 3
+zones = ["a"]
+clock_off_ms = 25.0
+[deployment.workers]
+report_s = 1.5
+lease_s = 12.0
+gang_wait_s = 40.0
+gang_peer_s = 6.0
+cancel_s = 42.0
+[deployment.cloud]
+rps = 5.0
+list_lag_s = 10.0
+[deployment.resources]
+max_sockets = 600
+[deployment.state]
+rps = 150.0
+write_rps = 50.0
+value_kb = 16.0
+txn_ops = 12
+)" + announced;
+}
+
+TEST(Settings, AnnouncedLimitsBoundWhatIsWritten) {
+  auto s = parse_settings(
+      settings_with("[deployment.state.next]\nvalue_kb = 2.0\ntxn_ops = 4\nfuture = 1\n"));
+  ASSERT_TRUE(s) << s.error();
+  EXPECT_EQ(s->gang_wait_s, 40);
+  EXPECT_EQ(s->state_limits.present().value_kb, 16);
+  EXPECT_EQ(s->state_limits.always().value_kb, 2);
+  EXPECT_EQ(s->state_limits.always().txn_writes, 4);
+  EXPECT_EQ(s->state_limits.always().writes_per_s, 50) << "what is not announced stays";
+  // Limits that are raised don't help before they are.
+  auto raised = parse_settings(settings_with("[deployment.state.next]\nvalue_kb = 64.0\n"));
+  ASSERT_TRUE(raised);
+  EXPECT_EQ(raised->state_limits.always().value_kb, 16);
+  auto none = parse_settings(settings_with(""));
+  ASSERT_TRUE(none);
+  EXPECT_EQ(none->state_limits.always().txn_writes, 12);
+}
+
+TEST(Settings, BadAnnouncedLimitsAreNamed) {
+  const auto bad = [](const std::string& announced, const std::string& field) {
+    auto s = parse_settings(settings_with(announced));
+    ASSERT_FALSE(s) << announced;
+    EXPECT_NE(s.error().find("deployment.state.next" + field), std::string::npos) << s.error();
+  };
+  bad("next = 3\n", "");
+  for (const char* value : {"0", "-1.0", "\"4\"", "nan"})
+    for (const char* field : {"value_kb", "txn_ops", "write_rps", "rps"})
+      bad(std::string("[deployment.state.next]\n") + field + " = " + value + "\n",
+          std::string(".") + field);
+}
+
+TEST(Report, StatesAndCausesOfGangsAreRead) {
+  const Json task = {{"hand", "run-1/0"}, {"launch", 2}};
+  Json waiting = task, peers = task, alone = task, strange = task, odd_cause = task;
+  waiting["status"] = "waiting";
+  peers["status"] = alone["status"] = odd_cause["status"] = "exited";
+  peers["cause"] = "peers";
+  alone["cause"] = "alone";
+  odd_cause["cause"] = "something new";
+  strange["status"] = "something new";
+  auto report = decode_report({{"vessel", "i-1"},
+                               {"address", "10.1.0.1:9000"},
+                               {"hull", "g"},
+                               {"dock", "a"},
+                               {"watch", 1},
+                               {"tally", 1},
+                               {"hands", {waiting, peers, alone, strange, odd_cause}}});
+  ASSERT_TRUE(report) << report.error();
+  EXPECT_EQ(report->tasks[0].state, TaskState::waiting);
+  EXPECT_EQ(report->tasks[1].cause, ExitCause::peers);
+  EXPECT_EQ(report->tasks[2].cause, ExitCause::alone);
+  EXPECT_EQ(report->tasks[3].state, TaskState::running);
+  EXPECT_EQ(report->tasks[4].cause, ExitCause::error);
+}
+
 TEST(Tuning, IsReadAndCheckedWithThePlaceOfTheError) {
   auto t = parse_tuning("; ours\n(damsonport (straggler-bar 0.7)\n (grant-s 20))");
   ASSERT_TRUE(t);
--- a/tests/records_test.cpp
+++ b/tests/records_test.cpp
@@ -21,6 +21,35 @@
   }
 }
 
+std::string long_name(size_t bytes) { return std::string(bytes, 'n'); }
+
+// Every other kind of record at its largest, for the least values that a site has announced.
+TEST(Records, StayBelowTheAnnouncedValueLimit) {
+  constexpr double kb = 2;
+  const auto fits = [](const Json& value) { return stored_size(value) <= kb * 1024; };
+  EXPECT_TRUE(fits(encode_leader({long_name(64), UINT64_MAX})));
+  Blocks blocks;
+  blocks.grants.push_back({long_name(64), UINT64_MAX, UINT64_MAX, {}, true});
+  blocks.renewals = UINT64_MAX;
+  EXPECT_TRUE(fits(encode_blocks(blocks)));
+  std::vector<std::string> machines(machines_in_a_mark(kb), "i-000000000000000000");
+  EXPECT_TRUE(fits({{"machines", machines}}));
+  EXPECT_LE(machines_in_a_mark(1000), 100u);
+}
+
+TEST(Records, AJobWhoseRecordCanNeverFitIsTold) {
+  JobSpec spec;
+  spec.id = "run-" + long_name(60);
+  spec.cls = spec.team = spec.image = long_name(200);
+  spec.zone = long_name(64);
+  spec.types = {long_name(64), long_name(64)};
+  EXPECT_TRUE(job_record_fits(spec, 2));
+  EXPECT_FALSE(job_record_fits(spec, 1));
+  // Control characters are stored escaped.
+  spec.cls = spec.image = std::string(200, '\x01');
+  EXPECT_FALSE(job_record_fits(spec, 2));
+}
+
 TEST(Chunk, AttemptsOnlyGrowAndDoneTasksLeaveNoTrace) {
   ChunkRecord c;
   uint32_t index = 9;
@@ -66,11 +95,46 @@
   EXPECT_GT(write_share(5, 0, 1000), 0);  // but nobody is left without
 }
 
+const StateLimits hundred_a_second{100, 100, 16, 12};
+const StateLimitSettings limits{hundred_a_second, hundred_a_second};
+
+// A refusal for the rate brings the announced rate, which is kept to for a while.
+TEST(RateLimit, FollowsRefusalsAndTriesThePresentLimitAgain) {
+  class Clock : public Loop {
+   public:
+    explicit Clock(std::seed_seq&& seed) : Loop(seed) {}
+    double now() const override { return time; }
+    double wall() const override { return time; }
+    std::unique_ptr<Timer> timer(Timer::Fire, void*) override { return nullptr; }
+    double time = 100;
+
+   private:
+    void ended() override {}
+  };
+  Clock clock(std::seed_seq{1u});
+  RateLimit limit(clock, {{100, 50, 16, 12}, {100, 35, 2, 4}});
+  limit.set_shares(1, 1);
+  const double present = limit.writes_per_s();
+  limit.refused();
+  EXPECT_NEAR(limit.writes_per_s(), present * 35 / 50, 1e-9);
+  clock.time += 29;
+  limit.set_shares(1, 1);
+  EXPECT_LT(limit.writes_per_s(), present);
+  clock.time += 2;
+  limit.set_shares(1, 1);
+  EXPECT_NEAR(limit.writes_per_s(), present, 1e-9);
+  // Refused again: it is kept to for longer.
+  limit.refused();
+  clock.time += 31;
+  limit.set_shares(1, 1);
+  EXPECT_LT(limit.writes_per_s(), present);
+}
+
 // A batch of marks is one record, and each of its machines is marked for good.
 TEST(Marks, OneRecordMarksManyMachines) {
   EventLoop loop;
   EventHttpClient http(loop);
-  StateClient state(loop, http, {"127.0.0.1", 1}, 100, 100);
+  StateClient state(loop, http, {"127.0.0.1", 1}, limits);
   Cache cache(loop, state, 1, 0);
   cache.apply({keys::leaving("a"), {{"machines", {"i-1", "i-2"}}}, 5, 0});
   cache.apply({keys::leaving("b"), {{"machines", {"i-3"}}}, 6, 0});
@@ -88,7 +152,7 @@
 TEST(Removals, ALateCopyDoesNotBringBackWhatWasJustRemoved) {
   EventLoop loop;
   EventHttpClient http(loop);
-  StateClient state(loop, http, {"127.0.0.1", 1}, 100, 100);
+  StateClient state(loop, http, {"127.0.0.1", 1}, limits);
   Cache cache(loop, state, 1, 0);
   const Item copy{keys::job("run-1"), encode_job(two_tasks()), 1, 0};
   cache.apply(copy);
@@ -105,7 +169,7 @@
 TEST(Assignments, AChangeTouchesOnlyWhatDiffers) {
   EventLoop loop;
   EventHttpClient http(loop);
-  StateClient state(loop, http, {"127.0.0.1", 1}, 100, 100);
+  StateClient state(loop, http, {"127.0.0.1", 1}, limits);
   Cache cache(loop, state, 1, 0);
   std::string told;
   cache.on_assignment = [&](const std::string& machine, const Job&, bool added) {
--- a/tests/trace_test.cpp
+++ b/tests/trace_test.cpp
@@ -76,6 +76,7 @@
       for (auto& image : list(w, "images")) m.images.push_back(input_.images.id(image));
       m.fetch_gb_per_s = num(w, "fetch", 1);
       m.speed = num(w, "speed", 1);
+      m.straggler = w.contains("straggler");
       m.bad_jobs = list(w, "failed");
       input_.machines.push_back(m);
     } else if (verb == "booting") {  // booting TYPE zone=Z cpus=N gpus=N [spot]
@@ -181,6 +182,14 @@
                                   {},
                                   "",
                                   true});
+    } else if (verb == "demand") {  // demand NAME count=N cpus=N [gang] [one_zone] [zone=Z]
+      sizing::Demand d{{num(w, "cpus"), num(w, "gpus"), 0},
+                       static_cast<uint32_t>(num(w, "count")),
+                       {},
+                       str(w, "zone"),
+                       w.contains("spot")};
+      d.gang = w.contains("gang"), d.one_zone = w.contains("one_zone");
+      fleet_.demand.push_back(d);
     } else if (verb == "replace") {  // replace TYPE zone=Z [spot]
       fleet_.replacements.push_back({name, str(w, "zone"), w.contains("spot"), false});
     } else if (verb == "successes") {  // successes MACHINE run=S median=S count=N
@@ -202,9 +211,15 @@
  private:
   void run_place(const Words& w) {
     input_.now = num(w, "now");
+    // place now=S hold_after=S hold_for=S: gangs older than the first keep room for the second
+    if (w.contains("hold_after")) input_.gang_hold_after_s = num(w, "hold_after");
+    input_.gang_hold_for_s = num(w, "hold_for");
     auto d = placing::place(input_);
     for (auto& s : d.starts)
       actual_.push_back("start " + input_.jobs[s.job].id + " on " + input_.machines[s.machine].id);
+    for (auto& gang : d.gangs)
+      for (size_t m : gang.machines)
+        actual_.push_back("start " + input_.jobs[gang.job].id + " on " + input_.machines[m].id);
     for (auto& s : d.stops) {
       auto& m = input_.machines[s.machine];
       std::ostringstream grace;
--- a/tests/world/fleet.cpp
+++ b/tests/world/fleet.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 constexpr double worker_patience_s = 4, next_node_s = 1, soonest_s = 0.5;
-constexpr const char* state_names[] = {"fetching", "running", "flushing", "exited"};
+constexpr const char* state_names[] = {"fetching", "running", "flushing", "exited", "waiting"};
 constexpr const char* cause_names[] = {"",     "done",    "stopped", "error", "no_room",
                                        "busy", "no_such", "peers",   "alone"};
 }  // namespace
@@ -37,6 +37,7 @@
 }
 
 void Worker::vanish() {
+  leave_gangs();
   gone = true;
   world_.vanish(host);
   for (auto& [a, t] : tasks_)
@@ -48,6 +49,7 @@
 
 void Worker::hang(double seconds) {
   hung_until_ = world_.now() + seconds;
+  leave_gangs();
   // What was to happen meanwhile happens that much later.
   for (auto& [a, t] : tasks_) {
     if (!t.timed) continue;
@@ -65,6 +67,7 @@
         time(it->second, std::max(fleet_.run_s_[attempt.first.job] - it->second.progress, 0.0),
              [this](Running& r) { exit(r, ExitCause::done); });
       }
+      if (state == TaskState::waiting) wait_for_gang(attempt);
       if (state == TaskState::saving) exit(it->second, ExitCause::stopped, true);
     });
   }
@@ -235,9 +238,10 @@
   images_.insert(spec.image);
   if (sick) return exit(t, ExitCause::error);
   if (fleet_.judge_.is_done(a.first)) return exit(t, ExitCause::done);
+  fleet_.judge_.starts(id, a.first);
+  if (spec.kind == Kind::gang) return wait_for_gang(a);
   t.report.state = TaskState::running;
   t.progress = fleet_.saved_[a.first];
-  fleet_.judge_.starts(id, a.first);
   const double run = fleet_.run_s_[a.first.job];
   t.since = world_.now();
   if (spec.kind != Kind::service)
@@ -245,8 +249,54 @@
   changed();
 }
 
+void Worker::wait_for_gang(const Attempt& a) {
+  Running& t = tasks_.at(a);
+  t.report.state = TaskState::waiting;
+  time(t, fleet_.settings.gang_wait_s, [this](Running& r) { exit(r, ExitCause::alone); });
+  changed();
+  fleet_.gangs_.arrived(a.first, a.second);
+}
+
+bool Worker::ready_for_gang(const TaskName& task, uint64_t attempt) const {
+  auto it = tasks_.find({task, attempt});
+  return !hung() && it != tasks_.end() && it->second.report.state == TaskState::waiting;
+}
+
+void Worker::run_gang_task(const TaskName& task, uint64_t attempt) {
+  Running& t = tasks_.at({task, attempt});
+  if (t.timed) world_.cancel(t.next);
+  t.timed = false;
+  t.report.state = TaskState::running;
+  changed();
+}
+
+void Worker::end_gang_task(const TaskName& task, uint64_t attempt, ExitCause cause, bool saved) {
+  if (hung()) {
+    world_.at(hung_until_, [this, task, attempt, cause, saved] {
+      if (!gone) end_gang_task(task, attempt, cause, saved);
+    });
+    return;
+  }
+  auto it = tasks_.find({task, attempt});
+  if (it != tasks_.end() && it->second.report.state != TaskState::exited)
+    exit(it->second, cause, saved);
+}
+
+void Worker::leave_gangs() {
+  std::vector<Attempt> running;
+  for (auto& [a, t] : tasks_) {
+    auto* spec = fleet_.judge_.spec(a.first.job);
+    if (spec && spec->kind == Kind::gang && t.report.state == TaskState::running)
+      running.push_back(a);
+  }
+  for (auto& a : running) fleet_.gangs_.lost(a.first, a.second);
+}
+
 void Worker::stop(Running& t, double grace) {
   if (t.report.state == TaskState::exited) return;
+  if (t.report.state == TaskState::running &&
+      fleet_.gangs_.told_to_stop(*this, t.report.task, t.report.attempt, grace))
+    return;
   auto* spec = fleet_.judge_.spec(t.report.task.job);
   const bool saves = spec && spec->checkpoint_s > 0 && t.report.state == TaskState::running &&
                      grace >= spec->save_s;
@@ -279,6 +329,7 @@
 
 void Worker::end_session() {
   if (gone || hung()) return;
+  leave_gangs();
   for (auto& [a, t] : tasks_)
     if (t.timed) world_.cancel(t.next);
   tasks_.clear();
@@ -298,7 +349,8 @@
       types(std::move(types_)),
       nodes(std::move(nodes_)),
       world_(world),
-      judge_(world, s, *this) {
+      judge_(world, s, *this),
+      gangs_(world, *this) {
   world_.serve(s.cloud.host, [this](auto&, Method method, auto& target, auto& body, auto answer) {
     world_.in(0.1,
               [this, method, target, body, answer] { serve_cloud(method, target, body, answer); });
--- a/tests/world/fleet.hpp
+++ b/tests/world/fleet.hpp
@@ -3,6 +3,7 @@
 #pragma once
 #include "protocol/messages.hpp"
 #include "protocol/settings.hpp"
+#include "world/gang_runs.hpp"
 #include "world/world.hpp"
 
 namespace damsonport::world {
@@ -64,6 +65,12 @@
   const std::map<Attempt, Running>& tasks() const { return tasks_; }
   uint64_t session() const { return session_; }
 
+  // A gang's task that has its image, on a machine that goes on, and waits for the others.
+  bool ready_for_gang(const TaskName& task, uint64_t attempt) const;
+  void run_gang_task(const TaskName& task, uint64_t attempt);
+  // On a machine that stands still: when it goes on.
+  void end_gang_task(const TaskName& task, uint64_t attempt, ExitCause cause, bool saved);
+
   std::string id, address, host, type, zone;
   bool spot;
   bool deaf = false, mute = false, gone = false, sick = false;
@@ -85,6 +92,9 @@
   void end_session();
   void start(const Attempt& attempt);
   void fetched(const Attempt& attempt);
+  void wait_for_gang(const Attempt& attempt);
+  // What the others of their gangs notice when all tasks here are gone or stand still.
+  void leave_gangs();
   void stop(Running& task, double grace);
   void exit(Running& task, ExitCause cause, bool saved = false);
   void time(Running& task, double seconds, std::function<void(Running&)> then);
@@ -113,6 +123,9 @@
   Worker* find(const std::string& id);
   const std::map<std::string, std::unique_ptr<Worker>>& workers() const { return workers_; }
   void set_run_time(const std::string& job, double seconds) { run_s_[job] = seconds; }
+  double run_time(const std::string& job) { return run_s_[job]; }
+  GangRuns& gangs() { return gangs_; }
+  const GangRuns& gangs() const { return gangs_; }
   void set_capacity(int machines) { capacity_ = machines; }
   void set_boot(double seconds) { boot_s_ = seconds; }
 
@@ -129,6 +142,7 @@
   Json list() const;
   World& world_;
   Judge judge_;
+  GangRuns gangs_;
   std::map<std::string, std::unique_ptr<Worker>> workers_;
   std::map<std::string, double> run_s_;
   std::map<TaskName, double> saved_;  // progress kept outside the machines
--- a/tests/world/judge.cpp
+++ b/tests/world/judge.cpp
@@ -6,7 +6,8 @@
 
 namespace {
 bool on_machine(const TaskReport& t) {
-  return t.state == TaskState::running || t.state == TaskState::saving;
+  return t.state == TaskState::running || t.state == TaskState::saving ||
+         t.state == TaskState::waiting;
 }
 }  // namespace
 
--- a/tests/world/meeting.cpp
+++ b/tests/world/meeting.cpp
@@ -26,6 +26,10 @@
   }
   return out;
 }
+StateLimits limits_of(const Words& w, const StateLimits& otherwise) {
+  return {num(w, "rps", otherwise.requests_per_s), num(w, "writes", otherwise.writes_per_s),
+          num(w, "kb", otherwise.value_kb), static_cast<int>(num(w, "ops", otherwise.txn_writes))};
+}
 // The record leaves out what is nothing; a user's message may not.
 Json submission_of(const JobSpec& spec) {
   Json m = {{"same_place", false}, {"spread", false}, {"tender", false},
@@ -79,11 +83,13 @@
     settings_.report_s = num(w, "report", 1.5);
     settings_.lease_s = num(w, "lease", 12);
     settings_.cancel_s = num(w, "cancel", 42);
+    settings_.gang_wait_s = num(w, "gang_wait", 40);
+    settings_.gang_peer_s = num(w, "gang_peer", 6);
   } else if (verb == "state") {
     auto w = words(in);
-    settings_.state_rps = num(w, "rps", 150);
-    settings_.state_write_rps = num(w, "writes", 50);
-    settings_.txn_ops = static_cast<int>(num(w, "ops", 12));
+    limits_ = announced_limits_ = limits_of(w, limits_);
+  } else if (verb == "announced") {  // the limits that the state service will have some time
+    announced_limits_ = limits_of(words(in), limits_);
   } else if (verb == "team") {
     in >> name;
     auto w = words(in);
@@ -114,7 +120,9 @@
     for (auto& id : spell_out(name)) {
       JobSpec s;
       s.id = id, s.cls = str(w, "class", "c"), s.team = str(w, "team", "t");
-      s.kind = w.contains("service") ? Kind::service : Kind::batch;
+      s.kind = w.contains("service") ? Kind::service
+               : w.contains("gang")  ? Kind::gang
+                                     : Kind::batch;
       for (auto [word, p] : {std::pair{"idle", Priority::idle},
                              {"normal", Priority::normal},
                              {"high", Priority::high},
@@ -152,7 +160,8 @@
       in >> what;
       h.verb = "expect " + what;
     }
-    if (h.verb != "outage" && h.verb != "slow" && h.verb != "odd" && h.verb != "expect served")
+    if (h.verb != "outage" && h.verb != "slow" && h.verb != "odd" && h.verb != "expect served" &&
+        h.verb != "lower_limits")
       in >> h.name;
     h.words = words(in);
     happenings_.push_back(std::move(h));
@@ -165,9 +174,8 @@
 void Meeting::set_up() {
   if (settings_.report_s == 0)
     settings_.report_s = 1.5, settings_.lease_s = 12, settings_.cancel_s = 42;
-  if (settings_.state_rps == 0)
-    settings_.state_rps = 150, settings_.state_write_rps = 50, settings_.txn_ops = 12;
-  settings_.value_kb = 16;
+  if (settings_.gang_wait_s == 0) settings_.gang_wait_s = 40, settings_.gang_peer_s = 6;
+  settings_.state_limits = {limits_, announced_limits_};
   settings_.cloud_rps = 5, settings_.list_lag_s = 4, settings_.max_sockets = 600;
   if (settings_.zones.empty()) settings_.zones = {"a"};
   settings_.nodes = node_count_;
@@ -177,9 +185,7 @@
   std::vector<std::pair<std::string, std::string>> nodes;
   for (int i = 0; i < node_count_; ++i)
     nodes.emplace_back("n" + std::to_string(i), "10.0.0." + std::to_string(i + 1));
-  state_ = std::make_unique<StateService>(world_, state_host, settings_.state_rps,
-                                          settings_.state_write_rps, settings_.txn_ops,
-                                          settings_.value_kb);
+  state_ = std::make_unique<StateService>(world_, state_host, limits_);
   fleet_ = std::make_unique<Fleet>(world_, settings_, types_, nodes);
   fleet_->set_capacity(capacity_);
   fleet_->set_boot(boot_s_);
@@ -344,6 +350,8 @@
         h.name == "late" ? StateService::Fate::applied_late : StateService::Fate::answer_lost,
         of.empty() ? std::string() : of.front()->host);
     world_.in(for_s, [this] { state_->set_fate(StateService::Fate::normal, {}); });
+  } else if (h.verb == "lower_limits") {  // the announced limits come into force
+    state_->set_limits(announced_limits_);
   } else if (h.verb == "slow") {
     state_->set_delay(num(w, "by"));
     world_.in(for_s, [this] { state_->set_delay(0.004); });
@@ -409,13 +417,25 @@
         complain("of " + id + " " + std::to_string(running) + " of " + std::to_string(spec.tasks) +
                  " replicas run");
       // Not all who know of a job ask on: what counts is what was done.
-      for (uint32_t i = 0; spec.kind == Kind::batch && i < spec.tasks; ++i)
+      for (uint32_t i = 0; spec.kind != Kind::service && i < spec.tasks; ++i)
         if (!fleet_->judge().is_done({id, i}))
           complain(id + "/" + std::to_string(i) + " is not done");
       if (spec.kind == Kind::service &&
           world_.now() - fleet_->judge().last_answered(id) > forgotten_after_s)
         complain("nobody answers about " + id);
     }
+  } else if (what == "gang_starts") {  // expect gang_starts run-1 times=N
+    for (auto& id : jobs(h.name))
+      if (const int times = fleet_->gangs().starts(id);
+          times != static_cast<int>(num(h.words, "times", 1)))
+        complain(id + ", but it started " + std::to_string(times) + " times");
+  } else if (what == "kept") {  // expect kept run-1: no progress was lost
+    for (auto& id : jobs(h.name))
+      if (fleet_->gangs().lost_progress(id) > 0)
+        complain(id + ", but it lost " + std::to_string(fleet_->gangs().lost_progress(id)) + " s");
+  } else if (what == "refused_for_size") {  // expect refused_for_size 0
+    if (std::to_string(state_->refused_for_size()) != h.name)
+      complain(h.name + ", but " + std::to_string(state_->refused_for_size()) + " were");
   } else if (what == "sessions") {  // expect sessions 1 of=machines
     for (auto* m : machines(str(h.words, "of", "machines")))
       if (std::to_string(m->session()) != h.name)
--- a/tests/world/meeting.hpp
+++ b/tests/world/meeting.hpp
@@ -63,6 +63,7 @@
 
   World world_;
   Settings settings_;
+  StateLimits limits_{150, 50, 16, 12}, announced_limits_{150, 50, 16, 12};
   std::vector<MachineType> types_;
   int node_count_ = 3;
   struct Start {
--- a/tests/world/state_service.cpp
+++ b/tests/world/state_service.cpp
@@ -22,15 +22,11 @@
 }
 }  // namespace
 
-StateService::StateService(World& world, std::string host, double rps, double write_rps,
-                           int txn_ops, double value_kb)
+StateService::StateService(World& world, std::string host, const StateLimits& limits)
     : world_(world),
-      rps_(rps),
-      write_rps_(write_rps),
-      txn_ops_(txn_ops),
-      value_kb_(value_kb),
-      requests_(rps),
-      writes_(write_rps) {
+      limits_(limits),
+      requests_(limits.requests_per_s),
+      writes_(limits.writes_per_s) {
   world_.serve(host, [this](auto& from, Method method, auto& target, auto& body, auto answer) {
     world_.in(delay_s_ * world_.uniform(0.5, 1.5), [this, from, method, target, body, answer] {
       handle(from, method, target, body, answer);
@@ -123,8 +119,8 @@
 bool StateService::over_rate(int writes) {
   const double passed = world_.now() - filled_at_;
   filled_at_ = world_.now();
-  requests_ = std::min(rps_, requests_ + passed * rps_);
-  writes_ = std::min(write_rps_, writes_ + passed * write_rps_);
+  requests_ = std::min(limits_.requests_per_s, requests_ + passed * limits_.requests_per_s);
+  writes_ = std::min(limits_.writes_per_s, writes_ + passed * limits_.writes_per_s);
   if (requests_ < 1 || writes_ < writes) {
     ++over_rate_;
     return true;
@@ -232,12 +228,19 @@
   const Json none = Json::array();
   const Json& writes = m.contains("writes") ? m["writes"] : none;
   const Json& conditions = m.contains("if") ? m["if"] : none;
-  if (static_cast<int>(writes.size()) > txn_ops_ ||
-      static_cast<int>(conditions.size()) > 4 * txn_ops_ || m.dump().size() > 64 * 1024)
-    return {400, encode({{"error", "too large"}})};
+  const HttpReply too_large{400, encode({{"error", "too large"}})};
+  if (static_cast<int>(writes.size()) > limits_.txn_writes ||
+      static_cast<int>(conditions.size()) > limits_.txn_conditions() ||
+      m.dump().size() > 64 * 1024) {
+    ++over_size_;
+    return too_large;
+  }
   for (auto& w : writes) {
     if (!w.contains("set")) continue;
-    if (w["data"].dump().size() > value_kb_ * 1024) return {400, encode({{"error", "too large"}})};
+    if (static_cast<double>(w["data"].dump().size()) > limits_.value_bytes()) {
+      ++over_size_;
+      return too_large;
+    }
     if (w.contains("permit") && !leases_.contains(w["permit"].get<uint64_t>()))
       return {400, encode({{"error", "no such lease"}})};
   }
--- a/tests/world/state_service.hpp
+++ b/tests/world/state_service.hpp
@@ -5,14 +5,16 @@
 #include <set>
 
 #include "protocol/messages.hpp"
+#include "protocol/state_limits.hpp"
 #include "world/world.hpp"
 
 namespace damsonport::world {
 
 class StateService {
  public:
-  StateService(World& world, std::string host, double rps, double write_rps, int txn_ops,
-               double value_kb);
+  StateService(World& world, std::string host, const StateLimits& limits);
+  // In force from now on; what is stored stays readable.
+  void set_limits(const StateLimits& limits) { limits_ = limits; }
   // During an outage all get 503 and open watches wait; afterwards leases get their full time.
   void set_down(bool down);
   // One controller alone is refused, and its watches wait.
@@ -27,6 +29,7 @@
   // Told of each change.
   std::function<void(const std::string& key, const Json& value)> on_change;
   size_t refused_for_rate() const { return over_rate_; }
+  size_t refused_for_size() const { return over_size_; }
 
  private:
   struct Watch {
@@ -53,9 +56,7 @@
   bool over_rate(int writes);
 
   World& world_;
-  double rps_, write_rps_;
-  int txn_ops_;
-  double value_kb_;
+  StateLimits limits_;
   bool down_ = false;
   std::set<std::string> refused_;
   Fate fate_ = Fate::normal;
@@ -73,7 +74,7 @@
   uint64_t revision_ = 100, next_lease_ = 1;
   std::list<Watch> watches_;
   double requests_, writes_, filled_at_ = 0;
-  size_t over_rate_ = 0;
+  size_t over_rate_ = 0, over_size_ = 0;
 };
 
 }  // namespace damsonport::world
