Jobs accepted under larger limits are divided into records that fit; fixtures of the production version

A record with more live tasks than the announced value limit has room for would be refused for good once that limit holds. Its job's tasks are divided anew: chunks of the new layout first, then the job's record names it, in one transaction; whoever takes over begins again. A refusal for size is a definite outcome, logged, and stalls nothing else.

--- /dev/null
+++ b/src/coordination/chunk_edits.cpp
@@ -0,0 +1,35 @@
+#include "coordination/chunk_edits.hpp"
+
+namespace damsonport {
+
+namespace {
+// Of the 64 KiB that a transaction may have; the rest is for its keys and conditions.
+constexpr size_t max_bytes = 48 * 1024;
+constexpr size_t head_bytes = 64, entry_bytes = 48, entries_to_come = 8;
+}  // namespace
+
+ChunkRecord* ChunkEdits::edit(const Job& job, uint32_t chunk) {
+  const auto key = job.chunk_key(chunk);
+  if (auto it = edits_.find(key); it != edits_.end()) return &it->second;
+  if (static_cast<int>(edits_.size()) >= limits_.txn_writes) return nullptr;
+  ChunkRecord record;
+  if (auto c = job.chunks.find(chunk); c != job.chunks.end()) record = c->second.record;
+  const size_t entries = record.live.size() + record.waiting.size() + entries_to_come;
+  const size_t size = head_bytes + entry_bytes * entries;
+  if (bytes_ + size > max_bytes && !edits_.empty()) return nullptr;
+  bytes_ += size;
+  txn_.conditions[key] = cache_.chunk_version(job.spec.id, chunk);
+  return &(edits_[key] = std::move(record));
+}
+
+void ChunkEdits::require_unchanged(const Job& job) {
+  txn_.conditions[keys::job(job.spec.id)] = job.version;
+}
+
+Txn ChunkEdits::finish() {
+  txn_.conditions[keys::blocks] = cache_.blocks_version();
+  for (auto& [key, record] : edits_) txn_.writes.push_back({key, encode_chunk(record), 0});
+  return std::move(txn_);
+}
+
+}  // namespace damsonport
--- a/src/coordination/holder.cpp
+++ b/src/coordination/holder.cpp
@@ -66,6 +66,8 @@
   returned_.clear();
   given_up_.clear();
   lost_.clear();
+  to_divide_.clear();
+  dividing_ = {};
   uncommitted_starts_ = 0;
   send_queue_.clear();
   returning_.clear();
@@ -181,6 +183,7 @@
     if (co_await keep_grant(token)) {
       busy = co_await commit_exits(token);
       if (holding()) busy = co_await commit_finals(token) || busy;
+      if (holding()) busy = co_await commit_layouts(token) || busy;
       if (holding()) busy = co_await commit_starts(token) || busy;
     }
     if (busy) continue;
--- a/src/coordination/holder.hpp
+++ b/src/coordination/holder.hpp
@@ -9,6 +9,7 @@
 
 #include "coordination/answering.hpp"
 #include "coordination/catalog.hpp"
+#include "coordination/chunk_edits.hpp"
 #include "coordination/election.hpp"
 #include "coordination/fleet.hpp"
 #include "coordination/gangs.hpp"
@@ -161,6 +162,18 @@
   bool records_current() const;
   static bool is_over(const Job& job) { return job.cancelled ? job.live == 0 : job.finished(); }
 
+  // --- jobs whose records are too large for the announced limits (holder_layout.cpp)
+  // What every write has to fit.
+  const StateLimits& limits() const;
+  // The record must not grow, or not be written at all, before its job's tasks are divided anew.
+  bool waits_for_layout(const Job& job, const ChunkRecord& record);
+  bool must_wait_for_layout(const Job& job, uint32_t chunk);
+  bool gang_waits_for_layout(const Job& gang);
+  void divide_refused(const std::vector<Write>& writes);
+  Task<bool> commit_layouts(std::stop_token token);
+  Task<bool> commit_divided_chunks(std::string id, std::stop_token token);
+  Task<bool> commit_new_layout(std::string id, std::stop_token token);
+
   // --- gangs (holder_gangs.cpp)
   // Takes note of a proven exit; of a gang it says something about the other tasks too.
   void note_exit(const TaskName& task, PendingExit exit);
@@ -287,7 +300,14 @@
   int sends_ = 0;
   std::vector<sizing::Demand> unplaced_;
   uint64_t waiting_tasks_ = 0;
-  size_t uncommitted_starts_ = 0;  // decided by the last pass and put off
+  size_t uncommitted_starts_ = 0;    // decided by the last pass and put off
+  std::set<std::string> to_divide_;  // jobs
+  struct Dividing {
+    std::string job;
+    uint64_t job_version = 0;
+    std::map<uint32_t, ChunkRecord> to_write;
+  };
+  Dividing dividing_;
   double next_list_ = 0, next_sizing_ = 0, next_minding_ = 0;
   bool place_again_ = true;
   double next_place_ = 0;
--- a/src/coordination/holder_commit.cpp
+++ b/src/coordination/holder_commit.cpp
@@ -12,42 +12,7 @@
 
 // Share of a report period that one pass may go on committing starts.
 constexpr double starts_share = 0.05;
-
-// Edits of chunk records, gathered into one transaction inside the service's limits.
-class ChunkEdits {
- public:
-  ChunkEdits(Cache& cache, int max_writes) : cache_(cache), max_writes_(max_writes) {}
-
-  // The record to edit, or null when the transaction is full.
-  ChunkRecord* edit(Job& job, uint32_t chunk) {
-    auto key = keys::chunk(job.spec.id, chunk);
-    auto it = edits_.find(key);
-    if (it != edits_.end()) return &it->second;
-    if (static_cast<int>(edits_.size()) >= max_writes_) return nullptr;
-    ChunkRecord record;
-    if (auto c = job.chunks.find(chunk); c != job.chunks.end()) record = c->second.record;
-    size_t size = 64 + 48 * (record.live.size() + record.waiting.size() + 8);
-    if (bytes_ + size > max_bytes && !edits_.empty()) return nullptr;
-    bytes_ += size;
-    txn_.conditions[key] = cache_.chunk_version(job.spec.id, chunk);
-    return &(edits_[key] = std::move(record));
-  }
-  bool empty() const { return edits_.empty(); }
-  Txn finish() {
-    txn_.conditions[keys::blocks] = cache_.blocks_version();
-    for (auto& [key, record] : edits_) txn_.writes.push_back({key, encode_chunk(record), 0});
-    return std::move(txn_);
-  }
-  Txn& txn() { return txn_; }
-
- private:
-  static constexpr size_t max_bytes = 48 * 1024;
-  Cache& cache_;
-  int max_writes_;
-  size_t bytes_ = 0;
-  std::map<std::string, ChunkRecord> edits_;
-  Txn txn_;
-};
+constexpr double pause_after_refusal_s = 0.2;
 
 placing::Amounts need_of(const JobSpec& s) { return {s.cpus, s.gpus, s.memory_gb}; }
 
@@ -78,12 +43,19 @@
                   reply.failed.empty() ? "?" : reply.failed.front());
     co_await reread(std::move(reply.failed));
   }
+  if (reply.outcome == Outcome::invalid) {
+    // Definite: nothing of it was written, and the same again would be refused again.
+    spdlog::error("the state service takes no transaction with {}",
+                  writes.empty() ? "no writes" : writes.front().key);
+    divide_refused(writes);
+    co_await Sleep(loop_, pause_after_refusal_s, token);
+  }
   co_return false;
 }
 
 Task<bool> Holder::commit_exits(std::stop_token token) {
   if (exits_.empty() || !records_current()) co_return false;
-  ChunkEdits edits(cache_, settings_.state_limits.always().txn_writes);
+  ChunkEdits edits(cache_, limits());
   std::vector<TaskName> taken;
   for (auto it = exits_.begin(); it != exits_.end();) {
     auto& [name, exit] = *it;
@@ -97,6 +69,10 @@
       it = exits_.erase(it);  // the records are past it
       continue;
     }
+    if (must_wait_for_layout(*job, chunk)) {
+      ++it;
+      continue;
+    }
     auto* record = edits.edit(*job, chunk);
     if (!record) break;
     record->end(name.index % job->chunk_size, exit.cause == ExitCause::done);
@@ -121,7 +97,7 @@
   if (!records_current()) co_return false;
   Txn txn;
   std::vector<std::string> ended;
-  int room = settings_.state_limits.always().txn_writes;
+  int room = limits().txn_writes;
   for (auto it = over_.begin(); it != over_.end();) {
     const std::string& id = *it;
     Job* job = cache_.job(id);
@@ -134,7 +110,7 @@
     if (cache_.revision() < job->version) continue;
     int chunks = static_cast<int>(job->chunks.size());
     // Chunks that don't fit in become orphans, which are swept later.
-    int with = std::min(chunks, std::max(0, settings_.state_limits.always().txn_writes - 2));
+    int with = std::min(chunks, std::max(0, limits().txn_writes - 2));
     if (room < 2 + with) break;
     room -= 2 + with;
     txn.conditions[keys::job(id)] = job->version;
@@ -143,7 +119,7 @@
         {keys::final_state(id), {{"s", job->cancelled ? "aborted" : "done"}, {"n", job->done}}, 0});
     for (auto& [n, chunk] : job->chunks) {
       if (with-- <= 0) break;
-      txn.writes.push_back({keys::chunk(id, n), Json(), 0});
+      txn.writes.push_back({job->chunk_key(n), Json(), 0});
     }
     ended.push_back(id);
     spdlog::info("job {} is {}", id, job->cancelled ? "cancelled and gone" : "done");
@@ -239,8 +215,9 @@
     // Changed while it was being committed: the next pass sees it as it is.
     if (!job || is_cancelled(*job) || !holding()) break;
     if (attempt == 0) attempt = next_attempt(*job);
-    ChunkEdits edits(cache_, settings_.state_limits.always().txn_writes);
-    edits.txn().conditions[keys::job(id)] = job->version;
+    if (gang_waits_for_layout(*job)) break;
+    ChunkEdits edits(cache_, limits());
+    edits.require_unchanged(*job);
     std::vector<CommittedStart> started;
     for (uint32_t n = 0; n < job->chunk_count(); ++n) {
       auto known = job->chunks.find(n);
@@ -292,7 +269,7 @@
       uncommitted_starts_ = planned.size() - next;
       break;
     }
-    ChunkEdits edits(cache_, settings_.state_limits.always().txn_writes);
+    ChunkEdits edits(cache_, limits());
     std::vector<CommittedStart> started;
     for (; next < planned.size(); ++next) {
       auto& s = planned[next];
@@ -313,13 +290,15 @@
           full = true;
           break;
         }
-        if (record->peek_startable(job->size_of(chunk), 0, index, attempt)) break;
+        if (record->peek_startable(job->size_of(chunk), 0, index, attempt) &&
+            !waits_for_layout(*job, *record))
+          break;
         record = nullptr;
       }
       if (full) break;
       if (!record) continue;
       record->start(index, attempt, s.machine);
-      edits.txn().conditions[keys::job(s.job)] = job->version;
+      edits.require_unchanged(*job);
       started.push_back(
           {{s.job, chunk * job->chunk_size + index}, attempt, s.machine, s.image_cached});
     }
--- a/src/storage/cache.cpp
+++ b/src/storage/cache.cpp
@@ -2,8 +2,6 @@
 
 #include <spdlog/spdlog.h>
 
-#include <charconv>
-
 namespace damsonport {
 
 namespace {
@@ -48,6 +46,11 @@
   return c == it->second->chunks.end() ? 0 : c->second.version;
 }
 
+uint64_t Cache::loose_version(const std::string& key) const {
+  auto it = loose_chunks_.find(key);
+  return it == loose_chunks_.end() ? 0 : it->second.version;
+}
+
 void Cache::apply_writes(const std::vector<Write>& writes, uint64_t revision) {
   for (auto& w : writes)
     if (w.key.starts_with(keys::cached)) apply({w.key, w.value, revision, w.lease});
@@ -117,6 +120,8 @@
   }
   auto& slot = jobs_[id];
   if (slot && item.version <= slot->version) return;
+  const uint32_t chunk_size = std::max(1u, item.value.value(fields::chunk_size, 1u));
+  const uint32_t layout = item.value.value(fields::layout, 0u);
   if (!slot) {
     auto spec = decode_job(item.value);
     if (!spec) {
@@ -126,8 +131,11 @@
     }
     slot = std::make_unique<Job>();
     slot->spec = std::move(*spec);
-    slot->chunk_size = std::max(1u, item.value.value("chunk", 1u));
   }
+  // Divided anew: the chunks of the new layout were all written before the job's record.
+  if (slot->layout != layout) release_chunks(*slot);
+  slot->chunk_size = chunk_size;
+  slot->layout = layout;
   slot->version = item.version;
   slot->cancelled = item.value.value(fields::cancelled, 0) != 0;
   if (slot->cancelled) {
@@ -137,37 +145,40 @@
         at > 0 ? loop_.now() - std::max(loop_.wall() - at, 0.0) - 2 * clock_off_s_ : -1e9;
   }
   Job* added = slot.get();
-  for (uint32_t n = 0; n < added->chunk_count() && !loose_chunks_.empty(); ++n) {
-    auto loose = loose_chunks_.find(keys::chunk(id, n));
+  adopt_loose_chunks(*added);
+  if (on_change) on_change(added);
+}
+
+void Cache::adopt_loose_chunks(Job& job) {
+  for (uint32_t n = 0; n < job.chunk_count() && !loose_chunks_.empty(); ++n) {
+    auto loose = loose_chunks_.find(job.chunk_key(n));
     if (loose == loose_chunks_.end()) continue;
     orphans_.erase(loose->first);
-    set_chunk(*added, n, decode_chunk(loose->second.value), loose->second.version);
+    set_chunk(job, n, decode_chunk(loose->second.value), loose->second.version);
     loose_chunks_.erase(loose);
   }
-  if (on_change) on_change(added);
 }
 
 void Cache::apply_chunk(const std::string& rest, const Item& item) {
-  auto slash = rest.rfind('/');
-  uint32_t n = 0;
-  if (slash == std::string::npos) return;
-  std::from_chars(rest.data() + slash + 1, rest.data() + rest.size(), n);
-  auto* owner = job(rest.substr(0, slash));
-  if (!owner) {
+  const auto name = parse_chunk_name(rest);
+  if (!name) return;
+  auto* owner = job(name->job);
+  if (!owner || owner->layout != name->layout) {
     if (item.value.is_null()) {
       loose_chunks_.erase(item.key);
       orphans_.erase(item.key);
-    } else {
-      loose_chunks_[item.key] = item;
-      orphans_.insert(item.key);
+      return;
     }
+    loose_chunks_[item.key] = item;
+    // One of a later layout waits for its job to take it.
+    if (!owner || name->layout < owner->layout) orphans_.insert(item.key);
     return;
   }
-  auto it = owner->chunks.find(n);
+  auto it = owner->chunks.find(name->number);
   if (it != owner->chunks.end() && item.version <= it->second.version) return;
   // A chunk is removed only together with or after its job.
   if (item.value.is_null()) return;
-  set_chunk(*owner, n, decode_chunk(item.value), item.version);
+  set_chunk(*owner, name->number, decode_chunk(item.value), item.version);
   if (on_change) on_change(owner);
 }
 
@@ -200,16 +211,26 @@
     if (!same(before.find_live(t.index), t)) assign(job, base + t.index, t, true);
 }
 
-void Cache::drop_job(const std::string& id) {
-  auto it = jobs_.find(id);
-  Job& job = *it->second;
+void Cache::release_chunks(Job& job) {
   for (auto& [n, chunk] : job.chunks) {
-    uint64_t version = chunk.version;
-    ChunkRecord left = chunk.record;
+    const uint64_t version = chunk.version;
+    const ChunkRecord left = chunk.record;
     set_chunk(job, n, {}, version);
-    loose_chunks_[keys::chunk(id, n)] = {keys::chunk(id, n), encode_chunk(left), version, 0};
-    orphans_.insert(keys::chunk(id, n));
+    loose_chunks_[job.chunk_key(n)] = {job.chunk_key(n), encode_chunk(left), version, 0};
+    orphans_.insert(job.chunk_key(n));
   }
+  job.chunks.clear();
+}
+
+void Cache::drop_job(const std::string& id) {
+  auto it = jobs_.find(id);
+  Job& job = *it->second;
+  release_chunks(job);
+  // Those of a layout that it never took go as well.
+  const auto prefix = keys::chunks + id + "/";
+  for (auto loose = loose_chunks_.lower_bound(prefix);
+       loose != loose_chunks_.end() && loose->first.starts_with(prefix); ++loose)
+    orphans_.insert(loose->first);
   if (on_job_gone) on_job_gone(&job);
   jobs_.erase(it);
   if (on_change) on_change(nullptr);
--- a/src/storage/cache.hpp
+++ b/src/storage/cache.hpp
@@ -20,6 +20,7 @@
   // Steady time of the cancellation, or earlier; long ago where the record doesn't say.
   double cancelled_since = 0;
   uint32_t chunk_size = 1;
+  uint32_t layout = 0;  // how often the tasks were divided anew
   struct Chunk {
     ChunkRecord record;
     uint64_t version = 0;
@@ -28,6 +29,7 @@
   uint64_t live = 0, done = 0;       // sums over the chunks
 
   uint32_t chunk_count() const { return (spec.tasks + chunk_size - 1) / chunk_size; }
+  std::string chunk_key(uint32_t n) const { return keys::chunk(spec.id, n, layout); }
   uint32_t size_of(uint32_t chunk) const {
     return std::min(chunk_size, spec.tasks - chunk * chunk_size);
   }
@@ -73,6 +75,8 @@
     return assigned_;
   }
   uint64_t chunk_version(const std::string& id, uint32_t chunk) const;
+  // Of a chunk's key that belongs to no layout in use; 0: none is stored.
+  uint64_t loose_version(const std::string& key) const;
   // Chunks whose job is gone: left over after a job's end, to be removed.
   const std::set<std::string>& orphans() const { return orphans_; }
 
@@ -109,6 +113,10 @@
   void set_chunk(Job& job, uint32_t n, ChunkRecord record, uint64_t version);
   void assign(Job& job, uint32_t index, const LiveTask& task, bool add);
   void drop_job(const std::string& id);
+  // The job's chunks are no longer its own: kept as orphans, to be removed.
+  void release_chunks(Job& job);
+  // Those that were read before the job's record, or before it took their layout.
+  void adopt_loose_chunks(Job& job);
 
   Loop& loop_;
   StateClient& state_;
@@ -117,7 +125,8 @@
   uint64_t revision_ = 0;
   double as_of_ = -1e9;
   std::unordered_map<std::string, std::unique_ptr<Job>> jobs_;
-  // Chunks read before their job: a listing comes in order of keys, a watch in order of changes.
+  // Chunks read before their job, or of a layout that it doesn't have (yet): a listing comes in
+  // order of keys, a watch in order of changes.
   std::map<std::string, Item> loose_chunks_;
   std::set<std::string> orphans_;
   std::unordered_map<std::string, std::map<Assignment, uint64_t>> assigned_;
--- /dev/null
+++ b/src/storage/layout.hpp
@@ -0,0 +1,12 @@
+// Divides a job's tasks anew into chunks of another size. Pure.
+#pragma once
+#include <map>
+
+#include "storage/cache.hpp"
+
+namespace damsonport {
+
+// The chunk records of the same tasks in chunks of `chunk_size`; those never touched are left out.
+std::map<uint32_t, ChunkRecord> divide_anew(const Job& job, uint32_t chunk_size);
+
+}  // namespace damsonport
--- a/src/storage/records.cpp
+++ b/src/storage/records.cpp
@@ -1,6 +1,7 @@
 #include "storage/records.hpp"
 
 #include <algorithm>
+#include <charconv>
 
 namespace damsonport {
 
@@ -87,7 +88,7 @@
 
 Json encode_job_record(const JobSpec& spec, uint32_t chunk_size) {
   auto record = encode_job(spec);
-  record["chunk"] = chunk_size;
+  record[fields::chunk_size] = chunk_size;
   return record;
 }
 
@@ -97,9 +98,39 @@
   return static_cast<double>(stored_size(record) + cancellation_bytes) <= value_kb * 1024;
 }
 
+namespace {
+// The longest entry in text: [9999,1844674407370955161,"i-0000000000"], with room to spare.
+constexpr double entry_bytes = 48, head_bytes = 64;
+
+bool parse_number(std::string_view text, uint32_t& out) {
+  auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), out);
+  return error == std::errc{} && end == text.data() + text.size();
+}
+}  // namespace
+
+std::optional<ChunkName> parse_chunk_name(std::string_view text) {
+  const auto first = text.find('/');
+  if (first == std::string_view::npos) return std::nullopt;
+  ChunkName name;
+  name.job = std::string(text.substr(0, first));
+  auto rest = text.substr(first + 1);
+  if (const auto second = rest.find('/'); second != std::string_view::npos) {
+    if (!parse_number(rest.substr(0, second), name.layout)) return std::nullopt;
+    rest = rest.substr(second + 1);
+  }
+  if (!parse_number(rest, name.number)) return std::nullopt;
+  return name;
+}
+
+bool chunk_fits(const ChunkRecord& record, double value_kb) {
+  const double limit = value_kb * 1024 - entry_bytes;
+  const auto entries = static_cast<double>(record.live.size() + record.waiting.size());
+  // Most are far below, and need not be written out to be measured.
+  if (head_bytes + entry_bytes * entries <= limit) return true;
+  return static_cast<double>(stored_size(encode_chunk(record))) <= limit;
+}
+
 uint32_t chunk_size(double value_kb) {
-  // The longest entry in text: [9999,1844674407370955161,"i-0000000000"], with room to spare.
-  constexpr double entry_bytes = 48, head_bytes = 64;
   double fits = (value_kb * 1024 - head_bytes) / entry_bytes;
   return static_cast<uint32_t>(std::clamp(fits, 1.0, 1024.0));
 }
--- a/src/storage/records.hpp
+++ b/src/storage/records.hpp
@@ -2,6 +2,7 @@
 #pragma once
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -20,8 +21,10 @@
 inline const std::string rentals = "d/r/";
 inline const std::string versions = "d/v/";
 inline std::string job(const std::string& id) { return jobs + id; }
-inline std::string chunk(const std::string& id, uint32_t n) {
-  return chunks + id + "/" + std::to_string(n);
+// `layout`: how often the job's tasks were divided anew. The first one's keys have no number of it.
+inline std::string chunk(const std::string& id, uint32_t n, uint32_t layout = 0) {
+  const std::string division = layout == 0 ? "" : std::to_string(layout) + "/";
+  return chunks + id + "/" + division + std::to_string(n);
 }
 inline std::string leaving(const std::string& batch) { return machines + batch; }
 inline std::string rental(const std::string& id) { return rentals + id; }
@@ -33,6 +36,8 @@
 namespace fields {
 inline constexpr const char* cancelled = "x";
 inline constexpr const char* cancelled_at = "x_at";  // time of day
+inline constexpr const char* chunk_size = "chunk";
+inline constexpr const char* layout = "layout";
 }  // namespace fields
 
 // A value's size as the state service counts it: in the JSON form.
@@ -68,6 +73,15 @@
 };
 Json encode_chunk(const ChunkRecord& c);
 ChunkRecord decode_chunk(const Json& m);
+// The job, layout and number that a chunk's key names after its prefix.
+struct ChunkName {
+  std::string job;
+  uint32_t layout = 0, number = 0;
+};
+std::optional<ChunkName> parse_chunk_name(std::string_view text);
+// Whether the record may be written where values are bounded so, also with one more task live.
+bool chunk_fits(const ChunkRecord& record, double value_kb);
+
 // A job's record, and whether it stays below `value_kb` for as long as the job exists.
 Json encode_job_record(const JobSpec& spec, uint32_t chunk_size);
 bool job_record_fits(const JobSpec& spec, double value_kb);
--- a/tests/meeting_test.cpp
+++ b/tests/meeting_test.cpp
@@ -91,6 +91,7 @@
     for (uint64_t seed : {1, 2, 3}) {
       spdlog::info("--- seed {}", seed);
       Meeting meeting(seed);
+      meeting.fixtures_dir = FIXTURES_DIR;
       shown = &meeting.world();
       for (auto& text : lines) {
         auto complaint = meeting.line(text);
--- /dev/null
+++ b/tests/mixed_versions_test.cpp
@@ -0,0 +1,122 @@
+// Old and new versions work on each other's data: records and messages that the production version
+// wrote, kept in fixtures/, are read here, and what is written here is the same to the letter.
+#include <gtest/gtest.h>
+
+#include <fstream>
+
+#include "protocol/beat.hpp"
+#include "storage/layout.hpp"
+
+namespace damsonport {
+namespace {
+
+std::map<std::string, std::string> production() {
+  std::map<std::string, std::string> out;
+  std::ifstream in(std::string(FIXTURES_DIR) + "/production.records");
+  for (std::string text; std::getline(in, text);)
+    out[text.substr(0, text.find('\t'))] = text.substr(text.find('\t') + 1);
+  return out;
+}
+
+TEST(Production, ItsRecordsAreReadAndWrittenTheSame) {
+  const auto stored = production();
+  ASSERT_EQ(stored.size(), 10u);
+  for (auto& [key, text] : stored) {
+    if (key.starts_with(keys::chunks)) {
+      EXPECT_EQ(encode_chunk(decode_chunk(Json::parse(text))).dump(), text);
+    } else if (key.starts_with(keys::jobs)) {
+      const auto value = Json::parse(text);
+      auto spec = decode_job(value);
+      ASSERT_TRUE(spec) << spec.error();
+      EXPECT_EQ(encode_job_record(*spec, value.at(fields::chunk_size)).dump(), text);
+    } else if (key == keys::blocks) {
+      EXPECT_EQ(encode_blocks(decode_blocks(Json::parse(text))).dump(), text);
+    }
+  }
+}
+
+TEST(Production, ItsMessagesAreReadAndWrittenTheSame) {
+  std::string bytes;
+  const auto hex = production().at("beat");
+  for (size_t i = 0; i < hex.size(); i += 2)
+    bytes += static_cast<char>(std::stoi(hex.substr(i, 2), nullptr, 16));
+  Beat beat;
+  size_t used = 0;
+  ASSERT_EQ(decode_beat(bytes, beat, used), Framed::whole);
+  EXPECT_EQ(beat.node, "n0");
+  EXPECT_EQ(beat.term, 77u);
+  ASSERT_EQ(beat.cancelled.size(), 1u);
+  EXPECT_EQ(encode_beat(beat), bytes);
+}
+
+// That version follows no key of ours that it doesn't know, and takes the first layout's names
+// only.
+TEST(Production, NamesOfTheFirstLayoutStayAsTheyWere) {
+  EXPECT_EQ(keys::chunk("run-1", 3), "d/t/run-1/3");
+  EXPECT_EQ(keys::chunk("run-1", 3, 2), "d/t/run-1/2/3");
+  auto first = parse_chunk_name("run-1/3");
+  ASSERT_TRUE(first);
+  EXPECT_EQ(first->layout, 0u);
+  EXPECT_EQ(first->number, 3u);
+  auto later = parse_chunk_name("run-1/2/3");
+  ASSERT_TRUE(later);
+  EXPECT_EQ(later->layout, 2u);
+  EXPECT_EQ(later->number, 3u);
+  for (const char* bad : {"run-1", "run-1/", "run-1/x", "run-1/1/", "run-1/1/2/3", "run-1/-1"})
+    EXPECT_FALSE(parse_chunk_name(bad)) << bad;
+}
+
+Job large_job() {
+  const auto stored = production();
+  Job job;
+  const auto value = Json::parse(stored.at("d/j/run-1"));
+  job.spec = *decode_job(value);
+  job.chunk_size = value.at(fields::chunk_size);
+  job.chunks[0].record = decode_chunk(Json::parse(stored.at("d/t/run-1/0")));
+  return job;
+}
+
+TEST(Layout, DividingAnewKeepsEveryTaskAsItIs) {
+  const Job job = large_job();
+  constexpr double kb = 2;
+  const uint32_t size = chunk_size(kb);
+  EXPECT_FALSE(chunk_fits(job.chunks.at(0).record, kb));
+  const auto divided = divide_anew(job, size);
+  uint64_t live = 0, done = 0, waiting = 0;
+  for (auto& [n, record] : divided) {
+    EXPECT_TRUE(chunk_fits(record, kb));
+    live += record.live.size();
+    done += record.done_count();
+    waiting += record.waiting.size();
+    for (auto& task : record.live) {
+      ChunkRecord before = job.chunks.at(0).record;
+      auto* same = before.find_live(n * size + task.index);
+      ASSERT_NE(same, nullptr);
+      EXPECT_EQ(same->attempt, task.attempt);
+      EXPECT_EQ(same->machine, task.machine);
+    }
+  }
+  EXPECT_EQ(live, 206u);
+  EXPECT_EQ(done, 10u);
+  EXPECT_EQ(waiting, 4u);
+  EXPECT_EQ(divided.size(), 6u) << "chunks that were never touched have no record";
+}
+
+TEST(Layout, ChunksThatStraddleOldOnesKeepWhatWasNeverStarted) {
+  Job job;
+  job.spec.tasks = 10;
+  job.chunk_size = 4;
+  job.chunks[0].record.start(0, 1, "i-1");
+  job.chunks[1].record.start(1, 3, "i-2");  // task 5
+  const auto divided = divide_anew(job, 3);
+  ASSERT_EQ(divided.size(), 2u);
+  EXPECT_EQ(divided.at(0).next, 1u);
+  EXPECT_EQ(divided.at(1).next, 3u);  // tasks 3 and 4 wait, 5 is live
+  EXPECT_EQ(divided.at(1).waiting.size(), 2u);
+  EXPECT_EQ(divided.at(1).waiting[0].attempt, 0u);
+  ASSERT_EQ(divided.at(1).live.size(), 1u);
+  EXPECT_EQ(divided.at(1).live[0].index, 2u);
+}
+
+}  // namespace
+}  // namespace damsonport
--- a/tests/world/meeting.cpp
+++ b/tests/world/meeting.cpp
@@ -1,6 +1,7 @@
 #include "world/meeting.hpp"
 
 #include <algorithm>
+#include <fstream>
 #include <sstream>
 
 namespace damsonport::world {
@@ -140,6 +141,8 @@
       s.estimate_s = s.kind == Kind::service ? 0 : run_s_[id];
       jobs_[id] = s;
     }
+  } else if (verb == "stored") {  // stored FILE: what an earlier version has left
+    in >> stored_;
   } else if (verb == "quiet") {  // users don't poll by themselves
     quiet_users_ = true;
   } else if (verb == "close_looks") {  // users ask everywhere right after each news
@@ -194,6 +197,7 @@
     auto& w = fleet_->add_up(s.type, s.zone, s.spot);
     machine_order_.push_back(w.id);
   }
+  if (!stored_.empty()) store_records(fixtures_dir + "/" + stored_);
   for (int i = 0; i < node_count_; ++i) {
     auto c = std::make_unique<Controller>();
     c->name = nodes[static_cast<size_t>(i)].first, c->host = nodes[static_cast<size_t>(i)].second;
@@ -213,6 +217,24 @@
   }
 }
 
+void Meeting::store_records(const std::string& file) {
+  std::ifstream in(file);
+  for (std::string text; std::getline(in, text);) {
+    const auto tab = text.find('\t');
+    const auto key = text.substr(0, tab);
+    if (key.find('/') == std::string::npos) continue;  // a message, no record
+    state_->store(key, Json::parse(text.substr(tab + 1)));
+    if (!key.starts_with(keys::jobs)) continue;
+    const auto job = key.substr(keys::jobs.size());
+    fleet_->judge().submitted(jobs_.at(job));
+    fleet_->judge().told(job, 201, "queued", world_.now());
+    // Whoever knows of a job asks on.
+    world_.in(user_retry_s, [this, job] {
+      if (!quiet_users_ && polled_.insert(job).second) polls(job);
+    });
+  }
+}
+
 void Meeting::start(Controller& c) {
   c.loop = std::make_unique<VirtualLoop>(world_, c.name,
                                          std::seed_seq{static_cast<unsigned>(world_.random64()),
--- a/tests/world/meeting.hpp
+++ b/tests/world/meeting.hpp
@@ -13,6 +13,8 @@
  public:
   explicit Meeting(uint64_t seed = 1) : world_(seed) {}
   ~Meeting();
+  // Where the files with stored records are.
+  std::string fixtures_dir;
   // One line of a trace; yields a complaint, or nothing.
   std::string line(const std::string& text);
   // Plays to the end; yields broken rules and expectations that were not met.
@@ -36,6 +38,7 @@
     Words words;
   };
   void set_up();
+  void store_records(const std::string& file);
   void start(Controller& c);
   void crash(Controller& c, double for_s);
   void happen(const Happening& h);
@@ -77,6 +80,7 @@
   double until_ = 100, boot_s_ = 0, drift_ = 0.0005;
   int capacity_ = 0;
   bool quiet_users_ = false, close_looks_ = false;
+  std::string stored_;  // a file with records of an earlier version
   std::set<std::string> polled_;
   std::map<std::string, std::string> looked_;  // what close looks were last taken at
 
--- a/tests/world/state_service.hpp
+++ b/tests/world/state_service.hpp
@@ -24,6 +24,8 @@
   void set_fate(Fate fate, std::string host) { fate_ = fate, fate_host_ = std::move(host); }
   void set_delay(double seconds) { delay_s_ = seconds; }
 
+  // As if it had been written before the beginning.
+  void store(const std::string& key, Json value) { keys_[key] = {std::move(value), revision_}; }
   const Json* value(const std::string& key) const;
   const std::map<std::string, std::pair<Json, uint64_t>>& all() const { return keys_; }
   // Told of each change.
