--- a/tests/world/random_meeting.cpp
+++ b/tests/world/random_meeting.cpp
@@ -55,6 +55,14 @@
   line("jobs run-10..run-12 service high tasks={} cpus=2 team=u {}", 1 + draw.upto(3), place());
   line("jobs run-13..run-14 service production tasks=1 gpus=2 gb=8 image=big {}", place());
   line("jobs run-15..run-34 tasks=1 cpus=1 run=6");
+  // Gangs, and limits that are lowered at some time, beside whatever else is drawn.
+  line("announced kb=2 ops=4 writes=35");
+  line("jobs run-35..run-37 gang tasks={} cpus=2 run=25 checkpoint=10 save=2 team=u {}",
+       2 + draw.upto(4), place());
+  line("jobs run-38 gang high tasks=3 gpus=1 run=30 checkpoint=10 save=3 {}", place());
+  line("at {:.2f} submit run-35..run-38 every={}", draw.between(8, 30), draw.of("0.1", "6"));
+  if (draw.chance(0.5)) line("at {:.2f} cancel run-{}", draw.between(12, 60), 35 + draw.upto(4));
+  line("at {:.2f} lower_limits", draw.between(8, 60));
   line("at 6 submit run-1..run-14 every={}", draw.of("0.05", "0.7", "2"));
   line("at {} submit run-15..run-34 every=0.4", draw.between(8, 40));
   const double last = 110;
