Exits on the far side of a cut reach the holder through the state service; silent zones take no starts

Change: a controller that renews a machine's lease for the holder writes the exits it reports to a record of its own; the holder takes them for proof under the same term. A zone none of whose machines was heard for a time in which several should have been takes no starts.

--- /dev/null
+++ b/src/coordination/exit_relay.cpp
@@ -0,0 +1,73 @@
+#include "coordination/exit_relay.hpp"
+
+#include <spdlog/spdlog.h>
+
+namespace damsonport {
+
+namespace {
+// Shares of a report period: between two writes, and between two looks at what is committed.
+constexpr double write_pause_share = 0.1, look_share = 0.5;
+}  // namespace
+
+bool ExitRelay::wanted(const RelayedExit& exit) const {
+  Job* job = cache_.job(exit.task.job);
+  if (!job) return false;
+  auto& assigned = cache_.assigned(exit.machine);
+  auto it = assigned.find({job, exit.task.index});
+  return it != assigned.end() && it->second == exit.attempt;
+}
+
+void ExitRelay::saw(uint64_t term, const RelayedExit& exit) {
+  if (term < term_ || !wanted(exit)) return;
+  if (term > term_) seen_.clear();
+  term_ = term;
+  if (seen_.insert(exit).second) changed_.notify();
+}
+
+void ExitRelay::forget_what_is_committed() {
+  std::erase_if(seen_, [&](const RelayedExit& exit) { return !wanted(exit); });
+}
+
+// As many as fit into one value; the others follow when these are committed.
+RelayedExits ExitRelay::next_record() const {
+  const double most = settings_.state_limits.always().value_bytes();
+  RelayedExits record{term_, {}};
+  for (auto& exit : seen_) {
+    record.exits.push_back(exit);
+    if (static_cast<double>(stored_size(encode_relayed_exits(record))) <= most) continue;
+    record.exits.pop_back();
+    break;
+  }
+  return record;
+}
+
+// Only this controller writes the key. An older copy that comes late tells what is still true.
+Task<bool> ExitRelay::write(RelayedExits record) {
+  Txn txn;
+  const bool empty = record.exits.empty();
+  txn.writes.push_back(
+      {keys::relayed_exits(settings_.node_name), empty ? Json() : encode_relayed_exits(record), 0});
+  const auto writes = txn.writes;
+  auto reply = co_await state_.commit(std::move(txn), Importance::placing);
+  if (reply.outcome != Outcome::committed) co_return false;
+  cache_.apply_writes(writes, reply.revision);
+  spdlog::debug("{} exits relayed for the holder with term {}", record.exits.size(), record.term);
+  co_return true;
+}
+
+Task<void> ExitRelay::run(std::stop_token token) {
+  while (!token.stop_requested()) {
+    co_await changed_.wait(settings_.report_s * look_share, token);
+    if (!cache_.loaded()) continue;
+    forget_what_is_committed();
+    auto record = next_record();
+    auto written = cache_.relayed_exits().find(settings_.node_name);
+    const bool stands = written == cache_.relayed_exits().end()
+                            ? record.exits.empty()
+                            : written->second.exits == record.exits;
+    if (!stands) co_await write(std::move(record));
+    if (!co_await Sleep(loop_, settings_.report_s * write_pause_share, token)) co_return;
+  }
+}
+
+}  // namespace damsonport
--- /dev/null
+++ b/src/coordination/exit_relay.hpp
@@ -0,0 +1,42 @@
+// Exits that this controller saw on machines whose holder can't hear them, written to the state
+// service for the holder.
+//
+// In a cut a machine reports to a controller on its side, which renews its lease under the holder's
+// term. Such a report proves an exit to the holder just as one that it takes itself: the worker
+// keeps the exited attempt until the holder orders it removed, and a late copy of the start has no
+// effect meanwhile. Nothing else of the report is passed on.
+#pragma once
+#include <set>
+
+#include "protocol/settings.hpp"
+#include "storage/cache.hpp"
+#include "storage/state_client.hpp"
+
+namespace damsonport {
+
+class ExitRelay {
+ public:
+  ExitRelay(Loop& loop, const Settings& settings, StateClient& state, Cache& cache)
+      : loop_(loop), settings_(settings), state_(state), cache_(cache), changed_(loop) {}
+
+  // A machine that has learned this term reported the exit.
+  void saw(uint64_t term, const RelayedExit& exit);
+  // Keeps this controller's record as it should be: what the job's records are past goes out.
+  Task<void> run(std::stop_token token);
+
+ private:
+  bool wanted(const RelayedExit& exit) const;
+  void forget_what_is_committed();
+  RelayedExits next_record() const;
+  Task<bool> write(RelayedExits record);
+
+  Loop& loop_;
+  const Settings& settings_;
+  StateClient& state_;
+  Cache& cache_;
+  Signal changed_;
+  uint64_t term_ = 0;
+  std::set<RelayedExit> seen_;
+};
+
+}  // namespace damsonport
--- a/src/coordination/holder.cpp
+++ b/src/coordination/holder.cpp
@@ -181,6 +181,7 @@
     }
     bool busy = false;
     if (co_await keep_grant(token)) {
+      if (holding()) take_relayed_exits();
       busy = co_await commit_exits(token);
       if (holding()) busy = co_await commit_finals(token) || busy;
       if (holding()) busy = co_await commit_layouts(token) || busy;
--- a/src/coordination/holder.hpp
+++ b/src/coordination/holder.hpp
@@ -11,6 +11,7 @@
 #include "coordination/catalog.hpp"
 #include "coordination/chunk_edits.hpp"
 #include "coordination/election.hpp"
+#include "coordination/exit_relay.hpp"
 #include "coordination/fleet.hpp"
 #include "coordination/gangs.hpp"
 #include "coordination/mesh.hpp"
@@ -36,6 +37,7 @@
     const Cancellations& cancellations;
     Election& election;
     const VersionRegistry& versions;
+    ExitRelay& exit_relay;
     Signal& changed;
     uint64_t incarnation;
   };
@@ -123,6 +125,10 @@
   HttpResponse stand_in(const Report& r);
   void forget_strays();
 
+  void relay_exits(const Report& r, uint64_t term);
+  // Exits that other controllers were told of by machines that can't reach us.
+  void take_relayed_exits();
+
   // --- cancelled tasks that no holder minds (last_resort.cpp)
   struct Minded {
     std::string id, address;
@@ -218,6 +224,9 @@
   Task<void> send_orders(std::string id);
   bool still_wanted(const Machine& m, const Command& c) const;
   bool open_for_work(const Machine& m) const;
+  // Zones none of whose machines was heard for a time in which several should have been: cut off,
+  // most likely, long before each machine alone is in doubt.
+  std::set<std::string> silent_zones() const;
   double silence(const Machine& m) const;
   bool in_doubt(const Machine& m) const;  // too silent for new tasks
   double doubt_s() const;
--- a/src/coordination/holder_machines.cpp
+++ b/src/coordination/holder_machines.cpp
@@ -55,6 +55,30 @@
          !in_doubt(m);
 }
 
+std::set<std::string> Holder::silent_zones() const {
+  // Reports that are missing before a zone counts as silent, and the shortest time for it.
+  constexpr double missing_reports = 10, least_report_share = 0.25;
+  struct Zone {
+    double heard = 0;  // machines
+    double last_heard = -1e9;
+  };
+  std::map<std::string, Zone> zones;
+  for (auto& [id, m] : machines_) {
+    if (m.session == 0) continue;
+    auto& zone = zones[m.zone];
+    ++zone.heard;
+    zone.last_heard = std::max({zone.last_heard, m.last_heard, m.last_direct});
+  }
+  std::set<std::string> silent;
+  for (auto& [name, zone] : zones) {
+    const double patience =
+        settings_.report_s * std::max(missing_reports / zone.heard, least_report_share);
+    const double quiet = loop_.now() - std::max(zone.last_heard, quiet_base_);
+    if (quiet > std::min(patience, doubt_s())) silent.insert(name);
+  }
+  return silent;
+}
+
 double Holder::doubt_s() const {
   return std::min(tuning_.doubt_reports * settings_.report_s,
                   tuning_.doubt_lease_share * settings_.lease_s);
--- a/src/coordination/holder_view.cpp
+++ b/src/coordination/holder_view.cpp
@@ -143,8 +143,9 @@
   for (auto& id : dirty_machines_)
     if (auto it = machines_.find(id); it != machines_.end()) refresh_machine(it->second);
   dirty_machines_.clear();
+  const auto cut_off = silent_zones();
   for (auto& [id, m] : machines_)
-    if (m.slot) view_.machines[*m.slot].open = open_for_work(m);
+    if (m.slot) view_.machines[*m.slot].open = open_for_work(m) && !cut_off.contains(m.zone);
   view_.booting.clear();
   for (auto& [id, b] : booting_)
     if (auto* type = coming_type(id, b))
--- a/src/coordination/node.cpp
+++ b/src/coordination/node.cpp
@@ -50,9 +50,10 @@
       cancellations_(incarnation_, peer_names(settings)),
       mesh_(loop, network, settings, cancellations_),
       versions_(loop, settings, state_, cache_),
+      exit_relay_(loop, settings, state_, cache_),
       election_(loop, settings, state_, cache_, incarnation_, changed_),
       holder_({loop, settings, state_, cache_, *http_, catalog_, mesh_, cancellations_, election_,
-               versions_, changed_, incarnation_}),
+               versions_, exit_relay_, changed_, incarnation_}),
       api_(loop, settings, state_, cache_, catalog_, versions_),
       server_(network.server(max_body,
                              static_cast<size_t>(std::max(settings.max_sockets - kept_sockets -
@@ -99,6 +100,7 @@
   loop_.spawn("catalogue", catalog_.follow(token));
   loop_.spawn("mesh", mesh_.beat([this] { return beat(); }, token));
   loop_.spawn("version", versions_.announce(token));
+  loop_.spawn("exit relay", exit_relay_.run(token));
   loop_.spawn("election", election_.run(token));
   loop_.spawn("holder", holder_.run(token));
   loop_.spawn("machines", holder_.tend(token));
--- a/src/coordination/node.hpp
+++ b/src/coordination/node.hpp
@@ -32,6 +32,7 @@
   Cancellations cancellations_;
   Mesh mesh_;
   VersionRegistry versions_;
+  ExitRelay exit_relay_;
   Election election_;
   Holder holder_;
   UserApi api_;
--- a/src/coordination/stand_in.cpp
+++ b/src/coordination/stand_in.cpp
@@ -56,10 +56,36 @@
     if (t.state != TaskState::exited && cancelled)
       commands.push_back({Command::Op::stop, t.task, t.attempt, 0});
   }
+  relay_exits(r, held->term);
   spdlog::debug("answered {} for {}", r.machine, holder);
   return {200, encode_report_answer(held->term, commands), 0};
 }
 
+void Holder::relay_exits(const Report& r, uint64_t term) {
+  // Before the machine has learned the term an older holder's orders may still reach it.
+  if (r.token != term) return;
+  for (auto& t : r.tasks)
+    if (t.state == TaskState::exited)
+      p_.exit_relay.saw(term, {r.machine, t.task, t.attempt, t.cause});
+}
+
+void Holder::take_relayed_exits() {
+  if (!records_current()) return;
+  for (auto& [node, relayed] : cache_.relayed_exits()) {
+    if (relayed.term != term_) continue;
+    for (auto& exit : relayed.exits) {
+      Job* job = cache_.job(exit.task.job);
+      if (!job || exits_.contains(exit.task)) continue;
+      auto& assigned = cache_.assigned(exit.machine);
+      auto it = assigned.find({job, exit.task.index});
+      if (it == assigned.end() || it->second != exit.attempt) continue;
+      spdlog::debug("{} attempt {} ended on {}, as {} says", exit.task.text(), exit.attempt,
+                    exit.machine, node);
+      note_exit(exit.task, {exit.attempt, exit.cause, exit.machine});
+    }
+  }
+}
+
 uint64_t Holder::strays() const {
   // One that came by and found its holder is none.
   return static_cast<uint64_t>(std::count_if(strays_.begin(), strays_.end(), [&](auto& entry) {
--- a/src/storage/cache.cpp
+++ b/src/storage/cache.cpp
@@ -87,6 +87,12 @@
                        v.value("spot", false), v.value("count", 0)},
                       item.version};
     }
+  } else if (key.starts_with(keys::exits)) {
+    if (item.value.is_object()) {
+      relayed_exits_[tail(keys::exits)] = decode_relayed_exits(item.value);
+    } else {
+      relayed_exits_.erase(tail(keys::exits));
+    }
   } else if (key.starts_with(keys::versions)) {
     if (item.value.is_object())
       versions_[tail(keys::versions)] = item.value.value("v", uint64_t{0});
@@ -266,6 +272,8 @@
       gone.push_back(keys::rental(id));
   for (auto& key : orphans_)
     if (!seen.contains(key)) gone.push_back(key);
+  for (auto& [node, exits] : relayed_exits_)
+    if (!seen.contains(keys::relayed_exits(node))) gone.push_back(keys::relayed_exits(node));
   for (auto& key : gone) apply({key, Json(), first, 0});
   if (!seen.contains(keys::leader)) apply({keys::leader, Json(), first, 0});
   revision_ = first;
--- a/src/storage/cache.hpp
+++ b/src/storage/cache.hpp
@@ -98,6 +98,9 @@
   // The version that each controller has recorded of itself.
   const std::map<std::string, uint64_t>& versions() const { return versions_; }
 
+  // Exits that controllers saw for the holder, by controller.
+  const std::map<std::string, RelayedExits>& relayed_exits() const { return relayed_exits_; }
+
   // Called after every applied change; the argument is the job concerned, or null.
   std::function<void(Job*)> on_change;
   // Called for each task that a change puts on a machine or takes from it.
@@ -144,6 +147,7 @@
   std::map<std::string, std::string> leaving_;
   std::map<std::string, Rental> rentals_;
   std::map<std::string, uint64_t> versions_;
+  std::map<std::string, RelayedExits> relayed_exits_;
 };
 
 }  // namespace damsonport
--- a/src/storage/records.cpp
+++ b/src/storage/records.cpp
@@ -168,6 +168,29 @@
   return b;
 }
 
+Json encode_relayed_exits(const RelayedExits& r) {
+  Json list = Json::array();
+  for (auto& e : r.exits)
+    list.push_back({e.machine, e.task.job, e.task.index, e.attempt, static_cast<int>(e.cause)});
+  return {{"term", r.term}, {"exits", std::move(list)}};
+}
+
+RelayedExits decode_relayed_exits(const Json& m) {
+  RelayedExits r;
+  r.term = m.value("term", uint64_t{0});
+  if (!m.contains("exits")) return r;
+  for (auto& e : m["exits"]) {
+    const int cause = e.at(4).get<int>();
+    // One that a later version knows is an end all the same.
+    const bool known = cause > 0 && cause <= static_cast<int>(ExitCause::alone);
+    r.exits.push_back({e.at(0).get<std::string>(),
+                       {e.at(1).get<std::string>(), e.at(2).get<uint32_t>()},
+                       e.at(3).get<uint64_t>(),
+                       known ? static_cast<ExitCause>(cause) : ExitCause::stopped});
+  }
+  return r;
+}
+
 Json encode_leader(const LeaderRecord& l) { return {{"node", l.node}, {"inc", l.incarnation}}; }
 
 LeaderRecord decode_leader(const Json& m) {
--- a/src/storage/records.hpp
+++ b/src/storage/records.hpp
@@ -20,6 +20,7 @@
 inline const std::string machines = "d/m/";
 inline const std::string rentals = "d/r/";
 inline const std::string versions = "d/v/";
+inline const std::string exits = "d/e/";
 inline std::string job(const std::string& id) { return jobs + id; }
 // `layout`: how often the job's tasks were divided anew. The first one's keys have no number of it.
 inline std::string chunk(const std::string& id, uint32_t n, uint32_t layout = 0) {
@@ -29,6 +30,7 @@
 inline std::string leaving(const std::string& batch) { return machines + batch; }
 inline std::string rental(const std::string& id) { return rentals + id; }
 inline std::string version(const std::string& node) { return versions + node; }
+inline std::string relayed_exits(const std::string& node) { return exits + node; }
 inline std::string final_state(const std::string& id) { return "f/" + id; }
 }  // namespace keys
 
@@ -106,6 +108,21 @@
 // Machines whose marks fit into one value.
 size_t machines_in_a_mark(double value_kb);
 
+// An exit that a controller other than the holder was told of by the machine.
+struct RelayedExit {
+  std::string machine;
+  TaskName task;
+  uint64_t attempt = 0;
+  ExitCause cause = ExitCause::none;  // stored as its number
+  auto operator<=>(const RelayedExit&) const = default;
+};
+struct RelayedExits {
+  uint64_t term = 0;  // that the machines had learned
+  std::vector<RelayedExit> exits;
+};
+Json encode_relayed_exits(const RelayedExits& r);
+RelayedExits decode_relayed_exits(const Json& m);
+
 struct LeaderRecord {
   std::string node;
   uint64_t incarnation = 0;
