--- a/src/coordination/cancellations.hpp
+++ b/src/coordination/cancellations.hpp
@@ -9,7 +9,7 @@
 #include <unordered_map>
 #include <vector>
 
-#include "protocol/beat.hpp"
+#include "protocol/heartbeat.hpp"
 
 namespace damsonport {
 
@@ -19,16 +19,16 @@
 
   // Known here, from before anybody is told of it until the records say that its tasks are gone.
   // `since`: when it was cancelled, or earlier. True the first time.
-  bool know(const std::string& job, double since);
+  bool record(const std::string& job, double since);
   void forget(const std::string& job);
 
   // All that is known here, with when each was cancelled, or earlier.
   std::vector<std::pair<std::string, double>> known() const;
 
-  // What a beat to this peer says beside the rest.
-  void fill(Beat& beat, const std::string& peer, double now) const;
+  // What a heartbeat to this peer says beside the rest.
+  void add_to(Heartbeat& heartbeat, const std::string& peer, double now) const;
   // Yields the jobs heard of for the first time.
-  std::vector<std::string> take(const Beat& beat, double now);
+  std::vector<std::string> merge(const Heartbeat& heartbeat, double now);
 
   // When the job was cancelled, as others say, or earlier.
   std::optional<double> heard(const std::string& job) const;
@@ -37,7 +37,7 @@
   // peers, `now`.
   double covered(double now) const;
   // The records are known as of then, and speak for all that was heard before.
-  void settle(double records_as_of);
+  void forget_heard_before(double records_as_of);
 
  private:
   static constexpr double never = -1e9;
--- a/src/coordination/holder.cpp
+++ b/src/coordination/holder.cpp
@@ -30,31 +30,32 @@
 // Silence never counts as proof that a task is gone and a machine is returned first, so running
 // tasks may be kept past the grant's end; only what was cancelled bounds it.
 bool Holder::may_renew(bool first) const {
-  Standing s;
+  RenewalState s;
   s.in_contact = in_contact();
   s.peer_in_contact = p_.mesh.peer_has_state(contact_s());
   s.alone = p_.mesh.alone();
   s.first_visit = first;
   const double now = loop_.now();
-  s.unheard_s = now - std::max(cache_.as_of(), p_.cancellations.covered(now));
-  return answer_to(s, unheard_bound(settings_.cancel_s, settings_.lease_s)) == Answer::renew;
+  s.staleness_s = now - std::max(cache_.as_of(), p_.cancellations.covered(now));
+  return decide_renewal(s, staleness_bound_s(settings_.cancel_s, settings_.lease_s)) ==
+         RenewalDecision::renew;
 }
 
 bool Holder::first_visit(const std::string& machine) {
   const double now = loop_.now();
-  auto [it, fresh] = strays_.try_emplace(machine, Stray{now, now, false});
+  auto [it, fresh] = misrouted_.try_emplace(machine, MisroutedMachine{now, now, false});
   it->second.last = now;
   return fresh;
 }
 
-void Holder::took_over() {
+void Holder::begin_grant() {
   auto* g = own_grant();
   term_ = g->term;
   grant_version_ = cache_.blocks_version();
   took_over_at_ = quiet_base_ = last_tick_ = loop_.now();
-  strays_.clear();
+  misrouted_.clear();
   deaf_since_ = 0;
-  silence_patience_ = {};
+  silence_timeout_ = {};
   machines_.clear();
   attempts_.clear();
   exits_.clear();
@@ -100,7 +101,7 @@
 Task<bool> Holder::keep_grant(std::stop_token token) {
   const double now = loop_.now();
   const Grant* own = own_grant();
-  if (own && term_ != own->term) took_over();
+  if (own && term_ != own->term) begin_grant();
   if (!own && term_ != 0) {
     spdlog::info("the grant with term {} has gone to another holder", term_);
     term_ = 0;
@@ -131,7 +132,7 @@
     cache_.apply_writes(writes, reply.revision);
     // Early and often: an outage must fit into what is left of the grant.
     next_renewal_ = asked + tuning_.grant_s / 6;
-    if (!own) took_over();
+    if (!own) begin_grant();
     co_return true;
   }
   if (reply.outcome == Outcome::conflict || reply.outcome == Outcome::unknown) {
@@ -195,13 +196,13 @@
   }
 }
 
-Task<void> Holder::tend(std::stop_token token) {
+Task<void> Holder::run_maintenance(std::stop_token token) {
   const double tick = settings_.report_s / 4;
   while (!token.stop_requested()) {
     if (!co_await Sleep(loop_, tick, token)) co_return;
-    forget_strays();
+    forget_misrouted();
     if (!holding() || superseded()) {
-      co_await mind_cancelled(token);
+      co_await stop_orphaned_tasks(token);
       continue;
     }
     double now = loop_.now();
@@ -210,7 +211,7 @@
     if (now - last_tick_ > 3 * tick) quiet_base_ = now;
     last_tick_ = now;
     if (!records_current() || !p_.catalog.known()) continue;
-    watch_reach();
+    resign_if_deaf();
     watch_silence();
     watch_cancelled();
     watch_stragglers();
@@ -240,13 +241,13 @@
 // A holder that hears few of its machines while they come to other nodes can't do its work. It
 // gives the leadership up, and one that they reach takes over. Where nobody else hears them either,
 // the fault is theirs, and nothing is gained by going.
-void Holder::watch_reach() {
+void Holder::resign_if_deaf() {
   const double now = loop_.now();
   size_t heard = 0;
   for (auto& [id, m] : machines_) heard += now - m.last_heard < doubt_s() && m.session != 0;
   // After a takeover they come here by way of the others.
   const bool settled = now - took_over_at_ > 3 * settings_.report_s;
-  const bool deaf = settled && p_.mesh.strays() > heard;
+  const bool deaf = settled && p_.mesh.misrouted_machines() > heard;
   if (!deaf || !p_.election.leading()) {
     deaf_since_ = 0;
     return;
@@ -254,7 +255,7 @@
   if (deaf_since_ == 0) deaf_since_ = now;
   if (now - deaf_since_ < settings_.lease_s / 4) return;
   spdlog::warn("{} machines heard here and {} by other controllers: giving the leadership up",
-               heard, p_.mesh.strays());
+               heard, p_.mesh.misrouted_machines());
   p_.election.resign();
   deaf_since_ = 0;
 }
@@ -262,7 +263,7 @@
 HttpResponse Holder::on_report(const Report& r) {
   // Gone, as the cloud said: this is a late copy.
   if (returned_.contains(r.machine)) return {421, encode_report_to({}), 0};
-  if (!holding() || superseded()) return stand_in(r);
+  if (!holding() || superseded()) return renew_for_holder(r);
   // A newer holder exists: a 200 would only hold the worker here while its lease runs out.
   if (r.token > term_) return {421, encode_report_to({}), 0};
   const bool lost = p_.mesh.alone() && !in_contact();
@@ -272,7 +273,7 @@
   if (r.newer_than(m.session, m.seq)) {
     // One report is in flight at a time, so the answer to the one before was taken or dropped.
     m.in_answer.clear();
-    digest(m, r, false, commands);
+    process_report(m, r, false, commands);
     std::erase_if(commands, [&](const Command& c) { return !still_wanted(m, c); });
     for (auto& c : commands)
       if (c.op == Command::Op::start) m.in_answer.insert({c.task, c.attempt});
--- a/src/coordination/holder.hpp
+++ b/src/coordination/holder.hpp
@@ -7,7 +7,6 @@
 #include <unordered_map>
 #include <unordered_set>
 
-#include "coordination/answering.hpp"
 #include "coordination/catalog.hpp"
 #include "coordination/chunk_edits.hpp"
 #include "coordination/election.hpp"
@@ -17,7 +16,8 @@
 #include "coordination/mesh.hpp"
 #include "coordination/placement.hpp"
 #include "coordination/reconcile.hpp"
-#include "coordination/silence.hpp"
+#include "coordination/renewal_policy.hpp"
+#include "coordination/silence_timeout.hpp"
 #include "coordination/sizing.hpp"
 #include "coordination/straggler.hpp"
 #include "coordination/version_registry.hpp"
@@ -46,7 +46,7 @@
   // Grants, commits, placement.
   Task<void> run(std::stop_token token);
   // Silence, drains, returns, rentals and the machine list.
-  Task<void> tend(std::stop_token token);
+  Task<void> run_maintenance(std::stop_token token);
 
   HttpResponse on_report(const Report& r);
   bool holding() const;
@@ -58,7 +58,7 @@
   // About what it would write at once if it could.
   uint64_t waiting_writes() const { return holding() ? exits_.size() + uncommitted_starts_ : 0; }
   // Machines that keep coming here although another node holds them.
-  uint64_t strays() const;
+  uint64_t misrouted_machines() const;
   void job_changed(Job* job);
   void job_gone(Job* job);
   // Another controller says that the job is cancelled; the records may follow.
@@ -104,7 +104,7 @@
   // --- grants (holder.cpp)
   const Grant* own_grant() const;
   Task<bool> keep_grant(std::stop_token token);
-  void took_over();
+  void begin_grant();
   // Seconds since the state service was reached; it counts as reached for a quarter of a lease.
   double contact_age() const { return loop_.now() - p_.state.last_contact(); }
   double contact_s() const { return settings_.lease_s / 4; }
@@ -113,32 +113,32 @@
   bool first_visit(const std::string& machine);
   // A peer says that it holds a newer grant: ours is over, though we may not have read it.
   bool superseded() const { return term_ != 0 && p_.mesh.newest_holder().second > term_; }
-  void watch_reach();
+  void resign_if_deaf();
 
   // --- cancelled jobs
   bool is_cancelled(const Job& job) const;
   double cancelled_since(const Job& job) const;
   void stop_cancelled(const Job& job);
-  bool let_go(const std::string& machine, const TaskName& task, uint64_t attempt) const;
+  bool has_released(const std::string& machine, const TaskName& task, uint64_t attempt) const;
 
   // --- machines of another holder (stand_in.cpp)
-  HttpResponse stand_in(const Report& r);
-  void forget_strays();
+  HttpResponse renew_for_holder(const Report& r);
+  void forget_misrouted();
 
   void relay_exits(const Report& r, uint64_t term);
   // Exits that other controllers were told of by machines that can't reach us.
   void take_relayed_exits();
 
   // --- cancelled tasks that no holder minds (last_resort.cpp)
-  struct Minded {
+  struct OrphanHost {
     std::string id, address;
     std::vector<std::pair<TaskName, uint64_t>> tasks;
     bool out_of_reach = false;
   };
-  bool nobody_minds() const;
-  std::vector<Minded> unminded() const;
-  Task<void> mind_cancelled(std::stop_token token);
-  Task<void> mind(Minded& m, uint64_t term, size_t& left);
+  bool no_holder_reachable() const;
+  std::vector<OrphanHost> orphan_hosts() const;
+  Task<void> stop_orphaned_tasks(std::stop_token token);
+  Task<void> stop_orphans_on(OrphanHost& m, uint64_t term, size_t& left);
 
   // --- committing (holder_commit.cpp)
   Task<bool> commit_exits(std::stop_token token);
@@ -163,7 +163,7 @@
   Task<bool> commit_gang_start(const std::vector<DecidedStart>& gang, std::stop_token token);
   Task<bool> commit_single_starts(std::vector<DecidedStart> decided, std::stop_token token);
   void order_starts(const std::vector<CommittedStart>& starts);
-  Task<bool> settle(Txn txn, std::stop_token token, bool starts = false);
+  Task<bool> commit_and_apply(Txn txn, std::stop_token token, bool starts = false);
   Task<void> reread(std::vector<std::string> failed);
   bool records_current() const;
   static bool is_over(const Job& job) { return job.cancelled ? job.live == 0 : job.finished(); }
@@ -211,7 +211,7 @@
 
   // --- machines (holder_machines.cpp)
   Machine& machine(const std::string& id);
-  void digest(Machine& m, const Report& r, bool direct, std::vector<Command>& commands);
+  void process_report(Machine& m, const Report& r, bool direct, std::vector<Command>& commands);
   std::vector<Expected> expected_on(const Machine& m) const;
   void note_states(Machine& m);
   void recall_images(Machine& m);
@@ -273,12 +273,12 @@
   double last_tick_ = 0;
 
   // A machine that its holder's answers may not reach.
-  struct Stray {
+  struct MisroutedMachine {
     double since = 0, last = 0;
     bool answered = false;  // the last time, so that the next report tries the holder again
   };
-  std::unordered_map<std::string, Stray> strays_;
-  SilencePatience silence_patience_;
+  std::unordered_map<std::string, MisroutedMachine> misrouted_;
+  SilenceTimeout silence_timeout_;
   double deaf_since_ = 0;  // 0: the machines are heard
   // Which images the records put on which machine and when, seen by every node from the changes it
   // follows, so that a new holder knows most of what the last one knew.
@@ -317,7 +317,7 @@
     std::map<uint32_t, ChunkRecord> to_write;
   };
   Dividing dividing_;
-  double next_list_ = 0, next_sizing_ = 0, next_minding_ = 0;
+  double next_list_ = 0, next_sizing_ = 0, next_orphan_check_ = 0;
   bool place_again_ = true;
   double next_place_ = 0;
 
--- a/src/coordination/holder_cancelled.cpp
+++ b/src/coordination/holder_cancelled.cpp
@@ -39,7 +39,7 @@
 
 // A message of the machine just now doesn't show the task, or shows it ended. No proof that it may
 // run elsewhere, but no reason to return the machine either, while its messages keep saying so.
-bool Holder::let_go(const std::string& id, const TaskName& task, uint64_t attempt) const {
+bool Holder::has_released(const std::string& id, const TaskName& task, uint64_t attempt) const {
   auto it = machines_.find(id);
   if (it == machines_.end() || it->second.session == 0) return false;
   auto& m = it->second;
@@ -67,7 +67,7 @@
     for (auto& [n, chunk] : job->chunks)
       for (auto& t : chunk.record.live) {
         TaskName name{id, n * job->chunk_size + t.index};
-        if (exits_.contains(name) || let_go(t.machine, name, t.attempt)) continue;
+        if (exits_.contains(name) || has_released(t.machine, name, t.attempt)) continue;
         overdue_.insert(t.machine);
         want_return(t.machine, "it keeps a task of cancelled " + id);
       }
--- a/src/coordination/holder_cloud.cpp
+++ b/src/coordination/holder_cloud.cpp
@@ -96,7 +96,7 @@
     silent += in_doubt(m);
   }
   const double patience =
-      silence_patience_.limit(loop_.now(), known, silent, give_up, settings_.lease_s);
+      silence_timeout_.limit(loop_.now(), known, silent, give_up, settings_.lease_s);
   for (auto& [id, m] : machines_) {
     if (cache_.leaving(id) || to_return_.contains(id)) continue;
     double quiet = silence(m);
--- a/src/coordination/holder_commit.cpp
+++ b/src/coordination/holder_commit.cpp
@@ -28,7 +28,7 @@
 
 // Commits surely. Nothing else of this holder is written meanwhile, so whatever is in doubt keeps
 // its room and its team's quota until the outcome is known.
-Task<bool> Holder::settle(Txn txn, std::stop_token token, bool starts) {
+Task<bool> Holder::commit_and_apply(Txn txn, std::stop_token token, bool starts) {
   auto writes = txn.writes;
   auto reply = co_await p_.state.commit_surely(std::move(txn), Importance::placing, token);
   if (reply.outcome == Outcome::committed) {
@@ -80,7 +80,7 @@
     ++it;
   }
   if (edits.empty()) co_return false;
-  if (co_await settle(edits.finish(), token)) {
+  if (co_await commit_and_apply(edits.finish(), token)) {
     for (auto& name : taken) {
       auto it = exits_.find(name);
       if (it == exits_.end()) continue;
@@ -135,7 +135,7 @@
   txn.conditions[keys::blocks] = cache_.blocks_version();
   std::vector<std::pair<std::string, bool>> outcome;
   for (auto& id : ended) outcome.emplace_back(id, cache_.job(id)->cancelled);
-  if (co_await settle(std::move(txn), token))
+  if (co_await commit_and_apply(std::move(txn), token))
     for (auto& [id, cancelled] : outcome)
       cache_.remember_final(id, cancelled ? FinalState::cancelled : FinalState::done);
   co_return true;
@@ -237,7 +237,7 @@
             {{id, n * job->chunk_size + index}, attempt, place.machine, place.image_cached});
       }
     }
-    if (started.empty() || !co_await settle(edits.finish(), token, true)) break;
+    if (started.empty() || !co_await commit_and_apply(edits.finish(), token, true)) break;
     committed.insert(committed.end(), started.begin(), started.end());
   }
   order_starts(committed);
@@ -304,7 +304,7 @@
     }
     if (started.empty()) break;
     any = true;
-    if (!co_await settle(edits.finish(), token, true)) {
+    if (!co_await commit_and_apply(edits.finish(), token, true)) {
       place_again_ = true;
       break;
     }
--- a/src/coordination/holder_layout.cpp
+++ b/src/coordination/holder_layout.cpp
@@ -78,7 +78,7 @@
     txn.writes.push_back({key, encode_chunk(record), 0});
     written.push_back(n);
   }
-  if (!co_await settle(std::move(txn), token)) co_return false;
+  if (!co_await commit_and_apply(std::move(txn), token)) co_return false;
   for (uint32_t n : written) dividing_.to_write.erase(n);
   co_return true;
 }
@@ -94,7 +94,7 @@
   read.item.value[fields::chunk_size] = chunk_size(limits().value_kb);
   read.item.value[fields::layout] = job->layout + 1;
   txn.writes.push_back({keys::job(id), std::move(read.item.value), 0});
-  if (!co_await settle(std::move(txn), token)) co_return false;
+  if (!co_await commit_and_apply(std::move(txn), token)) co_return false;
   spdlog::info("the tasks of {} are divided into records of {}", id, chunk_size(limits().value_kb));
   to_divide_.erase(id);
   dividing_ = {};
--- a/src/coordination/holder_machines.cpp
+++ b/src/coordination/holder_machines.cpp
@@ -106,7 +106,8 @@
   return out;
 }
 
-void Holder::digest(Machine& m, const Report& r, bool direct, std::vector<Command>& commands) {
+void Holder::process_report(Machine& m, const Report& r, bool direct,
+                            std::vector<Command>& commands) {
   const auto session_before = m.session;
   if (!take_report(m, r, loop_.now(), direct)) return;
   dirty_machines_.insert(m.id);
@@ -353,7 +354,7 @@
     now.failed_sends = 0;
     if (auto report = decode_report(decode_map(reply.body)); report && report->machine == id) {
       std::vector<Command> more;
-      digest(now, *report, true, more);
+      process_report(now, *report, true, more);
       // A stop whose answer still shows the task saving, and the like, wait for the next report.
       for (auto& c : more)
         if (reply.status == 200 && c.op == Command::Op::forget) now.outbox.push_back(c);
@@ -373,7 +374,7 @@
   if (reply.status != 200 || it == machines_.end() || term != term_) co_return;
   if (auto report = decode_report(decode_map(reply.body)); report && report->machine == id) {
     std::vector<Command> more;
-    digest(it->second, *report, true, more);
+    process_report(it->second, *report, true, more);
   }
 }
 
--- a/src/coordination/stand_in.cpp
+++ b/src/coordination/lease_renewal.cpp
@@ -17,7 +17,7 @@
 // the state service may renew that lease: the records stay the holder's alone, no start is ordered
 // and nothing forgotten here, and silence never proves to the holder that a task is gone. Tasks of
 // cancelled jobs are stopped, since the holder can't do it.
-HttpResponse Holder::stand_in(const Report& r) {
+HttpResponse Holder::renew_for_holder(const Report& r) {
   const double now = loop_.now();
   const double patience = missing_share * settings_.lease_s;
   const Grant* held = nullptr;
@@ -28,8 +28,8 @@
   const auto newest = p_.mesh.newest_holder();
   const std::string& holder = newest.second > held->term ? newest.first : held->node;
   if (holder == settings_.node_name) return {421, encode_report_to({}), 0};
-  auto [it, fresh] = strays_.try_emplace(r.machine, Stray{now, now, false});
-  Stray& s = it->second;
+  auto [it, fresh] = misrouted_.try_emplace(r.machine, MisroutedMachine{now, now, false});
+  MisroutedMachine& s = it->second;
   s.last = now;
   // A machine that can reach one controller in five makes the round of all in most of a lease, so
   // the second visit would be too late: where we can't reach the holder either, and its key stands
@@ -86,16 +86,17 @@
   }
 }
 
-uint64_t Holder::strays() const {
+uint64_t Holder::misrouted_machines() const {
   // One that came by and found its holder is none.
-  return static_cast<uint64_t>(std::count_if(strays_.begin(), strays_.end(), [&](auto& entry) {
-    return entry.second.last - entry.second.since > missing_share / 2 * settings_.lease_s;
-  }));
+  return static_cast<uint64_t>(
+      std::count_if(misrouted_.begin(), misrouted_.end(), [&](auto& entry) {
+        return entry.second.last - entry.second.since > missing_share / 2 * settings_.lease_s;
+      }));
 }
 
-void Holder::forget_strays() {
+void Holder::forget_misrouted() {
   const double before = loop_.now() - settings_.lease_s / 2;
-  std::erase_if(strays_, [&](auto& entry) { return entry.second.last < before; });
+  std::erase_if(misrouted_, [&](auto& entry) { return entry.second.last < before; });
   std::erase_if(images_seen_, [&](auto& entry) { return cache_.leaving(entry.first); });
 }
 
--- a/src/coordination/mesh.cpp
+++ b/src/coordination/mesh.cpp
@@ -8,7 +8,7 @@
 namespace damsonport {
 
 Mesh::Mesh(Loop& loop, Network& network, const Settings& settings, Cancellations& cancellations)
-    : loop_(loop), cancellations_(cancellations), period_(settings.report_s / 3), hurry_(loop) {
+    : loop_(loop), cancellations_(cancellations), period_(settings.report_s / 3), wake_(loop) {
   for (auto& p : settings.peers) {
     links_[p.name] = network.link(p.mesh);
     seen_[p.name];
@@ -20,33 +20,33 @@
 long Mesh::take(std::string_view bytes) {
   long used = 0;
   for (;;) {
-    Beat beat;
+    Heartbeat heartbeat;
     size_t n = 0;
-    auto got = decode_beat(bytes.substr(static_cast<size_t>(used)), beat, n);
+    auto got = decode_heartbeat(bytes.substr(static_cast<size_t>(used)), heartbeat, n);
     if (got == Framed::bad) return -1;
     if (got == Framed::partial) return used;
     used += static_cast<long>(n);
     // Only the nodes named in the settings: nothing grows with what strangers send.
-    auto it = seen_.find(beat.node);
+    auto it = seen_.find(heartbeat.node);
     if (it == seen_.end()) continue;
-    for (auto& job : cancellations_.take(beat, loop_.now()))
+    for (auto& job : cancellations_.merge(heartbeat, loop_.now()))
       if (on_cancelled) on_cancelled(job);
-    beat.cancelled.clear();
-    it->second = {std::move(beat), loop_.now()};
+    heartbeat.cancelled.clear();
+    it->second = {std::move(heartbeat), loop_.now()};
   }
 }
 
-Task<void> Mesh::beat(std::function<Beat()> fill, std::stop_token token) {
+Task<void> Mesh::send_heartbeats(std::function<Heartbeat()> fill, std::stop_token token) {
   while (!token.stop_requested()) {
     const auto common = fill();
     for (auto& [peer, link] : links_) {
-      auto beat = common;
-      cancellations_.fill(beat, peer, loop_.now());
-      link->send(encode_beat(beat));
+      auto heartbeat = common;
+      cancellations_.add_to(heartbeat, peer, loop_.now());
+      link->send(encode_heartbeat(heartbeat));
     }
     // What must be said at once waits only for what comes just behind it.
     if (!co_await Sleep(loop_, period_ / 20, token)) co_return;
-    co_await hurry_.wait(period_ * loop_.uniform(0.85, 1.05), token);
+    co_await wake_.wait(period_ * loop_.uniform(0.85, 1.05), token);
   }
 }
 
@@ -60,7 +60,7 @@
 uint64_t Mesh::wanted_writes() const {
   uint64_t sum = 0;
   for (auto& [node, s] : seen_)
-    if (alive(node)) sum += s.beat.writes;
+    if (alive(node)) sum += s.heartbeat.writes;
   return sum;
 }
 
@@ -71,21 +71,22 @@
 
 bool Mesh::peer_has_state(double max_age_s) const {
   for (auto& [node, s] : seen_)
-    if (alive(node) && static_cast<double>(s.beat.state_age_ms) / 1000 < max_age_s) return true;
+    if (alive(node) && static_cast<double>(s.heartbeat.state_age_ms) / 1000 < max_age_s)
+      return true;
   return false;
 }
 
 std::pair<std::string, uint64_t> Mesh::newest_holder() const {
   std::pair<std::string, uint64_t> newest{{}, 0};
   for (auto& [node, s] : seen_)
-    if (alive(node) && s.beat.term > newest.second) newest = {node, s.beat.term};
+    if (alive(node) && s.heartbeat.term > newest.second) newest = {node, s.heartbeat.term};
   return newest;
 }
 
-uint64_t Mesh::strays() const {
+uint64_t Mesh::misrouted_machines() const {
   uint64_t most = 0;
   for (auto& [node, s] : seen_)
-    if (alive(node)) most = std::max(most, s.beat.strays);
+    if (alive(node)) most = std::max(most, s.heartbeat.misrouted_machines);
   return most;
 }
 
--- a/src/coordination/mesh.hpp
+++ b/src/coordination/mesh.hpp
@@ -5,7 +5,7 @@
 #include <memory>
 
 #include "coordination/cancellations.hpp"
-#include "protocol/beat.hpp"
+#include "protocol/heartbeat.hpp"
 #include "protocol/settings.hpp"
 #include "transport/network.hpp"
 
@@ -15,13 +15,13 @@
  public:
   Mesh(Loop& loop, Network& network, const Settings& settings, Cancellations& cancellations);
   bool listening() const { return listener_ && listener_->listening(); }
-  // Sends beats until stopped; `fill` makes what is said to all alike.
-  Task<void> beat(std::function<Beat()> fill, std::stop_token token);
+  // Sends heartbeats until stopped; `fill` makes what is said to all alike.
+  Task<void> send_heartbeats(std::function<Heartbeat()> fill, std::stop_token token);
   // Something must be said at once.
-  void hurry() { hurry_.notify(); }
+  void wake() { wake_.notify(); }
   // Called for each job that a peer says is cancelled, the first time.
   std::function<void(const std::string& job)> on_cancelled;
-  // Heard from within two beats.
+  // Heard from within two heartbeats.
   bool alive(const std::string& node) const;
   // Seconds since it was heard.
   double silence(const std::string& node) const;
@@ -36,18 +36,18 @@
   // The live peer with the newest grant by its own word, and its term; 0: none holds one.
   std::pair<std::string, uint64_t> newest_holder() const;
   // The most machines that come to one live peer without being its own.
-  uint64_t strays() const;
+  uint64_t misrouted_machines() const;
 
  private:
   struct Seen {
-    Beat beat;
+    Heartbeat heartbeat;
     double at = -1e9;
   };
   long take(std::string_view bytes);
   Loop& loop_;
   Cancellations& cancellations_;
   double period_;
-  Signal hurry_;
+  Signal wake_;
   std::map<std::string, Seen> seen_;
   std::map<std::string, std::unique_ptr<StreamLink>> links_;
   std::unique_ptr<StreamListener> listener_;
--- a/src/coordination/node.cpp
+++ b/src/coordination/node.cpp
@@ -69,9 +69,9 @@
   });
   cache_.on_change = [this](Job* job) {
     // What this node confirmed or read itself nobody else may know yet.
-    if (job && job->cancelled && cancellations_.know(job->spec.id, job->cancelled_since) &&
+    if (job && job->cancelled && cancellations_.record(job->spec.id, job->cancelled_since) &&
         job->version > cache_.revision())
-      mesh_.hurry();
+      mesh_.wake();
     holder_.job_changed(job);
   };
   mesh_.on_cancelled = [this](const std::string& job) { holder_.cancelled_elsewhere(job); };
@@ -98,26 +98,26 @@
   auto token = loop_.stop_token();
   loop_.spawn("cache", cache_.follow(token));
   loop_.spawn("catalogue", catalog_.follow(token));
-  loop_.spawn("mesh", mesh_.beat([this] { return beat(); }, token));
+  loop_.spawn("mesh", mesh_.send_heartbeats([this] { return next_heartbeat(); }, token));
   loop_.spawn("version", versions_.announce(token));
   loop_.spawn("exit relay", exit_relay_.run(token));
   loop_.spawn("election", election_.run(token));
   loop_.spawn("holder", holder_.run(token));
-  loop_.spawn("machines", holder_.tend(token));
+  loop_.spawn("machines", holder_.run_maintenance(token));
   loop_.spawn("accepting", api_.accept_duty(token));
   loop_.spawn("confirming", api_.confirm_duty(token));
   loop_.spawn("housekeeping", housekeeping(token));
   return true;
 }
 
-Beat Node::beat() const {
-  Beat b;
+Heartbeat Node::next_heartbeat() const {
+  Heartbeat b;
   b.node = settings_.node_name;
   b.incarnation = incarnation_;
   b.state_age_ms = static_cast<uint64_t>(std::min(loop_.now() - state_.last_contact(), 1e6) * 1000);
   b.waiting = holder_.waiting_tasks();
   b.loaded = cache_.loaded();
-  b.strays = holder_.strays();
+  b.misrouted_machines = holder_.misrouted_machines();
   b.writes = static_cast<uint64_t>(wanted_writes());
   b.term = holder_.term();
   return b;
@@ -145,7 +145,7 @@
   const double period = settings_.report_s / 3;
   while (!token.stop_requested()) {
     share_limits();
-    cancellations_.settle(cache_.as_of());
+    cancellations_.forget_heard_before(cache_.as_of());
     api_.forget_refused();
     http_->trim(idle_connection_s);
     server_->tidy();
--- a/src/coordination/node.hpp
+++ b/src/coordination/node.hpp
@@ -17,7 +17,7 @@
   Task<HttpResponse> dispatch(HttpRequest request);
   HttpResponse health() const;
   double wanted_writes() const;
-  Beat beat() const;
+  Heartbeat next_heartbeat() const;
   void share_limits();
   Task<void> housekeeping(std::stop_token token);
 
--- a/src/coordination/last_resort.cpp
+++ b/src/coordination/orphan_cleanup.cpp
@@ -16,14 +16,14 @@
 // Without state service, peers that have it, and the holder: then what was confirmed here may be
 // unknown to everybody else. A holder that doesn't know stops answering in time, which ends the
 // tasks of every machine that runs on; one that hangs keeps them.
-bool Holder::nobody_minds() const {
+bool Holder::no_holder_reachable() const {
   if (!cache_.loaded() || in_contact() || p_.mesh.peer_has_state(contact_s())) return false;
   // Not whom the records name: it may be up again and hold nothing.
   return p_.mesh.newest_holder().second == 0;
 }
 
-std::vector<Holder::Minded> Holder::unminded() const {
-  std::map<std::string, Minded> out;
+std::vector<Holder::OrphanHost> Holder::orphan_hosts() const {
+  std::map<std::string, OrphanHost> out;
   for (auto& [id, since] : p_.cancellations.known()) {
     const double age = (loop_.now() - since) / settings_.cancel_s;
     Job* job = cache_.job(id);
@@ -35,17 +35,17 @@
         m.tasks.push_back({{id, n * job->chunk_size + t.index}, t.attempt});
       }
   }
-  std::vector<Minded> list;
+  std::vector<OrphanHost> list;
   for (auto& [id, m] : out) list.push_back(std::move(m));
   return list;
 }
 
 // Asks each machine that may run a cancelled task, stops what is there under the holder's term, and
 // returns the machine if it doesn't answer. Nothing is committed and nothing proven by it.
-Task<void> Holder::mind_cancelled(std::stop_token token) {
-  if (loop_.now() < next_minding_ || !nobody_minds()) co_return;
-  next_minding_ = loop_.now() + settings_.report_s;
-  auto machines = unminded();
+Task<void> Holder::stop_orphaned_tasks(std::stop_token token) {
+  if (loop_.now() < next_orphan_check_ || !no_holder_reachable()) co_return;
+  next_orphan_check_ = loop_.now() + settings_.report_s;
+  auto machines = orphan_hosts();
   if (machines.empty()) co_return;
   uint64_t term = 0;
   for (auto& g : cache_.blocks().grants) term = std::max(term, g.term);
@@ -67,7 +67,7 @@
     size_t left = count;
     for (size_t i = done; i < done + count; ++i) {
       machines[i].address = addresses[machines[i].id];
-      loop_.spawn("minding", mind(machines[i], term, left));
+      loop_.spawn("minding", stop_orphans_on(machines[i], term, left));
     }
     // Each ends by its own time-outs; their results stand in what this routine holds.
     while (left > 0) co_await Sleep(loop_, settings_.report_s / 10, {});
@@ -86,7 +86,7 @@
   }
 }
 
-Task<void> Holder::mind(Minded& m, uint64_t term, size_t& left) {
+Task<void> Holder::stop_orphans_on(OrphanHost& m, uint64_t term, size_t& left) {
   Endpoint to;
   m.out_of_reach = true;
   if (parse_endpoint(m.address, to)) {
--- a/src/coordination/answering.hpp
+++ b/src/coordination/renewal_policy.hpp
@@ -5,19 +5,19 @@
 namespace damsonport {
 
 // What a controller knows when a machine reports to it, its own or another holder's.
-struct Standing {
+struct RenewalState {
   bool in_contact = false;       // with the state service
   bool peer_in_contact = false;  // a live peer is
   bool alone = false;            // no peer is heard
   bool first_visit = false;      // the machine comes here for the first time of late
-  double unheard_s = 0;  // no cancellation that is unknown here was told to anyone longer ago
+  double staleness_s = 0;  // no cancellation that is unknown here was told to anyone longer ago
 };
-enum class Answer : uint8_t { renew, send_on };
+enum class RenewalDecision : uint8_t { renew, redirect };
 
 // How long a machine may be answered while a cancellation may be unknown: a task that is kept alive
 // lives a lease longer than the last answer, and must be gone within cancel_s.
-double unheard_bound(double cancel_s, double lease_s);
+double staleness_bound_s(double cancel_s, double lease_s);
 
-Answer answer_to(const Standing& s, double bound_s);
+RenewalDecision decide_renewal(const RenewalState& s, double bound_s);
 
 }  // namespace damsonport
--- a/src/coordination/silence.cpp
+++ b/src/coordination/silence_timeout.cpp
@@ -1,4 +1,4 @@
-#include "coordination/silence.hpp"
+#include "coordination/silence_timeout.hpp"
 
 namespace damsonport {
 
@@ -8,8 +8,8 @@
 constexpr double mass_leases = 3;
 }  // namespace
 
-double SilencePatience::limit(double now, size_t known, size_t silent, double give_up,
-                              double lease_s) {
+double SilenceTimeout::limit(double now, size_t known, size_t silent, double give_up,
+                             double lease_s) {
   if (silent >= mass_at_least &&
       static_cast<double>(silent) > mass_share * static_cast<double>(known))
     mass_seen_at_ = now;
--- a/src/protocol/beat.cpp
+++ b/src/protocol/heartbeat.cpp
@@ -1,4 +1,4 @@
-#include "protocol/beat.hpp"
+#include "protocol/heartbeat.hpp"
 
 #include "protocol/varint.hpp"
 
@@ -6,19 +6,19 @@
 
 namespace {
 constexpr uint64_t max_frame = 16 * 1024;
-constexpr uint64_t beat_version = 4;
+constexpr uint64_t heartbeat_version = 4;
 constexpr uint64_t max_cancelled = 1024;
 }  // namespace
 
-std::string encode_beat(const Beat& b) {
+std::string encode_heartbeat(const Heartbeat& b) {
   VarintWriter body;
-  body.number(beat_version);
+  body.number(heartbeat_version);
   body.text(b.node);
   body.number(b.incarnation);
   body.number(b.state_age_ms);
   body.number(b.waiting);
   body.number(b.loaded ? 1 : 0);
-  body.number(b.strays);
+  body.number(b.misrouted_machines);
   body.number(b.writes);
   body.number(b.term);
   body.number(b.sent_ms);
@@ -38,7 +38,7 @@
   return frame.bytes();
 }
 
-Framed decode_beat(std::string_view in, Beat& out, size_t& used) {
+Framed decode_heartbeat(std::string_view in, Heartbeat& out, size_t& used) {
   VarintReader head(in);
   uint64_t size = 0;
   if (!head.number(size)) return in.size() >= 10 ? Framed::bad : Framed::partial;
@@ -48,9 +48,9 @@
   used = head.used() + size;
   out = {};
   uint64_t version = 0, loaded = 0, cancelled = 0;
-  if (!body.number(version) || version < beat_version || !body.text(out.node) ||
+  if (!body.number(version) || version < heartbeat_version || !body.text(out.node) ||
       !body.number(out.incarnation) || !body.number(out.state_age_ms) ||
-      !body.number(out.waiting) || !body.number(loaded) || !body.number(out.strays) ||
+      !body.number(out.waiting) || !body.number(loaded) || !body.number(out.misrouted_machines) ||
       !body.number(out.writes) || !body.number(out.term) || !body.number(out.sent_ms) ||
       !body.number(out.echo_incarnation) || !body.number(out.echo_ms) || !body.number(out.have) ||
       !body.number(out.from) || !body.number(out.upto) || !body.number(out.last) ||
@@ -58,7 +58,7 @@
     return Framed::bad;
   out.loaded = loaded != 0;
   for (uint64_t i = 0; i < cancelled; ++i) {
-    Beat::Cancellation c;
+    Heartbeat::Cancellation c;
     if (!body.text(c.job) || !body.number(c.age_ms)) return Framed::bad;
     out.cancelled.push_back(std::move(c));
   }
--- a/tests/cancellations_test.cpp
+++ b/tests/cancellations_test.cpp
@@ -3,12 +3,12 @@
 
 #include <gtest/gtest.h>
 
-#include "coordination/answering.hpp"
+#include "coordination/renewal_policy.hpp"
 
 namespace damsonport {
 namespace {
 
-// A controller "a" with its own steady clock, and a beat from one to the other.
+// A controller "a" with its own steady clock, and a heartbeat from one to the other.
 struct Side {
   std::string name;
   uint64_t incarnation;
@@ -18,13 +18,15 @@
   Side(std::string n, uint64_t life, double off, std::vector<std::string> peers)
       : name(std::move(n)), incarnation(life), clock_off(off), said(life, peers) {}
   double clock(double time) const { return time + clock_off; }
-  Beat beat(const std::string& to, double time) const {
-    Beat b;
+  Heartbeat heartbeat(const std::string& to, double time) const {
+    Heartbeat b;
     b.node = name, b.incarnation = incarnation, b.loaded = loaded;
-    said.fill(b, to, clock(time));
+    said.add_to(b, to, clock(time));
     return b;
   }
-  std::vector<std::string> take(const Beat& b, double time) { return said.take(b, clock(time)); }
+  std::vector<std::string> merge(const Heartbeat& b, double time) {
+    return said.merge(b, clock(time));
+  }
   // How old a cancellation that is unknown here can be.
   double unheard(double time) const { return clock(time) - said.covered(clock(time)); }
 };
@@ -33,8 +35,8 @@
   Side a{"a", 11, 500, {"b"}};
   Side b{"b", 22, 9000, {"a"}};
   void exchange(double time) {
-    b.take(a.beat("b", time), time + 0.01);
-    a.take(b.beat("a", time), time + 0.01);
+    b.merge(a.heartbeat("b", time), time + 0.01);
+    a.merge(b.heartbeat("a", time), time + 0.01);
   }
 };
 
@@ -42,12 +44,12 @@
   Pair p;
   p.exchange(1);
   p.exchange(2);
-  EXPECT_TRUE(p.b.said.know("run-1", p.b.clock(1.5)));
-  EXPECT_FALSE(p.b.said.know("run-1", p.b.clock(2.5)));
-  EXPECT_EQ(p.a.take(p.b.beat("a", 3), 3.01), std::vector<std::string>{"run-1"});
-  EXPECT_TRUE(p.a.take(p.b.beat("a", 3.1), 3.11).empty());
+  EXPECT_TRUE(p.b.said.record("run-1", p.b.clock(1.5)));
+  EXPECT_FALSE(p.b.said.record("run-1", p.b.clock(2.5)));
+  EXPECT_EQ(p.a.merge(p.b.heartbeat("a", 3), 3.01), std::vector<std::string>{"run-1"});
+  EXPECT_TRUE(p.a.merge(p.b.heartbeat("a", 3.1), 3.11).empty());
   ASSERT_TRUE(p.a.said.heard("run-1"));
-  // Never younger than it is, and older by no more than the way of a beat and its echo.
+  // Never younger than it is, and older by no more than the way of a heartbeat and its echo.
   EXPECT_LE(*p.a.said.heard("run-1"), p.a.clock(1.5));
   EXPECT_GT(*p.a.said.heard("run-1"), p.a.clock(0));
 }
@@ -55,14 +57,14 @@
 TEST(Cancellations, CoverUpToWhatWasEchoedAndNoFurther) {
   Pair p;
   EXPECT_GT(p.a.unheard(1), 1e6);  // nothing was ever said
-  p.a.take(p.b.beat("a", 0.5), 0.51);
+  p.a.merge(p.b.heartbeat("a", 0.5), 0.51);
   EXPECT_GT(p.a.unheard(1), 1e6);  // nothing that was said after a word of ours
   p.exchange(1);
   EXPECT_NEAR(p.a.unheard(2.5), 1.5, 0.01);
-  // A beat that was held up on the way counts from when it must have been sent.
+  // A heartbeat that was held up on the way counts from when it must have been sent.
   p.exchange(3);
-  auto held = p.b.beat("a", 3.5);
-  p.a.take(held, 60);
+  auto held = p.b.heartbeat("a", 3.5);
+  p.a.merge(held, 60);
   EXPECT_NEAR(p.a.unheard(60), 57, 0.01);
 }
 
@@ -70,7 +72,7 @@
   Pair p;
   p.exchange(1);
   p.exchange(2);
-  for (int i = 0; i < 300; ++i) p.b.said.know("run-" + std::to_string(i), p.b.clock(2.5));
+  for (int i = 0; i < 300; ++i) p.b.said.record("run-" + std::to_string(i), p.b.clock(2.5));
   p.exchange(3);
   EXPECT_FALSE(p.a.said.cancelled("run-299"));
   EXPECT_NEAR(p.a.unheard(3), 1, 0.1);  // as before
@@ -85,25 +87,25 @@
   Side again{"b", 33, 9000, {"a"}};
   again.loaded = false;
   for (double t = 10; t < 14; ++t) {
-    again.take(p.a.beat("b", t), t + 0.01);
-    p.a.take(again.beat("a", t), t + 0.01);
+    again.merge(p.a.heartbeat("b", t), t + 0.01);
+    p.a.merge(again.heartbeat("a", t), t + 0.01);
   }
   EXPECT_GT(p.a.unheard(14), 10);
   again.loaded = true;
-  p.a.take(again.beat("a", 14), 14.01);
+  p.a.merge(again.heartbeat("a", 14), 14.01);
   EXPECT_LT(p.a.unheard(14), 2);
 }
 
 TEST(Cancellations, WhoeverBeganAnewIsToldAllAgain) {
   Pair p;
   p.exchange(1);
-  p.b.said.know("run-1", p.b.clock(1));
+  p.b.said.record("run-1", p.b.clock(1));
   for (double t = 2; t < 5; ++t) p.exchange(t);
-  ASSERT_TRUE(p.b.beat("a", 5).cancelled.empty());
+  ASSERT_TRUE(p.b.heartbeat("a", 5).cancelled.empty());
   Side again{"a", 12, 500, {"b"}};
   for (double t = 5; t < 8; ++t) {
-    p.b.take(again.beat("b", t), t + 0.01);
-    again.take(p.b.beat("a", t), t + 0.01);
+    p.b.merge(again.heartbeat("b", t), t + 0.01);
+    again.merge(p.b.heartbeat("a", t), t + 0.01);
   }
   EXPECT_TRUE(again.said.cancelled("run-1"));
   EXPECT_LT(again.unheard(8), 2.1);
@@ -112,30 +114,31 @@
 TEST(Cancellations, AreKeptUntilTheRecordsSpeakForThem) {
   Pair p;
   p.exchange(1);
-  p.b.said.know("run-1", p.b.clock(1));
+  p.b.said.record("run-1", p.b.clock(1));
   p.exchange(2);
-  p.a.said.settle(p.a.clock(1.9));
+  p.a.said.forget_heard_before(p.a.clock(1.9));
   EXPECT_TRUE(p.a.said.cancelled("run-1"));
-  p.a.said.settle(p.a.clock(2.1));
+  p.a.said.forget_heard_before(p.a.clock(2.1));
   EXPECT_FALSE(p.a.said.cancelled("run-1"));
   p.b.said.forget("run-1");
   Side fresh{"a", 12, 500, {"b"}};
-  p.b.take(fresh.beat("b", 3), 3);
-  EXPECT_TRUE(p.b.beat("a", 3.1).cancelled.empty());
+  p.b.merge(fresh.heartbeat("b", 3), 3);
+  EXPECT_TRUE(p.b.heartbeat("a", 3.1).cancelled.empty());
 }
 
 TEST(Answering, IsBoundedByWhatMayBeUnheardAndByNothingElse) {
-  const double bound = unheard_bound(42, 12);
+  const double bound = staleness_bound_s(42, 12);
   EXPECT_GT(bound, 0);
   EXPECT_LT(bound + 12, 42);
   for (bool contact : {false, true})
     for (bool peer : {false, true})
       for (bool alone : {false, true})
         for (bool first : {false, true}) {
-          EXPECT_EQ(answer_to({contact, peer, alone, first, bound}, bound), Answer::send_on);
+          EXPECT_EQ(decide_renewal({contact, peer, alone, first, bound}, bound),
+                    RenewalDecision::redirect);
           const bool better_off = !contact && (peer || (alone && first));
-          EXPECT_EQ(answer_to({contact, peer, alone, first, bound - 0.1}, bound),
-                    better_off ? Answer::send_on : Answer::renew);
+          EXPECT_EQ(decide_renewal({contact, peer, alone, first, bound - 0.1}, bound),
+                    better_off ? RenewalDecision::redirect : RenewalDecision::renew);
         }
 }
 
--- a/tests/protocol_test.cpp
+++ b/tests/protocol_test.cpp
@@ -1,7 +1,7 @@
 #include <gtest/gtest.h>
 
 #include "coordination/catalog.hpp"
-#include "protocol/beat.hpp"
+#include "protocol/heartbeat.hpp"
 #include "protocol/messages.hpp"
 #include "protocol/settings.hpp"
 #include "protocol/varint.hpp"
@@ -87,14 +87,14 @@
   EXPECT_EQ(judge_job(other, s, {g}), Verdict::over_limit);
 }
 
-TEST(Beat, ComesBackAndBadFramesAreTold) {
-  Beat b;
+TEST(Heartbeat, ComesBackAndBadFramesAreTold) {
+  Heartbeat b;
   b.node = "n-1", b.incarnation = 1ull << 51, b.waiting = 77, b.loaded = true, b.term = 41;
   b.echo_ms = 300, b.last = 9, b.cancelled = {{"run-7", 1500}, {"run-8", 0}};
-  auto bytes = encode_beat(b);
-  Beat back;
+  auto bytes = encode_heartbeat(b);
+  Heartbeat back;
   size_t used = 0;
-  ASSERT_EQ(decode_beat(bytes, back, used), Framed::whole);
+  ASSERT_EQ(decode_heartbeat(bytes, back, used), Framed::whole);
   EXPECT_EQ(used, bytes.size());
   EXPECT_EQ(back.incarnation, b.incarnation);
   EXPECT_EQ(back.waiting, 77u);
@@ -106,11 +106,11 @@
   EXPECT_EQ(back.cancelled[0].job, "run-7");
   EXPECT_EQ(back.cancelled[0].age_ms, 1500u);
   for (size_t n = 0; n < bytes.size(); ++n)
-    EXPECT_EQ(decode_beat(bytes.substr(0, n), back, used), Framed::partial);
-  EXPECT_EQ(decode_beat(std::string(16, '\xff'), back, used), Framed::bad);
+    EXPECT_EQ(decode_heartbeat(bytes.substr(0, n), back, used), Framed::partial);
+  EXPECT_EQ(decode_heartbeat(std::string(16, '\xff'), back, used), Framed::bad);
   std::string earlier_version = bytes;
   earlier_version[1] = 3;
-  EXPECT_EQ(decode_beat(earlier_version, back, used), Framed::bad);
+  EXPECT_EQ(decode_heartbeat(earlier_version, back, used), Framed::bad);
   // What a later version adds at the end is passed over.
   VarintReader frame(bytes);
   std::string body;
@@ -118,7 +118,7 @@
   body[0] = 5;
   VarintWriter later;
   later.text(body + "more");
-  ASSERT_EQ(decode_beat(later.bytes(), back, used), Framed::whole);
+  ASSERT_EQ(decode_heartbeat(later.bytes(), back, used), Framed::whole);
   EXPECT_EQ(used, later.bytes().size());
   EXPECT_EQ(back.cancelled.size(), 2u);
 }
--- a/tests/trace_test.cpp
+++ b/tests/trace_test.cpp
@@ -7,7 +7,7 @@
 
 #include "coordination/placement.hpp"
 #include "coordination/reconcile.hpp"
-#include "coordination/silence.hpp"
+#include "coordination/silence_timeout.hpp"
 #include "coordination/sizing.hpp"
 #include "coordination/straggler.hpp"
 
@@ -252,7 +252,7 @@
   }
   placing::Input input_;
   sizing::Input fleet_;
-  SilencePatience patience_;
+  SilenceTimeout patience_;
   Machine machine_;
   std::vector<Expected> records_;
   std::vector<std::string> expected_, actual_;
