--- a/src/coordination/holder.hpp
+++ b/src/coordination/holder.hpp
@@ -121,7 +121,7 @@
   void stop_cancelled(const Job& job);
   bool has_released(const std::string& machine, const TaskName& task, uint64_t attempt) const;
 
-  // --- machines of another holder (stand_in.cpp)
+  // --- machines of another holder (lease_renewal.cpp)
   HttpResponse renew_for_holder(const Report& r);
   void forget_misrouted();
 
@@ -129,7 +129,7 @@
   // Exits that other controllers were told of by machines that can't reach us.
   void take_relayed_exits();
 
-  // --- cancelled tasks that no holder minds (last_resort.cpp)
+  // --- cancelled tasks that no holder cares for (orphan_cleanup.cpp)
   struct OrphanHost {
     std::string id, address;
     std::vector<std::pair<TaskName, uint64_t>> tasks;
--- a/src/coordination/holder_gangs.cpp
+++ b/src/coordination/holder_gangs.cpp
@@ -45,8 +45,10 @@
 }
 
 GangAction Holder::next_gang_action(const Job& gang) {
-  const auto action =
-      gang_action(gang_standing(gang), settings_.gang_wait_s * tuning_.gang_replacement_share);
+  // Within the time for which a machine that failed a task of it is not used for it again.
+  const double patience_s =
+      std::min(settings_.gang_wait_s * tuning_.gang_replacement_share, settings_.lease_s);
+  const auto action = gang_action(gang_standing(gang), patience_s);
   if (action != GangAction::complete) return action;
   // Whether it runs already is not known before all its machines were heard.
   const auto live = live_tasks(gang);
