--- a/tests/protocol_test.cpp
+++ b/tests/protocol_test.cpp
@@ -60,6 +60,16 @@
   EXPECT_TRUE(bad("hulls", Json::array({1})));
 }
 
+// A type that the cloud doesn't have takes no room in the record.
+TEST(Judgement, OnlyTypesOfTheCatalogueAreKept) {
+  MachineType g;
+  g.name = "g";
+  auto spec = *decode_job(job_message());
+  spec.types = {"gone", "g", "g"};
+  keep_known_types(spec, {g});
+  EXPECT_EQ(spec.types, std::vector<std::string>{"g"});
+}
+
 TEST(Body, OnlyWholeMapsAreTaken) {
   EXPECT_TRUE(decode_map("").is_null());
   EXPECT_TRUE(decode_map("\xff\x00").is_null());
@@ -85,6 +95,10 @@
   EXPECT_EQ(judge_job(other, s, {g}), Verdict::ok) << "of an array one task has to fit";
   other.kind = Kind::service;
   EXPECT_EQ(judge_job(other, s, {g}), Verdict::over_limit);
+  other.kind = Kind::gang;
+  EXPECT_EQ(judge_job(other, s, {g}), Verdict::over_limit) << "a gang runs whole or not at all";
+  other.tasks = 8;
+  EXPECT_EQ(judge_job(other, s, {g}), Verdict::ok);
 }
 
 TEST(Heartbeat, ComesBackAndBadFramesAreTold) {
--- a/tests/records_test.cpp
+++ b/tests/records_test.cpp
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include "coordination/version_registry.hpp"
 #include "storage/cache.hpp"
 #include "transport/event_http.hpp"
 
@@ -34,6 +35,10 @@
   EXPECT_TRUE(fits(encode_blocks(blocks)));
   std::vector<std::string> machines(machines_in_a_mark(kb), "i-000000000000000000");
   EXPECT_TRUE(fits({{"machines", machines}}));
+  EXPECT_TRUE(
+      fits({{"type", long_name(200)}, {"zone", long_name(200)}, {"spot", false}, {"count", 50}}));
+  EXPECT_TRUE(fits({{"s", "aborted"}, {"n", UINT64_MAX}}));
+  EXPECT_TRUE(fits({{"v", UINT64_MAX}}));
   EXPECT_LE(machines_in_a_mark(1000), 100u);
 }
 
@@ -130,6 +135,38 @@
   EXPECT_LT(limit.writes_per_s(), present);
 }
 
+TEST(RelayedExits, ComeBackFromTheirValue) {
+  RelayedExits r{
+      7, {{"i-1", {"run-1", 3}, 2, ExitCause::done}, {"i-2", {"run-2", 0}, 1, ExitCause::peers}}};
+  const auto back = decode_relayed_exits(encode_relayed_exits(r));
+  EXPECT_EQ(back.term, 7u);
+  EXPECT_EQ(back.exits, r.exits);
+  // A cause that a later version knows is an end all the same, but never a success.
+  auto later = encode_relayed_exits(r);
+  later["exits"][0][4] = 99;
+  EXPECT_EQ(decode_relayed_exits(later).exits[0].cause, ExitCause::stopped);
+}
+
+// What an older controller doesn't understand waits until every one has recorded the version.
+TEST(VersionRegistry, CountsEveryControllerOfTheSettings) {
+  EventLoop loop;
+  EventHttpClient http(loop);
+  StateClient state(loop, http, {"127.0.0.1", 1}, limits);
+  Cache cache(loop, state, 1, 0);
+  Settings settings;
+  settings.node_name = "n0";
+  settings.peers = {{"n1", "a", {}}, {"n2", "a", {}}};
+  VersionRegistry registry(loop, settings, state, cache);
+  EXPECT_FALSE(registry.all_have(VersionRegistry::gangs));
+  cache.apply({keys::version("n0"), {{"v", 1}}, 5, 0});
+  cache.apply({keys::version("n1"), {{"v", 1}}, 6, 0});
+  cache.apply({keys::version("stranger"), {{"v", 1}}, 7, 0});
+  EXPECT_FALSE(registry.all_have(VersionRegistry::gangs));
+  cache.apply({keys::version("n2"), {{"v", 2}}, 8, 0});
+  EXPECT_TRUE(registry.all_have(VersionRegistry::gangs));
+  EXPECT_FALSE(registry.all_have(2));
+}
+
 // A batch of marks is one record, and each of its machines is marked for good.
 TEST(Marks, OneRecordMarksManyMachines) {
   EventLoop loop;
