--- a/tests/world/meeting.cpp
+++ b/tests/world/meeting.cpp
@@ -224,6 +224,17 @@
     const auto key = text.substr(0, tab);
     if (key.find('/') == std::string::npos) continue;  // a message, no record
     state_->store(key, Json::parse(text.substr(tab + 1)));
+    if (key.starts_with(keys::chunks)) {
+      const auto chunk = parse_chunk_name(key.substr(keys::chunks.size()));
+      const auto record = decode_chunk(Json::parse(text.substr(tab + 1)));
+      // What was done before: below `next`, and neither live nor waiting.
+      std::set<uint32_t> open;
+      for (auto& t : record.live) open.insert(t.index);
+      for (auto& t : record.waiting) open.insert(t.index);
+      for (uint32_t i = 0; i < record.next; ++i)
+        if (!open.contains(i)) fleet_->judge().done({chunk->job, i});
+      continue;
+    }
     if (!key.starts_with(keys::jobs)) continue;
     const auto job = key.substr(keys::jobs.size());
     fleet_->judge().submitted(jobs_.at(job));
