Shares of the writes follow arrivals; users' writes go before placing

Cause: a guest's swarm brings 12.5 submissions a second. A controller's share of the writes followed its queue alone and so came only once users waited (some 0.25 s by the formula, and 429s); the leader counted tasks, not records, as wanted writes, so an array of thousands took the shares of the others; on the leader submissions went behind placing. Now: arrivals of the last report period count twice, the leader counts records, and users' writes go before placing.

--- a/src/coordination/holder.hpp
+++ b/src/coordination/holder.hpp
@@ -55,8 +55,8 @@
   // Messages to workers that may be under way at once.
   static int direct_sockets(const Settings& s) { return std::max(8, s.max_sockets / 16); }
   uint64_t waiting_tasks() const { return waiting_tasks_; }
-  // About what it would write at once if it could.
-  uint64_t waiting_writes() const { return holding() ? exits_.size() + uncommitted_starts_ : 0; }
+  // Records that it would write at once if it could.
+  uint64_t waiting_writes() const;
   // Machines that keep coming here although another node holds them.
   uint64_t misrouted_machines() const;
   void job_changed(Job* job);
@@ -309,7 +309,7 @@
   int sends_ = 0;
   std::vector<sizing::Demand> unplaced_;
   uint64_t waiting_tasks_ = 0;
-  size_t uncommitted_starts_ = 0;    // decided by the last pass and put off
+  size_t uncommitted_starts_ = 0;    // jobs whose starts the last pass decided and put off
   std::set<std::string> to_divide_;  // jobs
   struct Dividing {
     std::string job;
--- a/src/coordination/holder_cloud.cpp
+++ b/src/coordination/holder_cloud.cpp
@@ -461,7 +461,7 @@
   Txn txn;
   txn.writes.push_back({keys::rental(id), Json(), 0});
   auto writes = txn.writes;
-  auto removed = co_await p_.state.commit(std::move(txn), Importance::accepting);
+  auto removed = co_await p_.state.commit(std::move(txn), Importance::placing);
   if (removed.outcome != Outcome::committed) co_return;
   cache_.apply_writes(writes, removed.revision);
   answered_rentals_.erase(id);
--- a/src/coordination/holder_commit.cpp
+++ b/src/coordination/holder_commit.cpp
@@ -53,6 +53,23 @@
   co_return false;
 }
 
+// Tasks of one record share its write, so that an array of thousands wants few.
+uint64_t Holder::waiting_writes() const {
+  if (!holding()) return 0;
+  uint64_t records = 0;
+  std::string job;
+  uint32_t chunk = 0;
+  for (auto& [name, exit] : exits_) {
+    const Job* known = cache_.job(name.job);
+    const uint32_t of_task = known ? name.index / known->chunk_size : 0;
+    if (records > 0 && job == name.job && chunk == of_task) continue;
+    job = name.job;
+    chunk = of_task;
+    ++records;
+  }
+  return records + uncommitted_starts_;
+}
+
 Task<bool> Holder::commit_exits(std::stop_token token) {
   if (exits_.empty() || !records_current()) co_return false;
   ChunkEdits edits(cache_, limits());
@@ -266,7 +283,9 @@
     // A long run of starts must not hold up renewals, exits and what became more urgent meanwhile.
     if (loop_.now() - begun > settings_.report_s * starts_share) {
       place_again_ = true;
-      uncommitted_starts_ = planned.size() - next;
+      std::set<std::string> jobs;
+      for (size_t left = next; left < planned.size(); ++left) jobs.insert(planned[left].job);
+      uncommitted_starts_ = jobs.size();
       break;
     }
     ChunkEdits edits(cache_, limits());
--- a/src/coordination/node.cpp
+++ b/src/coordination/node.cpp
@@ -3,6 +3,7 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace damsonport {
 
@@ -118,7 +119,7 @@
   b.waiting = holder_.waiting_tasks();
   b.loaded = cache_.loaded();
   b.misrouted_machines = holder_.misrouted_machines();
-  b.writes = static_cast<uint64_t>(wanted_writes());
+  b.writes = static_cast<uint64_t>(std::ceil(wanted_writes()));
   b.term = holder_.term();
   return b;
 }
@@ -126,7 +127,7 @@
 // The leader writes nearly everything, and more when much fails at once: it counts as wanting half
 // of the limit always, and all of it where it isn't heard.
 double Node::wanted_writes() const {
-  const double wanted = static_cast<double>(api_.waiting_submissions());
+  const double wanted = api_.wanted_writes();
   if (!election_.leading()) return wanted;
   return wanted + settings_.state_limits.present().writes_per_s / 2 +
          static_cast<double>(holder_.waiting_writes());
--- a/src/coordination/user_api.cpp
+++ b/src/coordination/user_api.cpp
@@ -11,6 +11,8 @@
 constexpr double come_back_s = 1;
 constexpr double longest_wait_s = 1.5;  // users give up after 5 s
 constexpr double latest_return_s = 8;   // they come back for a minute in all
+// Writes wanted for each one that arrives: users come in bunches.
+constexpr double arrival_headroom = 2;
 }  // namespace
 
 template <class T>
@@ -36,7 +38,14 @@
       catalog_(catalog),
       versions_(versions),
       submitted_(loop),
-      asked_(loop) {}
+      asked_(loop),
+      write_arrivals_(settings.report_s) {}
+
+// By the queue alone a controller would get its share only once its users wait.
+double UserApi::wanted_writes() const {
+  return static_cast<double>(submissions_.size() + refused_) +
+         arrival_headroom * write_arrivals_.at(loop_.now());
+}
 
 HttpResponse UserApi::busy() const { return {503, {}, come_back_s}; }
 
@@ -172,6 +181,7 @@
   }
   // An older controller would run a gang's tasks one by one.
   if (spec->kind == Kind::gang && !versions_.all_have(VersionRegistry::gangs)) co_return busy();
+  write_arrivals_.note(loop_.now());
   // Nobody is held beyond what can be written soon; whoever comes later is told when to come back.
   const double rate = state_.limit().writes_per_s();
   if (static_cast<double>(submissions_.size()) >= std::max(rate * longest_wait_s, 1.0)) {
@@ -284,6 +294,7 @@
       cache_.apply(record.item);
       co_return HttpResponse{200, encode_job_status(id, "aborted"), 0};
     }
+    write_arrivals_.note(loop_.now());
     Txn txn;
     txn.conditions[keys::job(id)] = record.item.version;
     record.item.value[fields::cancelled] = 1;
--- a/src/coordination/user_api.hpp
+++ b/src/coordination/user_api.hpp
@@ -2,6 +2,7 @@
 #pragma once
 #include <deque>
 
+#include "coordination/arrival_rate.hpp"
 #include "coordination/catalog.hpp"
 #include "coordination/version_registry.hpp"
 #include "storage/cache.hpp"
@@ -14,8 +15,9 @@
           const VersionRegistry& versions);
   Task<void> accept_duty(std::stop_token token);
   Task<void> confirm_duty(std::stop_token token);
-  // Submissions that wait, or that were told to come back a moment ago.
-  size_t waiting_submissions() const { return submissions_.size() + refused_; }
+  // Writes that users ask for: those that wait, those told to come back a moment ago, and what is
+  // likely to arrive in the next second.
+  double wanted_writes() const;
   void forget_refused() { refused_ = std::exchange(refused_lately_, 0); }
   Task<HttpResponse> submit(std::string body);
   Task<HttpResponse> poll(std::string id);
@@ -49,6 +51,7 @@
   const VersionRegistry& versions_;
   Signal submitted_, asked_;
   std::deque<Submission*> submissions_;
+  ArrivalRate write_arrivals_;  // submissions and cancellations that need a write
   size_t refused_ = 0, refused_lately_ = 0;
   std::deque<Question*> questions_;
 };
--- a/tests/records_test.cpp
+++ b/tests/records_test.cpp
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include "coordination/arrival_rate.hpp"
 #include "coordination/version_registry.hpp"
 #include "storage/cache.hpp"
 #include "transport/event_http.hpp"
@@ -100,6 +101,19 @@
   EXPECT_GT(write_share(5, 0, 1000), 0);  // but nobody is left without
 }
 
+// A guest's swarm of small jobs, 12.5 a second over five controllers, beside a leader that is busy:
+// by their queues alone the others would get their shares only while users wait.
+TEST(WriteShare, HasRoomForWhatArrivesBeforeAnybodyWaits) {
+  constexpr double writes_per_s = 46, arrivals_per_s = 2.5, leader_wants = 25;
+  ArrivalRate rate(1.5);
+  double now = 0;
+  for (; now < 6; now += 1 / arrivals_per_s) rate.note(now);
+  EXPECT_NEAR(rate.at(now), arrivals_per_s, 0.5);
+  const double wanted = 2 * rate.at(now);
+  EXPECT_GT(write_share(5, wanted, leader_wants + 3 * wanted) * writes_per_s, arrivals_per_s);
+  EXPECT_LT(rate.at(now + 10), 0.01);  // and it gives the share back
+}
+
 const StateLimits hundred_a_second{100, 100, 16, 12};
 const StateLimitSettings limits{hundred_a_second, hundred_a_second};
 
