Cheap batch gives way beside an image where a fetch would make an urgent start late

Cause: a start went to whatever machine had room, with a fetch of 14 s for dzintars, while machines that held the image were full of a guest's batch that saves in 4 s. Now: an urgent start whose fetch would miss what its class expects with a chance over a quarter looks for work that costs less to stop than the fetch and the miss, beside its image; later passes wait for that room.

--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -8,6 +8,11 @@
 
 namespace damsonport::placing {
 
+namespace {
+// A start that is late with a lower chance than this isn't worth a stop.
+constexpr double bearable_miss_chance = 0.25;
+}  // namespace
+
 PlacementPass::PlacementPass(const Input& in)
     : in_(in),
       future_(in.machines.size()),
@@ -172,7 +177,7 @@
   uint32_t coming = 0;
   if (!team_allows(j)) return;
   if (!known_full(job)) {
-    left -= start_what_fits(j, left);
+    left -= start_what_fits(j, left, coming);
     if (left > 0 && team_allows(j)) note_full(job);
   }
   uint32_t patient = 0;
@@ -195,7 +200,7 @@
   note_unplaced(j, patient, coming);
 }
 
-uint32_t PlacementPass::start_what_fits(size_t j, uint32_t most) {
+uint32_t PlacementPass::start_what_fits(size_t j, uint32_t most, uint32_t& coming) {
   auto& job = in_.jobs[j];
   struct Candidate {
     double cost;
@@ -211,7 +216,18 @@
     if (job.need.fits(free_[m]) && allowed(j, m)) heap.push_back({cost(j, m, free_[m]), m});
   std::make_heap(heap.begin(), heap.end());
   uint32_t started = 0;
+  const bool hurries = job.priority >= urgent_priority && job.start_within_s > 0;
+  bool beside_image = hurries;  // as long as something cheap enough is found
   while (started < most && !heap.empty() && team_allows(j)) {
+    const double fetch = image_delay(job, in_.machines[heap.front().machine]);
+    if (beside_image && miss_chance(fetch, job.start_within_s) > bearable_miss_chance) {
+      beside_image = make_room_beside_image(j, heap.front().cost);
+      if (beside_image) {
+        ++started;
+        ++coming;
+        continue;
+      }
+    }
     std::pop_heap(heap.begin(), heap.end());
     const size_t m = heap.back().machine;
     heap.pop_back();
@@ -260,13 +276,14 @@
   ++replicas_[m];
 }
 
-bool PlacementPass::claim_coming(size_t j) {
+bool PlacementPass::claim_coming(size_t j, bool beside_image) {
   out_.examined += coming_.size();
   auto& need = in_.jobs[j].need;
   double best = never;
   size_t where = 0;
   for (size_t m : coming_) {
     if (!has_room(future_[m])) continue;
+    if (beside_image && !holds(in_.machines[m], in_.jobs[j].image)) continue;
     Amounts both = free_[m];
     both += future_[m];
     if (!need.fits(both) || !allowed(j, m)) continue;
--- a/src/coordination/placement_pass.hpp
+++ b/src/coordination/placement_pass.hpp
@@ -89,7 +89,8 @@
 
   // The machines are judged once for the whole job: what one start changes is the judgement of its
   // own machine, and of those that the job's zones then rule out.
-  uint32_t start_what_fits(size_t j, uint32_t most);
+  // `coming` grows by those for which room is being made instead.
+  uint32_t start_what_fits(size_t j, uint32_t most, uint32_t& coming);
 
   // Free room only shrinks during a pass, so where a task found none, no task that needs at least
   // as much under the same rules does: under overload the like are decided as a class. Jobs bound
@@ -128,7 +129,7 @@
 
   void occupy(size_t j, size_t m);
 
-  bool claim_coming(size_t j);
+  bool claim_coming(size_t j, bool beside_image = false);
 
   bool claim_booting(size_t j);
 
@@ -157,7 +158,21 @@
   // and may stop no more.
   bool known_hopeless(size_t j, bool also_standing) const;
 
+  // Tasks to be stopped on one machine so that the job's next one has room there, and what that
+  // costs.
+  struct Eviction {
+    double cost = never;
+    size_t machine = nowhere;
+    std::vector<size_t> live;  // places in the machine's list
+  };
+  Eviction cheapest_eviction(size_t j, bool also_standing);
+  // The cheapest on this machine; its cost is `never` where nothing is to be stopped.
+  Eviction eviction_on(size_t j, size_t m, bool also_standing) const;
+  void evict(size_t j, const Eviction& eviction);
   bool make_room(size_t j, bool also_standing);
+  // Where a fetch would likely make the start late: stops cheaper work, if any, on a machine that
+  // holds the image. `cost`: of starting on the best machine that has room.
+  bool make_room_beside_image(size_t j, double cost);
   void stop_task(size_t m, size_t live, double grace_s);
   // Stops every task of a gang at once: one alone could not save.
   void stop_gang(size_t victim_job);
--- a/src/coordination/placement_preemption.cpp
+++ b/src/coordination/placement_preemption.cpp
@@ -82,59 +82,92 @@
   });
 }
 
-bool PlacementPass::make_room(size_t j, bool also_standing) {
-  if (known_hopeless(j, also_standing)) return false;
+PlacementPass::Eviction PlacementPass::eviction_on(size_t j, size_t m, bool also_standing) const {
   auto& job = in_.jobs[j];
-  double best = never;
-  size_t where = 0;
-  std::vector<size_t> best_set, victims, set;
+  auto& live = in_.machines[m].live;
+  std::vector<size_t> victims;
+  for (size_t i = 0; i < live.size(); ++i)
+    if (may_stop(j, live[i]) && (also_standing || !standing(in_.jobs[live[i].job])) &&
+        !contains(stopped_[m], i))
+      victims.push_back(i);
+  auto lost = [&](size_t i) { return loss(live[i], abruptly(j, m, live[i])); };
+  std::sort(victims.begin(), victims.end(), [&](size_t a, size_t b) { return lost(a) < lost(b); });
+  Amounts room = free_[m];
+  room += future_[m];
+  Eviction eviction{image_delay(job, in_.machines[m]), m, {}};
+  for (size_t i : victims) {
+    if (job.need.fits(room)) break;
+    auto& need = in_.jobs[live[i].job].need;
+    const bool helps = (need.gpus > 0 && job.need.gpus > room.gpus) ||
+                       (need.cpus > 0 && job.need.cpus > room.cpus) ||
+                       (need.memory_gb > 0 && job.need.memory_gb > room.memory_gb);
+    if (!helps) continue;
+    room += need;
+    eviction.cost += lost(i);
+    eviction.live.push_back(i);
+  }
+  if (eviction.live.empty() || !job.need.fits(room)) eviction.cost = never;
+  return eviction;
+}
+
+PlacementPass::Eviction PlacementPass::cheapest_eviction(size_t j, bool also_standing) {
+  Eviction best;
   for (size_t m = 0; m < in_.machines.size(); ++m) {
     if (least_urgent_[m] >= urgency_[j]) continue;
     ++out_.examined;
     if (!allowed(j, m)) continue;
-    auto& live = in_.machines[m].live;
-    victims.clear();
-    for (size_t i = 0; i < live.size(); ++i)
-      if (may_stop(j, live[i]) && (also_standing || !standing(in_.jobs[live[i].job])) &&
-          !contains(stopped_[m], i))
-        victims.push_back(i);
-    auto lost = [&](size_t i) { return loss(live[i], abruptly(j, m, live[i])); };
-    std::sort(victims.begin(), victims.end(),
-              [&](size_t a, size_t b) { return lost(a) < lost(b); });
-    Amounts room = free_[m];
-    room += future_[m];
-    set.clear();
-    double c = image_delay(job, in_.machines[m]);
-    for (size_t i : victims) {
-      if (job.need.fits(room)) break;
-      auto& need = in_.jobs[live[i].job].need;
-      bool helps = (need.gpus > 0 && job.need.gpus > room.gpus) ||
-                   (need.cpus > 0 && job.need.cpus > room.cpus) ||
-                   (need.memory_gb > 0 && job.need.memory_gb > room.memory_gb);
-      if (!helps) continue;
-      room += need;
-      c += lost(i);
-      set.push_back(i);
-    }
-    if (!set.empty() && job.need.fits(room) && c < best) best = c, where = m, best_set = set;
+    auto eviction = eviction_on(j, m, also_standing);
+    if (eviction.cost < best.cost) best = std::move(eviction);
   }
-  if (best == never) {
-    if (speaks_for_others(job)) hopeless_[also_standing].push_back(j);
-    return false;
-  }
-  auto& live = in_.machines[where].live;
-  for (size_t i : best_set) {
+  return best;
+}
+
+void PlacementPass::evict(size_t j, const Eviction& eviction) {
+  const size_t m = eviction.machine;
+  auto& live = in_.machines[m].live;
+  for (size_t i : eviction.live) {
     const size_t victim = live[i].job;
-    if (contains(stopped_[where], i)) continue;  // with another task of its gang
+    if (contains(stopped_[m], i)) continue;  // with another task of its gang
     if (in_.jobs[victim].gang) {
       stop_gang(victim);
     } else {
-      stop_task(where, i, abruptly(j, where, live[i]) ? 0 : in_.jobs[victim].grace_s);
+      stop_task(m, i, abruptly(j, m, live[i]) ? 0 : in_.jobs[victim].grace_s);
     }
   }
-  take_future(j, where);
-  coming_.push_back(where);
+  take_future(j, m);
+  coming_.push_back(m);
   for (auto& known : hopeless_) known.clear();  // more may be coming now than this job takes
+}
+
+bool PlacementPass::make_room(size_t j, bool also_standing) {
+  if (known_hopeless(j, also_standing)) return false;
+  const Eviction best = cheapest_eviction(j, also_standing);
+  if (best.cost == never) {
+    if (speaks_for_others(in_.jobs[j])) hopeless_[also_standing].push_back(j);
+    return false;
+  }
+  evict(j, best);
+  return true;
+}
+
+bool PlacementPass::make_room_beside_image(size_t j, double cost) {
+  // Also what an earlier pass decided: it would else start elsewhere meanwhile, with a fetch.
+  if (claim_coming(j, true)) return true;
+  auto& job = in_.jobs[j];
+  Eviction best;
+  best.cost = cost;
+  for (size_t m = 0; m < in_.machines.size(); ++m) {
+    if (least_urgent_[m] >= urgency_[j] || !holds(in_.machines[m], job.image)) continue;
+    ++out_.examined;
+    if (!allowed(j, m)) continue;
+    auto eviction = eviction_on(j, m, false);
+    const bool stops_a_gang =
+        std::any_of(eviction.live.begin(), eviction.live.end(),
+                    [&](size_t i) { return in_.jobs[in_.machines[m].live[i].job].gang; });
+    if (!stops_a_gang && eviction.cost < best.cost) best = std::move(eviction);
+  }
+  if (best.machine == nowhere) return false;
+  evict(j, best);
   return true;
 }
 
