Failures are weighed between machine and job; stalls, late boots and jobs at fault in the simulation

A job at fault was found out only after three machines and came back with all its tasks at each try. Now one pure module holds the evidence: a machine is blamed only by jobs that work elsewhere or have failed nowhere else yet, blame is taken back when a job fails elsewhere, at most a quarter of the fleet is drained for failures at a time. A job at fault is tried one task at a time, behind all others, and nothing is stopped, awaited or rented for it.

--- /dev/null
+++ b/src/coordination/failure_evidence.hpp
@@ -0,0 +1,47 @@
+// Whether tasks fail because of their machine or because of their job. Pure.
+#pragma once
+#include <map>
+#include <set>
+#include <string>
+
+namespace damsonport {
+
+// Evidence is weighed both ways: a machine is at fault on which different jobs fail that work
+// elsewhere, or that have failed nowhere else yet; a job is at fault that has failed on several
+// machines and worked on none. What is learned of a job later changes what its failures say of the
+// machines, so every verdict is worked out when it is asked for.
+class FailureEvidence {
+ public:
+  void failed(const std::string& job, const std::string& machine, double now);
+  // A task of the job, running since `started`, was done there or ran for longer than a failing one
+  // does. It speaks for the machine only if it began after the failures there.
+  void worked(const std::string& job, const std::string& machine, double started);
+  // Known from the records of an earlier holder: started often, and nothing came of it.
+  void suspect(const std::string& job);
+
+  bool job_at_fault(const std::string& job) const;
+  bool machine_at_fault(const std::string& machine) const;
+
+  // Something has failed that is still remembered.
+  bool any() const { return !jobs_.empty(); }
+
+  void forget_job(const std::string& job);
+  void forget_machine(const std::string& machine);
+  void clear();
+
+ private:
+  struct JobRecord {
+    std::set<std::string> failed_on;
+    bool worked = false, suspected = false;
+  };
+  bool blames_machine(const std::string& job) const;
+  std::map<std::string, JobRecord> jobs_;
+  // Since something last worked there.
+  struct MachineRecord {
+    std::set<std::string> failed_jobs;
+    double last_failure = 0;
+  };
+  std::map<std::string, MachineRecord> machines_;
+};
+
+}  // namespace damsonport
--- a/src/coordination/fleet.hpp
+++ b/src/coordination/fleet.hpp
@@ -58,8 +58,8 @@
   bool replacement_asked = false;
   bool replaces = false;                      // it came for one such
   std::map<std::string, double> failed_jobs;  // jobs whose tasks ended in error here, and when
-  int errors_in_row = 0;
-  bool draining = false;  // takes no new tasks
+  bool draining = false;                      // takes no new tasks
+  bool drained_for_failures = false;
   std::string drain_why;
   int lost_sessions = 0;
   double idle_since = 0;
--- a/src/coordination/holder.cpp
+++ b/src/coordination/holder.cpp
@@ -77,6 +77,7 @@
   renting_.clear();
   answered_rentals_.clear();
   hints_.clear();
+  failures_.clear();
   place_again_ = true;
   next_list_ = 0;
   next_sizing_ = took_over_at_ + 2 * settings_.report_s;
@@ -89,6 +90,7 @@
   for (auto& [id, job] : cache_.jobs()) {
     if (is_cancelled(*job)) cancelled_.insert(id);
     if (is_over(*job)) over_.insert(id);
+    if (failed_before(*job)) failures_.suspect(id);
     dirty_jobs_.insert(job.get());
   }
   spdlog::info("holding the grant with term {}: {} machines named in records, {} jobs", term_,
@@ -165,6 +167,7 @@
     job_slots_.erase(slot);
   }
   hints_.erase(job->spec.id);
+  failures_.forget_job(job->spec.id);
   held_back_.erase(job->spec.id);
   over_.erase(job->spec.id);
   cancelled_.erase(job->spec.id);
@@ -215,6 +218,7 @@
     watch_silence();
     watch_cancelled();
     watch_stragglers();
+    review_failures();
     watch_drains();
     review_gangs();
     // What changes with time alone: pauses that are over, machines in doubt.
--- a/src/coordination/holder.hpp
+++ b/src/coordination/holder.hpp
@@ -11,6 +11,7 @@
 #include "coordination/chunk_edits.hpp"
 #include "coordination/election.hpp"
 #include "coordination/exit_relay.hpp"
+#include "coordination/failure_evidence.hpp"
 #include "coordination/fleet.hpp"
 #include "coordination/gangs.hpp"
 #include "coordination/mesh.hpp"
@@ -86,8 +87,7 @@
   };
   struct JobHints {
     double backoff_until = 0;
-    int errors = 0;
-    std::set<std::string> error_machines;
+    int errors = 0;  // tasks that failed
     RunTimes run_times;
     GangHints gang;
   };
@@ -214,9 +214,15 @@
   void process_report(Machine& m, const Report& r, bool direct, std::vector<Command>& commands);
   std::vector<Expected> expected_on(const Machine& m) const;
   void note_states(Machine& m);
+  void note_running(Machine& m, const TaskName& task, uint64_t attempt);
   void recall_images(Machine& m);
   void finish_exit(const PendingExit& exit, const TaskName& task);
   void note_error(Machine& m, const JobSpec& spec);
+  // Drains the machines at fault, a bounded share of the fleet at a time, and takes back those for
+  // which the blame has gone to a job.
+  void review_failures();
+  // A job whose tasks were started again and again by earlier holders and of which nothing is done.
+  static bool failed_before(const Job& job);
   void order(Machine& m, Command command);
   void flush(const std::string& id);
   void start_sends();
@@ -286,6 +292,7 @@
 
   std::map<std::string, Machine> machines_;
   std::unordered_map<std::string, JobHints> hints_;
+  FailureEvidence failures_;
   std::map<TaskName, std::map<uint64_t, Attempt>> attempts_;
   std::map<TaskName, PendingExit> exits_;
   std::map<TaskName, Stopping> stopping_;
--- a/src/coordination/holder_cloud.cpp
+++ b/src/coordination/holder_cloud.cpp
@@ -292,7 +292,7 @@
   in.demand = unplaced_;
   for (auto& [id, job] : cache_.jobs()) {
     auto& spec = job->spec;
-    if (!spec.spot || job->cancelled) continue;
+    if (!spec.spot || job->cancelled || failures_.job_at_fault(id)) continue;
     in.spot_work.push_back(
         {{spec.cpus, spec.gpus, spec.memory_gb},
          static_cast<uint32_t>(std::min<uint64_t>(spec.tasks - job->done, team_limit(spec))),
--- a/src/coordination/holder_machines.cpp
+++ b/src/coordination/holder_machines.cpp
@@ -7,6 +7,10 @@
 
 namespace damsonport {
 
+namespace {
+constexpr uint64_t attempts_in_vain = 3;  // of one task, in the records: its job is suspected
+}  // namespace
+
 Machine& Holder::machine(const std::string& id) {
   auto [it, fresh] = machines_.try_emplace(id);
   if (fresh) {
@@ -181,16 +185,27 @@
     const bool ran = t.state == TaskState::running || t.state == TaskState::saving;
     if (ran && s.kind == Kind::gang)
       if (auto& gang = gang_hints(*job); gang.attempt == t.attempt) gang.ran = true;
-    if (t.state == TaskState::running)
-      if (auto a = attempts_.find(name); a != attempts_.end())
-        if (auto i = a->second.find(t.attempt); i != a->second.end() && !i->second.running_at) {
-          i->second.running_at = now;
-          spdlog::debug("{} attempt {} runs on {}", name.text(), t.attempt, m.id);
-        }
+    if (t.state == TaskState::running) note_running(m, name, t.attempt);
   }
   if (!m.tasks.empty()) m.idle_since = now;
 }
 
+void Holder::note_running(Machine& m, const TaskName& task, uint64_t attempt) {
+  const double now = loop_.now();
+  auto attempts = attempts_.find(task);
+  if (attempts == attempts_.end()) return;
+  auto it = attempts->second.find(attempt);
+  if (it == attempts->second.end()) return;
+  double& running_at = it->second.running_at;
+  if (running_at == 0) {
+    running_at = now;
+    spdlog::debug("{} attempt {} runs on {}", task.text(), attempt, m.id);
+  } else if (now - running_at > settings_.report_s && failures_.any()) {
+    // What is at fault fails at its start.
+    failures_.worked(task.job, m.id, running_at);
+  }
+}
+
 // After the exit is in the records: what it teaches about the machine and the job.
 void Holder::finish_exit(const PendingExit& exit, const TaskName& task) {
   const double now = loop_.now();
@@ -212,7 +227,7 @@
   auto& hints = hints_[task.job];
   switch (exit.cause) {
     case ExitCause::done: {
-      m.errors_in_row = 0;
+      failures_.worked(task.job, m.id, seen.running_at);
       if (!seen.image_cached || seen.ordered_at == 0) break;
       // A gang's tasks all take the time of its slowest machine: their median says nothing of any.
       if (job->spec.kind == Kind::gang) break;
@@ -227,6 +242,7 @@
     }
     case ExitCause::error:
       note_error(m, job->spec);
+      review_failures();
       break;
     case ExitCause::no_room:
     case ExitCause::busy:
@@ -241,28 +257,54 @@
   }
 }
 
-// A machine on which different jobs fail is sick; a job that fails on several machines is itself at
-// fault, and blames none of them.
 void Holder::note_error(Machine& m, const JobSpec& spec) {
   auto& hints = hints_[spec.id];
-  hints.error_machines.insert(m.id);
   ++hints.errors;
-  const bool job_at_fault = hints.error_machines.size() >= 3;
-  if (job_at_fault)
-    hints.backoff_until =
-        loop_.now() +
-        std::min(settings_.report_s * (1 << std::min(hints.errors, 6)), settings_.lease_s * 2);
+  failures_.failed(spec.id, m.id, loop_.now());
+  const bool job_at_fault = failures_.job_at_fault(spec.id);
   spdlog::info("a task of {} failed on {}{}", spec.id, m.id,
                job_at_fault ? "; it fails everywhere" : "");
-  if (job_at_fault) return;
-  m.failed_jobs[spec.id] = loop_.now();
-  ++m.errors_in_row;
-  if (m.failed_jobs.size() >= 2 && m.errors_in_row >= 2 && !m.draining) {
-    spdlog::warn("{} fails the tasks of different jobs: it takes no more", m.id);
+  if (!job_at_fault) {
+    m.failed_jobs[spec.id] = loop_.now();
+    return;
+  }
+  constexpr int most_doublings = 6;
+  constexpr double longest_backoff_leases = 2;
+  const double backoff_s = settings_.report_s * (1 << std::min(hints.errors, most_doublings));
+  hints.backoff_until =
+      loop_.now() + std::min(backoff_s, settings_.lease_s * longest_backoff_leases);
+}
+
+void Holder::review_failures() {
+  constexpr double most_drained_share = 0.25;
+  size_t drained = 0;
+  for (auto& [id, m] : machines_) {
+    if (m.drained_for_failures && !to_return_.contains(id) && !failures_.machine_at_fault(id)) {
+      spdlog::info("{} takes tasks again: the jobs that failed on it are at fault", id);
+      m.drained_for_failures = m.draining = false;
+      dirty_machines_.insert(id);
+    }
+    drained += m.drained_for_failures;
+  }
+  const auto most = static_cast<size_t>(
+      std::max(1.0, most_drained_share * static_cast<double>(machines_.size())));
+  for (auto& [id, m] : machines_) {
+    if (drained >= most) return;
+    if (m.draining || !failures_.machine_at_fault(id)) continue;
+    spdlog::warn("{} fails the tasks of different jobs: it takes no more", id);
+    m.drained_for_failures = true;
     drain(m, "sick");
+    ++drained;
   }
 }
 
+bool Holder::failed_before(const Job& job) {
+  if (job.live > 0 || job.done > 0) return false;
+  return std::any_of(job.chunks.begin(), job.chunks.end(), [](auto& chunk) {
+    return chunk.second.record.last_attempt() >= attempts_in_vain;
+  });
+}
+
 void Holder::order(Machine& m, Command command) {
   m.outbox.push_back(std::move(command));
   flush(m.id);
--- a/src/coordination/holder_view.cpp
+++ b/src/coordination/holder_view.cpp
@@ -1,4 +1,5 @@
 // What placement sees of jobs and machines, kept up to date by what changed.
+#include <algorithm>
 #include <limits>
 
 #include "coordination/holder.hpp"
@@ -74,9 +75,13 @@
   auto hint = hints_.find(s.id);
   const bool held_back = hint != hints_.end() && hint->second.backoff_until > loop_.now();
   if (held_back) held_back_.insert(s.id);
+  v.at_fault = failures_.job_at_fault(s.id);
+  if (v.at_fault) held_back_.insert(s.id);  // looked at again until it works
   v.waiting = v.cancelled || held_back ? 0
               : v.gang                 ? startable_gang_tasks(job)
                                        : static_cast<uint32_t>(job.unstarted());
+  // One task finds out whether it still fails.
+  if (v.at_fault && !v.gang) v.waiting = job.live == 0 ? std::min(v.waiting, 1U) : 0;
 }
 
 void Holder::refresh_machine(Machine& m) {
@@ -121,6 +126,7 @@
 
 void Holder::forget_machine(const std::string& id) {
   given_up_.erase(id);
+  failures_.forget_machine(id);
   auto it = machines_.find(id);
   if (it == machines_.end()) return;
   if (it->second.slot) {
--- /dev/null
+++ b/tests/failure_evidence_test.cpp
@@ -0,0 +1,75 @@
+#include "coordination/failure_evidence.hpp"
+
+#include <gtest/gtest.h>
+
+namespace damsonport {
+namespace {
+
+TEST(FailureEvidence, TwoSoundJobsThatFailOnAMachineAreItsFault) {
+  FailureEvidence evidence;
+  evidence.failed("run-1", "i-1", 1);
+  EXPECT_FALSE(evidence.machine_at_fault("i-1"));
+  evidence.failed("run-1", "i-1", 2);
+  EXPECT_FALSE(evidence.machine_at_fault("i-1"));  // one job is not enough
+  evidence.failed("run-2", "i-1", 3);
+  EXPECT_TRUE(evidence.machine_at_fault("i-1"));
+}
+
+// As on the operators' day: two jobs submitted with a mistake meet on a sound machine.
+TEST(FailureEvidence, JobsThatFailElsewhereTooDontBlameAMachine) {
+  FailureEvidence evidence;
+  evidence.failed("run-1", "i-1", 1);
+  evidence.failed("run-1", "i-2", 2);
+  evidence.failed("run-2", "i-2", 2);
+  EXPECT_FALSE(evidence.machine_at_fault("i-2"));
+  evidence.failed("run-1", "i-3", 3);
+  EXPECT_TRUE(evidence.job_at_fault("run-1"));
+}
+
+TEST(FailureEvidence, BlameIsTakenBackOnceAJobFailsElsewhere) {
+  FailureEvidence evidence;
+  evidence.failed("run-1", "i-1", 1);
+  evidence.failed("run-2", "i-1", 1);
+  EXPECT_TRUE(evidence.machine_at_fault("i-1"));
+  evidence.failed("run-2", "i-2", 9);
+  EXPECT_FALSE(evidence.machine_at_fault("i-1"));
+}
+
+TEST(FailureEvidence, AJobThatWorksElsewhereBlamesAllMachinesItFailsOn) {
+  FailureEvidence evidence;
+  for (auto* machine : {"i-1", "i-2", "i-3"}) {
+    evidence.failed("run-1", machine, 1);
+    evidence.failed("run-2", machine, 1);
+  }
+  EXPECT_TRUE(evidence.job_at_fault("run-1"));
+  EXPECT_FALSE(evidence.machine_at_fault("i-1"));
+  evidence.worked("run-1", "i-4", 2);
+  evidence.worked("run-2", "i-4", 2);
+  EXPECT_FALSE(evidence.job_at_fault("run-1"));
+  EXPECT_TRUE(evidence.machine_at_fault("i-1"));
+}
+
+TEST(FailureEvidence, OnlyWhatBeganAfterTheFailuresSpeaksForAMachine) {
+  FailureEvidence evidence;
+  evidence.failed("run-1", "i-1", 10);
+  evidence.failed("run-2", "i-1", 11);
+  evidence.worked("run-3", "i-1", 5);  // has run there since long before
+  EXPECT_TRUE(evidence.machine_at_fault("i-1"));
+  evidence.worked("run-3", "i-1", 12);
+  EXPECT_FALSE(evidence.machine_at_fault("i-1"));
+}
+
+TEST(FailureEvidence, ASuspectFromTheRecordsIsAtFaultUntilItWorks) {
+  FailureEvidence evidence;
+  evidence.suspect("run-1");
+  EXPECT_TRUE(evidence.job_at_fault("run-1"));
+  evidence.failed("run-1", "i-1", 1);
+  EXPECT_FALSE(evidence.machine_at_fault("i-1"));
+  evidence.worked("run-1", "i-2", 2);
+  EXPECT_FALSE(evidence.job_at_fault("run-1"));
+  evidence.forget_job("run-1");
+  EXPECT_FALSE(evidence.any());
+}
+
+}  // namespace
+}  // namespace damsonport
--- a/tests/world/fleet.cpp
+++ b/tests/world/fleet.cpp
@@ -236,7 +236,8 @@
   Running& t = tasks_.at(a);
   auto& spec = *fleet_.judge_.spec(a.first.job);
   images_.insert(spec.image);
-  if (sick) return exit(t, ExitCause::error);
+  ++fleet_.starts_[a.first.job];
+  if (sick || fleet_.broken_jobs_.contains(a.first.job)) return exit(t, ExitCause::error);
   if (fleet_.judge_.is_done(a.first)) return exit(t, ExitCause::done);
   fleet_.judge_.starts(id, a.first);
   if (spec.kind == Kind::gang) return wait_for_gang(a);
@@ -445,6 +446,7 @@
     double boot = boot_s_;
     for (auto& t : types)
       if (t.name == w.type && boot == 0) boot = t.boot_s;
+    if (boot < 0) continue;  // stays `starting`
     world_.in(boot, [this, id = w.id] {
       if (auto* up = find(id)) {
         machines_.at(id).up = true;
--- a/tests/world/fleet.hpp
+++ b/tests/world/fleet.hpp
@@ -127,7 +127,14 @@
   GangRuns& gangs() { return gangs_; }
   const GangRuns& gangs() const { return gangs_; }
   void set_capacity(int machines) { capacity_ = machines; }
+  static constexpr double never_boots = -1;
   void set_boot(double seconds) { boot_s_ = seconds; }
+  void set_broken(std::set<std::string> jobs) { broken_jobs_ = std::move(jobs); }
+  // Starts of the job's tasks that got as far as their image, failed ones too.
+  int starts(const std::string& job) const {
+    auto it = starts_.find(job);
+    return it == starts_.end() ? 0 : it->second;
+  }
 
   const Settings& settings;
   const std::vector<MachineType> types;
@@ -157,6 +164,8 @@
   std::vector<std::pair<double, Json>> lists_;
   int next_id_ = 1, capacity_ = 0;
   double boot_s_ = 0;  // 0: as the catalogue says
+  std::set<std::string> broken_jobs_;
+  std::map<std::string, int> starts_;
 };
 
 }  // namespace damsonport::world
--- a/tests/world/meeting.cpp
+++ b/tests/world/meeting.cpp
@@ -138,6 +138,7 @@
       s.image = str(w, "image", "img"), s.image_gb = num(w, "gb", 1);
       s.checkpoint_s = num(w, "checkpoint"), s.save_s = num(w, "save");
       run_s_[id] = num(w, "run", 60);
+      if (w.contains("broken")) broken_jobs_.insert(id);
       s.estimate_s = s.kind == Kind::service ? 0 : run_s_[id];
       jobs_[id] = s;
     }
@@ -192,6 +193,7 @@
   fleet_ = std::make_unique<Fleet>(world_, settings_, types_, nodes);
   fleet_->set_capacity(capacity_);
   fleet_->set_boot(boot_s_);
+  fleet_->set_broken(broken_jobs_);
   for (auto& [job, seconds] : run_s_) fleet_->set_run_time(job, seconds);
   for (auto& s : at_start_) {
     auto& w = fleet_->add_up(s.type, s.zone, s.spot);
@@ -390,6 +392,12 @@
     world_.in(for_s, [this] { state_->set_delay(0.004); });
   } else if (h.verb == "crash") {
     for (auto* c : controllers(h.name)) crash(*c, num(w, "for", 6));
+  } else if (h.verb == "stall") {  // stall NODES for=S: their clocks run on
+    for (auto* c : controllers(h.name))
+      if (c->loop) c->loop->stall(for_s);
+  } else if (h.verb == "boots") {  // boots quick|late|never for=S [in=S]: of machines rented then
+    fleet_->set_boot(h.name == "never" ? Fleet::never_boots : num(w, "in"));
+    world_.in(for_s, [this] { fleet_->set_boot(boot_s_); });
   } else if (h.verb == "cut") {
     cut(h.name, str(w, "from"), w);
   } else if (h.verb == "hang") {
@@ -431,16 +439,31 @@
     }
 }
 
+namespace {
+// "3" or "3..5"
+std::pair<int, int> range(const std::string& text) {
+  const auto dots = text.find("..");
+  const int least = std::stoi(text);
+  return {least, dots == std::string::npos ? least : std::stoi(text.substr(dots + 2))};
+}
+}  // namespace
+
 std::string Meeting::unmet(const Happening& h) {
   const auto what = h.verb.substr(7);
   std::string out;
   auto complain = [&](const std::string& text) { out += what + " " + text + "; "; };
   if (what == "returned") {  // N, or FROM..TO
-    const auto dots = h.name.find("..");
-    const int least = std::stoi(h.name),
-              most = dots == std::string::npos ? least : std::stoi(h.name.substr(dots + 2));
+    const auto [least, most] = range(h.name);
     if (fleet_->returned < least || fleet_->returned > most)
       complain(h.name + ", but " + std::to_string(fleet_->returned) + " are returned");
+  } else if (what == "starts") {  // expect starts run-1 most=N
+    for (auto& id : jobs(h.name))
+      if (const int starts = fleet_->starts(id); starts > static_cast<int>(num(h.words, "most")))
+        complain(id + ", but it was started " + std::to_string(starts) + " times");
+  } else if (what == "rented") {  // expect rented FROM..TO
+    const auto [least, most] = range(h.name);
+    if (fleet_->rented < least || fleet_->rented > most)
+      complain(h.name + ", but " + std::to_string(fleet_->rented) + " were");
   } else if (what == "served") {  // every job that was accepted and not called off
     for (auto& id : fleet_->judge().wanted()) {
       auto& spec = jobs_.at(id);
--- a/tests/world/meeting.hpp
+++ b/tests/world/meeting.hpp
@@ -76,6 +76,7 @@
   std::vector<Start> at_start_;
   std::map<std::string, JobSpec> jobs_;
   std::map<std::string, double> run_s_;
+  std::set<std::string> broken_jobs_;  // submitted with a mistake: they fail on every machine
   std::vector<Happening> happenings_;
   double until_ = 100, boot_s_ = 0, drift_ = 0.0005;
   int capacity_ = 0;
--- a/tests/world/random_meeting.cpp
+++ b/tests/world/random_meeting.cpp
@@ -165,6 +165,22 @@
       line("at {:.2f} deaf {} for={:.2f}", draw.between(at - 2, out), draw.of("m1", "m2,m3"),
            draw.between(5, 60));
   }
+  // Drawn by themselves, so that what is drawn above stays as it was: processes that stand still,
+  // jobs submitted with a mistake, machines that come late or never, a guest's swarm.
+  Draw nights(~seed);
+  line("jobs run-39..run-40 tasks={} gpus=1 run=20 broken {}", 1 + nights.upto(5),
+       nights.of("", "spot"));
+  line("at {:.2f} submit run-39..run-40 every=3", nights.between(8, 40));
+  line("at {:.2f} cancel run-39..run-40", nights.between(60, 130));
+  line("jobs run-41..run-70 tasks=1 cpus=0.25 run=15 idle spot team=u");
+  line("at {:.2f} submit run-41..run-70 every=0.08", nights.between(8, 90));
+  for (int i = 0, n = nights.upto(3); i < n; ++i)
+    line("at {:.2f} stall {} for={:.2f}", nights.between(10, 110),
+         nights.of("leader", "leader", "n0", "n1", "others"),
+         nights.chance(0.5) ? nights.between(0.5, 10) : nights.between(10, 70));
+  line("at {:.2f} boots {} in={:.2f} for={:.2f}", nights.between(4, 60),
+       nights.of("late", "late", "never"), nights.chance(0.5) ? 1 : nights.between(20, 60),
+       nights.between(5, 30));
   line("until 330");
   line("expect served");
   return out;
--- a/tests/world/world.cpp
+++ b/tests/world/world.cpp
@@ -12,12 +12,7 @@
   ~VirtualTimer() override { disarm(); }
   void arm(double seconds) override {
     disarm();
-    key_ = loop_.world().in(std::max(seconds, 0.0) / loop_.rate(), [this] {
-      armed_ = false;
-      loop_.enter();
-      fire_(argument_);  // may destroy the timer
-    });
-    armed_ = true;
+    schedule(loop_.world().now() + std::max(seconds, 0.0) / loop_.rate());
   }
   void disarm() override {
     if (armed_) loop_.world().cancel(key_);
@@ -25,6 +20,17 @@
   }
 
  private:
+  void schedule(double at) {
+    key_ = loop_.world().at(at, [this] { due(); });
+    armed_ = true;
+  }
+  void due() {
+    armed_ = false;
+    // Stays one that can be disarmed until the process goes on.
+    if (loop_.stalled()) return schedule(loop_.stalled_until());
+    loop_.enter();
+    fire_(argument_);  // may destroy the timer
+  }
   VirtualLoop& loop_;
   Fire fire_;
   void* argument_;
@@ -45,13 +51,16 @@
       timeout_s = 0;
     } else {
       world.ask(host_, to.host, method, std::move(target), std::move(body),
-                [exchange, &world, &loop = loop_, alive = alive_](HttpReply reply) {
-                  if (!*alive || exchange->done) return;
-                  loop.enter();
-                  exchange->reply = std::move(reply);
-                  exchange->done = true;
-                  world.cancel(exchange->expiry);
-                  if (exchange->waiter) exchange->waiter.resume();
+                [exchange, &loop = loop_, alive = alive_](HttpReply reply) {
+                  if (!*alive) return;
+                  loop.when_awake([exchange, &loop, alive, reply = std::move(reply)] {
+                    if (!*alive || exchange->done) return;
+                    loop.enter();
+                    exchange->reply = reply;
+                    exchange->done = true;
+                    loop.world().cancel(exchange->expiry);
+                    if (exchange->waiter) exchange->waiter.resume();
+                  });
                 });
     }
     Wait wait{loop_, exchange, timeout_s};
@@ -77,14 +86,18 @@
     bool await_ready() const { return false; }
     void await_suspend(std::coroutine_handle<> h) {
       exchange->waiter = h;
-      exchange->expiry = loop.world().in(timeout_s / loop.rate(), [x = exchange, &l = loop] {
+      expire_at(loop, exchange, loop.world().now() + timeout_s / loop.rate());
+    }
+    void await_resume() const {}
+    static void expire_at(VirtualLoop& loop, const std::shared_ptr<Exchange>& x, double at) {
+      x->expiry = loop.world().at(at, [x, &loop] {
         if (x->done) return;
-        l.enter();
+        if (loop.stalled()) return expire_at(loop, x, loop.stalled_until());
+        loop.enter();
         x->done = true;
         x->waiter.resume();
       });
     }
-    void await_resume() const {}
   };
   VirtualLoop& loop_;
   std::string host_;
@@ -103,9 +116,12 @@
   bool bind(const Endpoint&) override {
     loop_.world().serve(host_, [this](auto&, Method method, auto& target, auto& body, auto answer) {
       if (body.size() > max_body_) return answer({413, {}});
-      loop_.enter();
       HttpRequest request{method, target.substr(0, target.find('?')), body};
-      loop_.spawn("request", handle(std::move(request), std::move(answer), alive_));
+      loop_.when_awake([this, alive = alive_, request, answer = std::move(answer)] {
+        if (!*alive) return;
+        loop_.enter();
+        loop_.spawn("request", handle(request, answer, alive));
+      });
     });
     return true;
   }
@@ -204,6 +220,11 @@
        });
 }
 
+void VirtualLoop::when_awake(std::function<void()> what) {
+  if (!stalled()) return what();
+  world_.at(stalled_until_, [this, what = std::move(what)] { when_awake(what); });
+}
+
 std::unique_ptr<Timer> VirtualLoop::timer(Timer::Fire fire, void* argument) {
   return std::make_unique<VirtualTimer>(*this, fire, argument);
 }
@@ -230,7 +251,13 @@
 
 std::unique_ptr<StreamListener> VirtualNetwork::listener(const Endpoint&, size_t,
                                                          StreamListener::OnBytes on_bytes) {
-  streams_[host_] = std::move(on_bytes);
+  streams_[host_] = [&loop = loop_, alive = alive_,
+                     on_bytes = std::move(on_bytes)](std::string_view bytes) {
+    loop.when_awake([alive, on_bytes, bytes = std::string(bytes)] {
+      if (*alive) on_bytes(bytes);
+    });
+    return static_cast<long>(bytes.size());
+  };
   return std::make_unique<VirtualListener>();
 }
 
--- a/tests/world/world.hpp
+++ b/tests/world/world.hpp
@@ -71,12 +71,19 @@
   World& world() { return world_; }
   // Whatever runs next is this controller's doing, for the log.
   void enter() const { world_.acting = name_; }
+  // The process stands still while its clocks run on.
+  void stall(double seconds) { stalled_until_ = world_.now() + seconds; }
+  bool stalled() const { return world_.now() < stalled_until_; }
+  double stalled_until() const { return stalled_until_; }
+  // At once, or when the process goes on, in the order of the calls.
+  void when_awake(std::function<void()> what);
 
  private:
   void ended() override {}
   World& world_;
   std::string name_;
   double rate_, wall_off_;
+  double stalled_until_ = 0;
 };
 
 // One controller's sockets. When its process ends nothing of it reaches the world any more.
