--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -224,7 +224,7 @@
   while (started < most && !heap.empty() && team_allows(j)) {
     const double fetch = image_delay(job, in_.machines[heap.front().machine]);
     if (beside_image && miss_chance(fetch, job.start_within_s) > bearable_miss_chance) {
-      beside_image = make_room_beside_image(j, heap.front().cost);
+      beside_image = make_room_beside_image(j, fetch, heap.front().cost);
       if (beside_image) {
         ++started;
         ++coming;
@@ -279,14 +279,16 @@
   ++replicas_[m];
 }
 
-bool PlacementPass::claim_coming(size_t j, bool beside_image) {
+bool PlacementPass::claim_coming(size_t j, std::optional<double> image_held_within_s) {
   out_.examined += coming_.size();
   auto& need = in_.jobs[j].need;
   double best = never;
   size_t where = 0;
   for (size_t m : coming_) {
     if (!has_room(future_[m])) continue;
-    if (beside_image && !holds(in_.machines[m], in_.jobs[j].image)) continue;
+    if (image_held_within_s &&
+        !(holds(in_.machines[m], in_.jobs[j].image) && time_to_save(m) < *image_held_within_s))
+      continue;
     Amounts both = free_[m];
     both += future_[m];
     if (!need.fits(both) || !allowed(j, m)) continue;
--- a/src/coordination/placement_pass.hpp
+++ b/src/coordination/placement_pass.hpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <limits>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -129,7 +130,8 @@
 
   void occupy(size_t j, size_t m);
 
-  bool claim_coming(size_t j, bool beside_image = false);
+  // `image_held_within_s`: only where the image is and the room is free within that time.
+  bool claim_coming(size_t j, std::optional<double> image_held_within_s = {});
 
   bool claim_booting(size_t j);
 
@@ -171,8 +173,11 @@
   void evict(size_t j, const Eviction& eviction);
   bool make_room(size_t j, bool also_standing);
   // Where a fetch would likely make the start late: stops cheaper work, if any, on a machine that
-  // holds the image. `cost`: of starting on the best machine that has room.
-  bool make_room_beside_image(size_t j, double cost);
+  // holds the image. `fetch_s` and `cost`: of starting on the best machine that has room.
+  bool make_room_beside_image(size_t j, double fetch_s, double cost);
+  // Until all that is stopped on the machine has saved.
+  double time_to_save(size_t m) const;
+  bool beside_image_in_time(size_t j, const Eviction& eviction, double before) const;
   void stop_task(size_t m, size_t live, double grace_s);
   // Stops every task of a gang at once: one alone could not save.
   void stop_gang(size_t victim_job);
--- a/src/coordination/placement_preemption.cpp
+++ b/src/coordination/placement_preemption.cpp
@@ -150,10 +150,32 @@
   return true;
 }
 
-bool PlacementPass::make_room_beside_image(size_t j, double cost) {
-  // Also what an earlier pass decided: it would else start elsewhere meanwhile, with a fetch.
-  if (claim_coming(j, true)) return true;
+double PlacementPass::time_to_save(size_t m) const {
+  double longest = 0;
+  auto& live = in_.machines[m].live;
+  for (size_t i = 0; i < live.size(); ++i)
+    if (is_stopping(live[i]) || contains(stopped_[m], i))
+      longest = std::max(longest, in_.jobs[live[i].job].grace_s);
+  return longest;
+}
+
+bool PlacementPass::beside_image_in_time(size_t j, const Eviction& eviction, double before) const {
+  double longest = time_to_save(eviction.machine);
+  for (size_t i : eviction.live) {
+    auto& victim = in_.machines[eviction.machine].live[i];
+    if (in_.jobs[victim.job].gang) return false;  // too much for one start
+    if (!abruptly(j, eviction.machine, victim))
+      longest = std::max(longest, in_.jobs[victim.job].grace_s);
+  }
+  return longest < before;
+}
+
+bool PlacementPass::make_room_beside_image(size_t j, double fetch_s, double cost) {
   auto& job = in_.jobs[j];
+  // Room that takes as long as the fetch, or longer than is expected of the start, is no gain.
+  const double before = std::min(fetch_s, job.start_within_s);
+  // Also what an earlier pass decided: it would else start elsewhere meanwhile, with a fetch.
+  if (claim_coming(j, before)) return true;
   Eviction best;
   best.cost = cost;
   for (size_t m = 0; m < in_.machines.size(); ++m) {
@@ -161,10 +183,8 @@
     ++out_.examined;
     if (!allowed(j, m)) continue;
     auto eviction = eviction_on(j, m, false);
-    const bool stops_a_gang =
-        std::any_of(eviction.live.begin(), eviction.live.end(),
-                    [&](size_t i) { return in_.jobs[in_.machines[m].live[i].job].gang; });
-    if (!stops_a_gang && eviction.cost < best.cost) best = std::move(eviction);
+    if (eviction.cost < best.cost && beside_image_in_time(j, eviction, before))
+      best = std::move(eviction);
   }
   if (best.machine == nowhere) return false;
   evict(j, best);
