--- a/src/coordination/chunk_edits.cpp
+++ b/src/coordination/chunk_edits.cpp
@@ -4,7 +4,7 @@
 
 namespace {
 // Of the 64 KiB that a transaction may have; the rest is for its keys and conditions.
-constexpr size_t max_bytes = 48 * 1024;
+constexpr size_t max_bytes = size_t{48} * 1024;
 constexpr size_t head_bytes = 64, entry_bytes = 48, entries_to_come = 8;
 }  // namespace
 
--- a/src/coordination/holder.hpp
+++ b/src/coordination/holder.hpp
@@ -252,7 +252,10 @@
   bool refused(const std::string& kind) const;
   const MachineType* coming_type(const std::string& id, const Booting& b) const;
   Task<void> return_machines(bool overdue_only, std::stop_token token);
+  void sort_most_urgent_first(std::vector<std::string>& machines) const;
   Task<bool> mark_leaving(std::vector<std::string> machines);
+  // Keeps those that must go without a mark, in an outage; false: none.
+  bool return_unmarked(std::vector<std::string>& machines);
   Task<bool> ask_return(std::vector<std::string> ask);
   Task<void> rent(std::stop_token token);
   void start_rental(RentalRequest request, std::stop_token token);
--- a/src/coordination/holder_cloud.cpp
+++ b/src/coordination/holder_cloud.cpp
@@ -193,25 +193,12 @@
       if (!returning_.contains(id) && (!overdue_only || overdue_.contains(id)))
         (cache_.leaving(id) ? ask : mark).push_back(id);
     if (mark.empty() && ask.empty()) co_return;
-    std::map<std::string, int> urgency;
-    for (auto& id : overdue_) urgency[id] = std::numeric_limits<int>::max() / 2;
-    for (auto& id : mark)
-      for (auto& [a, attempt] : cache_.assigned(id))
-        urgency[id] += a.job->spec.priority >= Priority::high && !a.job->cancelled;
-    std::stable_sort(mark.begin(), mark.end(),
-                     [&](auto& a, auto& b) { return urgency[a] > urgency[b]; });
-    if (mark.size() > max_marked_at_once) mark.resize(max_marked_at_once);
     if (!mark.empty()) {
+      sort_most_urgent_first(mark);
+      if (mark.size() > max_marked_at_once) mark.resize(max_marked_at_once);
       const bool marked = co_await mark_leaving(mark);
       if (!holding()) co_return;
-      if (!marked) {
-        // Nothing can be marked in an outage, and a cancelled task must be gone all the same.
-        // Nobody can place anything either; afterwards the mark is made up for, and a holder that
-        // doesn't know of it finds the machine silent and returns it once more.
-        std::erase_if(mark, [&](auto& id) { return !overdue_.contains(id); });
-        if (in_contact() || mark.empty()) co_return;
-        unmarked_.insert(mark.begin(), mark.end());
-      }
+      if (!marked && !return_unmarked(mark)) co_return;
       ask = std::move(mark);
     }
     if (ask.size() > max_returned_at_once) ask.resize(max_returned_at_once);
@@ -219,6 +206,26 @@
   }
 }
 
+void Holder::sort_most_urgent_first(std::vector<std::string>& machines) const {
+  std::map<std::string, int> urgency;
+  for (auto& id : overdue_) urgency[id] = std::numeric_limits<int>::max() / 2;
+  for (auto& id : machines)
+    for (auto& [a, attempt] : cache_.assigned(id))
+      urgency[id] += a.job->spec.priority >= Priority::high && !a.job->cancelled;
+  std::stable_sort(machines.begin(), machines.end(),
+                   [&](auto& a, auto& b) { return urgency[a] > urgency[b]; });
+}
+
+// Nothing can be marked in an outage, and a cancelled task must be gone all the same. Nobody can
+// place anything either; afterwards the mark is made up for, and a holder that doesn't know of it
+// finds the machine silent and returns it once more.
+bool Holder::return_unmarked(std::vector<std::string>& machines) {
+  std::erase_if(machines, [&](auto& id) { return !overdue_.contains(id); });
+  if (in_contact() || machines.empty()) return false;
+  unmarked_.insert(machines.begin(), machines.end());
+  return true;
+}
+
 Task<bool> Holder::mark_leaving(std::vector<std::string> machines) {
   // A record of its own for each batch: one that is written again would lose the marks it had.
   const auto key =
@@ -390,7 +397,7 @@
 Task<void> Holder::rental(RentalRequest request, std::stop_token token) {
   const auto term = term_;
   const auto key = kind_key(request.type, request.zone, request.spot);
-  co_await do_rental(std::move(request), token);
+  co_await do_rental(std::move(request), std::move(token));
   // One of an older term is not among those counted.
   if (term != term_) co_return;
   if (auto it = renting_.find(key); it != renting_.end() && --it->second <= 0) renting_.erase(it);
--- a/src/coordination/holder_commit.cpp
+++ b/src/coordination/holder_commit.cpp
@@ -151,6 +151,7 @@
   }
   txn.conditions[keys::blocks] = cache_.blocks_version();
   std::vector<std::pair<std::string, bool>> outcome;
+  outcome.reserve(ended.size());
   for (auto& id : ended) outcome.emplace_back(id, cache_.job(id)->cancelled);
   if (co_await commit_and_apply(std::move(txn), token))
     for (auto& [id, cancelled] : outcome)
--- a/src/coordination/holder_view.cpp
+++ b/src/coordination/holder_view.cpp
@@ -115,8 +115,8 @@
     l.since = -std::numeric_limits<double>::infinity();
     if (auto it = attempts_.find(name); it != attempts_.end())
       if (auto t = it->second.find(attempt); t != it->second.end())
-        l.since =
-            t->second.running_at ? t->second.running_at : std::numeric_limits<double>::infinity();
+        l.since = t->second.running_at > 0 ? t->second.running_at
+                                           : std::numeric_limits<double>::infinity();
     auto stop = stopping_.find(name);
     l.stopping =
         (stop != stopping_.end() && stop->second.attempt == attempt) || exits_.contains(name);
--- a/src/coordination/node.cpp
+++ b/src/coordination/node.cpp
@@ -8,7 +8,7 @@
 namespace damsonport {
 
 namespace {
-constexpr size_t max_body = 64 * 1024;
+constexpr size_t max_body = size_t{64} * 1024;
 // Sockets kept free of users and workers for state service, cloud, peers and health probes.
 constexpr int kept_sockets = 64;
 constexpr double idle_connection_s = 45;
--- a/src/coordination/orphan_cleanup.cpp
+++ b/src/coordination/orphan_cleanup.cpp
@@ -36,6 +36,7 @@
       }
   }
   std::vector<OrphanHost> list;
+  list.reserve(out.size());
   for (auto& [id, m] : out) list.push_back(std::move(m));
   return list;
 }
@@ -70,6 +71,7 @@
       loop_.spawn("minding", stop_orphans_on(machines[i], term, left));
     }
     // Each ends by its own time-outs; their results stand in what this routine holds.
+    // NOLINTNEXTLINE(bugprone-infinite-loop): those routines count `left` down
     while (left > 0) co_await Sleep(loop_, settings_.report_s / 10, {});
     for (size_t i = done; i < done + count; ++i)
       if (machines[i].out_of_reach) back.push_back(machines[i].id);
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -186,23 +186,30 @@
   uint32_t patient = 0;
   while (left > 0) {
     if (!team_allows(j)) break;
-    // Room that is being made already serves the most urgent first. Standing replicas are stopped
-    // only for what no machine on its way has room for: they would come back later than it.
-    if (claim_coming(j) || make_room(j, false)) {
-      ++coming;
-    } else if (claim_booting(j)) {
-      ++patient;
-    } else if (make_room(j, true)) {
-      ++coming;
-    } else {
-      note_unplaced(j, left + patient, coming);
-      return;
+    switch (promise_room(j)) {
+      case PromisedRoom::coming:
+        ++coming;
+        break;
+      case PromisedRoom::booting:
+        ++patient;
+        break;
+      case PromisedRoom::none:
+        note_unplaced(j, left + patient, coming);
+        return;
     }
     --left;
   }
   note_unplaced(j, patient, coming);
 }
 
+PlacementPass::PromisedRoom PlacementPass::promise_room(size_t j) {
+  // Room that is being made already serves the most urgent first. Standing replicas are stopped
+  // only for what no machine on its way has room for: they would come back later than it.
+  if (claim_coming(j) || make_room(j, false)) return PromisedRoom::coming;
+  if (claim_booting(j)) return PromisedRoom::booting;
+  return make_room(j, true) ? PromisedRoom::coming : PromisedRoom::none;
+}
+
 uint32_t PlacementPass::start_what_fits(size_t j, uint32_t most, uint32_t& coming) {
   auto& job = in_.jobs[j];
   struct Candidate {
--- a/src/coordination/placement_gang.cpp
+++ b/src/coordination/placement_gang.cpp
@@ -142,15 +142,9 @@
   uint32_t coming = 0, booted = 0;
   auto left = in_.jobs[j].waiting - static_cast<uint32_t>(partial.machines.size());
   for (; left > 0; --left) {
-    if (claim_coming(j) || make_room(j, false)) {
-      ++coming;
-    } else if (claim_booting(j)) {
-      ++booted;
-    } else if (make_room(j, true)) {
-      ++coming;
-    } else {
-      break;
-    }
+    const PromisedRoom promised = promise_room(j);
+    if (promised == PromisedRoom::none) break;
+    ++(promised == PromisedRoom::booting ? booted : coming);
   }
   if (left == 0) {
     note_unplaced(j, booted, coming);
--- a/src/coordination/placement_pass.hpp
+++ b/src/coordination/placement_pass.hpp
@@ -88,6 +88,10 @@
 
   void place_job(size_t j);
 
+  // Room for one more task of the job that isn't free yet.
+  enum class PromisedRoom : uint8_t { none, coming, booting };
+  PromisedRoom promise_room(size_t j);
+
   // The machines are judged once for the whole job: what one start changes is the judgement of its
   // own machine, and of those that the job's zones then rule out.
   // `coming` grows by those for which room is being made instead.
--- a/src/coordination/user_api.cpp
+++ b/src/coordination/user_api.cpp
@@ -77,35 +77,39 @@
       if (Job* still = cache_.job(id); still && !still->cancelled) co_return progress(*still);
       continue;
     }
-    auto final_record = co_await state_.read(keys::final_state(id), Importance::polling);
-    if (!final_record.ok) co_return busy();
-    if (final_record.found) {
-      bool done = final_record.item.value.value("s", std::string()) == "done";
-      cache_.remember_final(id, done ? FinalState::done : FinalState::cancelled);
-      continue;
-    }
-    auto record = co_await state_.read(keys::job(id), Importance::polling);
-    if (!record.ok) co_return busy();
-    if (!record.found) continue;  // ended in between
-    // Read just now, so no older than any answer given before the question. The cache itself only
-    // takes changes in their order, from the watch.
-    auto spec = decode_job(record.item.value);
-    if (!spec) co_return busy();
-    if (record.item.value.value(fields::cancelled, 0) != 0) {
-      // Known here from before anybody is told: the other controllers rely on it.
-      cache_.apply(record.item);
-      co_return HttpResponse{200, encode_job_status(id, "aborted"), 0};
-    }
-    Job* cached = cache_.job(id);
-    co_return HttpResponse{
-        200,
-        encode_job_progress(id, cached && cached->live ? "running" : "queued",
-                            cached ? cached->done : 0, cached ? cached->live : 0),
-        0};
+    if (auto answer = co_await read_state(id)) co_return std::move(*answer);
   }
   co_return busy();
 }
 
+// After a comparison that failed: reads begun after the question. Nothing: to be looked up again.
+Task<std::optional<HttpResponse>> UserApi::read_state(std::string id) {
+  auto final_record = co_await state_.read(keys::final_state(id), Importance::polling);
+  if (!final_record.ok) co_return busy();
+  if (final_record.found) {
+    bool done = final_record.item.value.value("s", std::string()) == "done";
+    cache_.remember_final(id, done ? FinalState::done : FinalState::cancelled);
+    co_return std::nullopt;
+  }
+  auto record = co_await state_.read(keys::job(id), Importance::polling);
+  if (!record.ok) co_return busy();
+  if (!record.found) co_return std::nullopt;  // ended in between
+  // Read just now, so no older than any answer given before the question. The cache itself only
+  // takes changes in their order, from the watch.
+  auto spec = decode_job(record.item.value);
+  if (!spec) co_return busy();
+  if (record.item.value.value(fields::cancelled, 0) != 0) {
+    // Known here from before anybody is told: the other controllers rely on it.
+    cache_.apply(record.item);
+    co_return HttpResponse{200, encode_job_status(id, "aborted"), 0};
+  }
+  Job* cached = cache_.job(id);
+  co_return HttpResponse{200,
+                         encode_job_progress(id, cached && cached->live ? "running" : "queued",
+                                             cached ? cached->done : 0, cached ? cached->live : 0),
+                         0};
+}
+
 Task<HttpResponse> UserApi::poll(std::string id) {
   if (!valid_job_id(id)) co_return HttpResponse{404, {}, 0};
   if (!cache_.loaded()) co_return busy();
@@ -203,68 +207,78 @@
 
 // Submissions that come close together share a transaction.
 Task<void> UserApi::accept_duty(std::stop_token token) {
-  const auto max_writes = static_cast<size_t>(settings_.state_limits.always().txn_writes);
-  const uint32_t chunk = chunk_size(settings_.state_limits.always().value_kb);
   while (!token.stop_requested()) {
     if (submissions_.empty()) {
       co_await submitted_.wait(60, token);
       if (submissions_.empty()) continue;
     }
-    std::vector<Submission*> batch;
-    std::set<std::string> ids;
-    size_t bytes = 0;
-    for (auto it = submissions_.begin(); it != submissions_.end() && batch.size() < max_writes;) {
-      auto* s = *it;
-      size_t size = 1024 + s->spec.types.size() * 210;
-      // The same job twice: the second waits for the next transaction.
-      if (bytes + size > 48 * 1024 || !ids.insert(s->spec.id).second) {
-        ++it;
-        continue;
-      }
-      bytes += size;
-      batch.push_back(s);
-      it = submissions_.erase(it);
+    co_await accept(next_submissions());
+  }
+}
+
+std::vector<UserApi::Submission*> UserApi::next_submissions() {
+  constexpr size_t max_bytes = size_t{48} * 1024;
+  const auto max_writes = static_cast<size_t>(settings_.state_limits.always().txn_writes);
+  std::vector<Submission*> batch;
+  std::set<std::string> ids;
+  size_t bytes = 0;
+  for (auto it = submissions_.begin(); it != submissions_.end() && batch.size() < max_writes;) {
+    auto* s = *it;
+    size_t size = 1024 + s->spec.types.size() * 210;
+    // The same job twice: the second waits for the next transaction.
+    if (bytes + size > max_bytes || !ids.insert(s->spec.id).second) {
+      ++it;
+      continue;
     }
-    while (!batch.empty()) {
-      Txn txn;
-      for (auto* s : batch) {
-        txn.conditions[keys::job(s->spec.id)] = 0;
-        txn.conditions[keys::final_state(s->spec.id)] = 0;
-        txn.writes.push_back({keys::job(s->spec.id), encode_job_record(s->spec, chunk), 0});
-      }
-      auto writes = txn.writes;
-      auto reply = co_await state_.commit(std::move(txn), Importance::accepting);
-      if (reply.outcome == Outcome::conflict && !reply.failed.empty()) {
-        // Those are known already; the rest goes again.
-        std::vector<Submission*> rest, known;
-        for (auto* s : batch) {
-          bool failed = std::any_of(reply.failed.begin(), reply.failed.end(), [&](auto& key) {
-            return key == keys::job(s->spec.id) || key == keys::final_state(s->spec.id);
-          });
-          (failed ? known : rest).push_back(s);
-        }
-        if (known.empty()) rest.clear(), known = batch;
-        batch = std::move(rest);
-        for (auto* s : known) {
-          s->result = Accepted::known;
-          s->waiter.resume();
-        }
-        continue;
-      }
-      // Without a definite answer nobody is kept waiting: the same id may be sent again.
-      bool fresh = reply.outcome == Outcome::committed;
-      if (fresh) {
-        cache_.apply_writes(writes, reply.revision);
-        for (auto* s : batch)
-          spdlog::debug("accepted {}: {} x {} of {}", s->spec.id, s->spec.tasks, s->spec.cls,
-                        s->spec.team);
-      }
+    bytes += size;
+    batch.push_back(s);
+    it = submissions_.erase(it);
+  }
+  return batch;
+}
+
+void UserApi::finish(const std::vector<Submission*>& submissions, Accepted result) {
+  for (auto* s : submissions) {
+    s->result = result;
+    s->waiter.resume();
+  }
+}
+
+Task<void> UserApi::accept(std::vector<Submission*> batch) {
+  const uint32_t chunk = chunk_size(settings_.state_limits.always().value_kb);
+  while (!batch.empty()) {
+    Txn txn;
+    for (auto* s : batch) {
+      txn.conditions[keys::job(s->spec.id)] = 0;
+      txn.conditions[keys::final_state(s->spec.id)] = 0;
+      txn.writes.push_back({keys::job(s->spec.id), encode_job_record(s->spec, chunk), 0});
+    }
+    auto writes = txn.writes;
+    auto reply = co_await state_.commit(std::move(txn), Importance::accepting);
+    if (reply.outcome == Outcome::conflict && !reply.failed.empty()) {
+      // Those are known already; the rest goes again.
+      std::vector<Submission*> rest, known;
       for (auto* s : batch) {
-        s->result = fresh ? Accepted::fresh : Accepted::unavailable;
-        s->waiter.resume();
+        bool failed = std::any_of(reply.failed.begin(), reply.failed.end(), [&](auto& key) {
+          return key == keys::job(s->spec.id) || key == keys::final_state(s->spec.id);
+        });
+        (failed ? known : rest).push_back(s);
       }
-      batch.clear();
+      if (known.empty()) rest.clear(), known = batch;
+      batch = std::move(rest);
+      finish(known, Accepted::known);
+      continue;
+    }
+    // Without a definite answer nobody is kept waiting: the same id may be sent again.
+    const bool fresh = reply.outcome == Outcome::committed;
+    if (fresh) {
+      cache_.apply_writes(writes, reply.revision);
+      for (auto* s : batch)
+        spdlog::debug("accepted {}: {} x {} of {}", s->spec.id, s->spec.tasks, s->spec.cls,
+                      s->spec.team);
     }
+    finish(batch, fresh ? Accepted::fresh : Accepted::unavailable);
+    co_return;
   }
 }
 
--- a/src/coordination/user_api.hpp
+++ b/src/coordination/user_api.hpp
@@ -1,6 +1,8 @@
 // The users' interface: submissions, polls and cancellations.
 #pragma once
 #include <deque>
+#include <optional>
+#include <vector>
 
 #include "coordination/arrival_rate.hpp"
 #include "coordination/catalog.hpp"
@@ -40,6 +42,11 @@
   template <class T>
   struct Queued;  // waits in a queue for its duty's answer
   Task<HttpResponse> state_of(std::string id);
+  Task<std::optional<HttpResponse>> read_state(std::string id);
+  // As many of those that wait as one transaction holds.
+  std::vector<Submission*> next_submissions();
+  Task<void> accept(std::vector<Submission*> batch);
+  static void finish(const std::vector<Submission*>& submissions, Accepted result);
   HttpResponse progress(const Job& job) const;
   HttpResponse busy() const;
 
--- a/src/protocol/heartbeat.cpp
+++ b/src/protocol/heartbeat.cpp
@@ -5,7 +5,7 @@
 namespace damsonport {
 
 namespace {
-constexpr uint64_t max_frame = 16 * 1024;
+constexpr uint64_t max_frame = uint64_t{16} * 1024;
 constexpr uint64_t heartbeat_version = 4;
 constexpr uint64_t max_cancelled = 1024;
 }  // namespace
--- a/src/protocol/messages.cpp
+++ b/src/protocol/messages.cpp
@@ -110,6 +110,16 @@
   return true;
 }
 
+namespace {
+bool decode_types(const Json& m, std::vector<std::string>& types) {
+  constexpr size_t most = 64;
+  if (!optional(m, "hulls", types) || types.size() > most) return false;
+  if (field(m, "hulls") && types.empty()) return false;
+  return std::all_of(types.begin(), types.end(),
+                     [](auto& type) { return !type.empty() && type.size() <= max_text; });
+}
+}  // namespace
+
 Result<JobSpec> decode_job(const Json& m) {
   JobSpec s;
   std::string text;
@@ -117,16 +127,7 @@
   if (!get(m, "ref", s.id) || !valid_job_id(s.id)) return bad("ref");
   if (!get(m, "berth", s.cls) || s.cls.empty() || s.cls.size() > max_text) return bad("berth");
   if (!get(m, "owner", s.team) || s.team.empty() || s.team.size() > max_text) return bad("owner");
-  if (!get(m, "shape", text)) return bad("shape");
-  if (text == "batch") {
-    s.kind = Kind::batch;
-  } else if (text == "service") {
-    s.kind = Kind::service;
-  } else if (text == "ensemble") {
-    s.kind = Kind::gang;
-  } else {
-    return bad("shape");
-  }
+  if (!get(m, "shape", text) || !parse_enum(kinds, text, s.kind)) return bad("shape");
   if (!get(m, "rank", text) || !parse_enum(priorities, text, s.priority)) return bad("rank");
   uint64_t tasks = 0;
   if (!get(m, "hands", tasks) || tasks < 1 || tasks > max_tasks) return bad("hands");
@@ -140,10 +141,7 @@
   if (!get(m, "cargo", s.image) || s.image.empty() || s.image.size() > max_text)
     return bad("cargo");
   if (!amount("size_gb", s.image_gb, true)) return bad("size_gb");
-  if (!optional(m, "hulls", s.types) || s.types.size() > 64) return bad("hulls");
-  for (auto& t : s.types)
-    if (t.empty() || t.size() > max_text) return bad("hulls");
-  if (field(m, "hulls") && s.types.empty()) return bad("hulls");
+  if (!decode_types(m, s.types)) return bad("hulls");
   if (!optional(m, "dock", s.zone) || s.zone.size() > max_text) return bad("dock");
   if (!optional(m, "same_place", s.one_zone)) return bad("same_place");
   if (!optional(m, "spread", s.spread)) return bad("spread");
--- a/src/transport/event_http_client.cpp
+++ b/src/transport/event_http_client.cpp
@@ -3,6 +3,8 @@
 #include <event2/http.h>
 #include <event2/http_struct.h>
 
+#include <cmath>
+
 #include "transport/event_http.hpp"
 
 namespace damsonport {
@@ -36,8 +38,8 @@
     timer = evtimer_new(
         client.loop_.base(),
         [](evutil_socket_t, short, void* self) { static_cast<Call*>(self)->expire(); }, this);
-    timeval tv{static_cast<time_t>(timeout_s),
-               static_cast<suseconds_t>((timeout_s - static_cast<time_t>(timeout_s)) * 1e6)};
+    const double whole_s = std::floor(timeout_s);
+    timeval tv{static_cast<time_t>(whole_s), static_cast<suseconds_t>((timeout_s - whole_s) * 1e6)};
     event_add(timer, &tv);
     if (!connection) return;  // the timer reports it: never resume from inside await_suspend
     request = evhttp_request_new(
--- a/src/transport/event_stream.cpp
+++ b/src/transport/event_stream.cpp
@@ -8,7 +8,7 @@
 namespace damsonport {
 
 namespace {
-constexpr size_t max_unsent = 32 * 1024;
+constexpr size_t max_unsent = size_t{32} * 1024;
 constexpr timeval idle{10, 0};
 
 sockaddr_in address_of(const Endpoint& e) {
--- a/tests/cancellations_test.cpp
+++ b/tests/cancellations_test.cpp
@@ -15,7 +15,7 @@
   double clock_off;
   Cancellations said;
   bool loaded = true;
-  Side(std::string n, uint64_t life, double off, std::vector<std::string> peers)
+  Side(std::string n, uint64_t life, double off, const std::vector<std::string>& peers)
       : name(std::move(n)), incarnation(life), clock_off(off), said(life, peers) {}
   double clock(double time) const { return time + clock_off; }
   Heartbeat heartbeat(const std::string& to, double time) const {
--- a/tests/meeting_test.cpp
+++ b/tests/meeting_test.cpp
@@ -60,7 +60,7 @@
     for (std::string value; words >> value;)
       for (auto& lines : out) {
         more.push_back(lines);
-        more.back().push_back("let " + name + " " + value);
+        more.back().push_back(fmt::format("let {} {}", name, value));
       }
     out = std::move(more);
   }
@@ -75,7 +75,7 @@
         continue;
       }
       for (auto& [name, value] : values)
-        for (size_t at; (at = text.find("$" + name)) != std::string::npos;)
+        for (size_t at = 0; (at = text.find("$" + name)) != std::string::npos;)
           text.replace(at, name.size() + 1, value);
       played.push_back(text);
     }
--- a/tests/protocol_test.cpp
+++ b/tests/protocol_test.cpp
@@ -72,7 +72,7 @@
 
 TEST(Body, OnlyWholeMapsAreTaken) {
   EXPECT_TRUE(decode_map("").is_null());
-  EXPECT_TRUE(decode_map("\xff\x00").is_null());
+  EXPECT_TRUE(decode_map(std::string("\xff\x00", 2)).is_null());
   EXPECT_TRUE(decode_map(encode(Json::array({1}))).is_null());
   EXPECT_TRUE(decode_map(encode(job_message()).substr(0, 20)).is_null());
 }
--- a/tests/records_test.cpp
+++ b/tests/records_test.cpp
@@ -28,7 +28,9 @@
 // Every other kind of record at its largest, for the least values that a site has announced.
 TEST(Records, StayBelowTheAnnouncedValueLimit) {
   constexpr double kb = 2;
-  const auto fits = [](const Json& value) { return stored_size(value) <= kb * 1024; };
+  const auto fits = [](const Json& value) {
+    return static_cast<double>(stored_size(value)) <= kb * 1024;
+  };
   EXPECT_TRUE(fits(encode_leader({long_name(64), UINT64_MAX})));
   Blocks blocks;
   blocks.grants.push_back({long_name(64), UINT64_MAX, UINT64_MAX, {}, true});
--- a/tests/world/fleet.cpp
+++ b/tests/world/fleet.cpp
@@ -121,7 +121,7 @@
   auto body = encode(report());
   if (mute) return;
   world_.ask(host, fleet_.nodes[node_].second, Method::post, "/hello", std::move(body),
-             [this, flight, session, sent, give_up](HttpReply reply) {
+             [this, flight, session, sent, give_up](const HttpReply& reply) {
                if (gone || deaf || hung() || flight != flight_ || !in_flight_) return;
                world_.cancel(give_up);
                answered(reply.status, decode_map(reply.body), session, sent);
@@ -341,7 +341,7 @@
 }
 
 void Worker::repeat_kept_report(const std::string& node_host) {
-  world_.ask(host, node_host, Method::post, "/hello", kept_report_, [](HttpReply) {});
+  world_.ask(host, node_host, Method::post, "/hello", kept_report_, [](const HttpReply&) {});
 }
 
 Fleet::Fleet(World& world, const Settings& s, std::vector<MachineType> types_,
--- a/tests/world/meeting.cpp
+++ b/tests/world/meeting.cpp
@@ -531,7 +531,7 @@
                   double patience, std::function<void(const HttpReply&, double)> then) {
   const double asked = world_.now();
   auto done = std::make_shared<bool>(false);
-  auto answer = [done, then = std::move(then), asked](HttpReply reply) {
+  auto answer = [done, then = std::move(then), asked](const HttpReply& reply) {
     if (*done) return;
     *done = true;
     then(reply, asked);
--- a/tests/world/state_service.cpp
+++ b/tests/world/state_service.cpp
@@ -209,7 +209,8 @@
   return {200, encode({{"pairs", std::move(pairs)}, {"more", more}, {"ledger", revision_}})};
 }
 
-void StateService::txn(const std::string& from, const std::string& body, World::Answer answer) {
+void StateService::txn(const std::string& from, const std::string& body,
+                       const World::Answer& answer) {
   auto m = decode_map(body);
   if (!m.is_object()) return answer({400, {}});
   const int writes = m.contains("writes") ? static_cast<int>(m["writes"].size()) : 0;
@@ -228,10 +229,10 @@
   const Json none = Json::array();
   const Json& writes = m.contains("writes") ? m["writes"] : none;
   const Json& conditions = m.contains("if") ? m["if"] : none;
-  const HttpReply too_large{400, encode({{"error", "too large"}})};
+  HttpReply too_large{400, encode({{"error", "too large"}})};
   if (static_cast<int>(writes.size()) > limits_.txn_writes ||
       static_cast<int>(conditions.size()) > limits_.txn_conditions() ||
-      m.dump().size() > 64 * 1024) {
+      m.dump().size() > size_t{64} * 1024) {
     ++over_size_;
     return too_large;
   }
--- a/tests/world/state_service.hpp
+++ b/tests/world/state_service.hpp
@@ -46,7 +46,7 @@
   };
   void handle(const std::string& from, Method method, const std::string& target,
               const std::string& body, World::Answer answer);
-  void txn(const std::string& from, const std::string& body, World::Answer answer);
+  void txn(const std::string& from, const std::string& body, const World::Answer& answer);
   HttpReply apply(const Json& m);
   HttpReply list(const std::map<std::string, std::string>& query) const;
   bool answer_watch(Watch& w, bool timed_out);
