--- a/src/coordination/exit_relay.cpp
+++ b/src/coordination/exit_relay.cpp
@@ -10,11 +10,7 @@
 }  // namespace
 
 bool ExitRelay::wanted(const RelayedExit& exit) const {
-  Job* job = cache_.job(exit.task.job);
-  if (!job) return false;
-  auto& assigned = cache_.assigned(exit.machine);
-  auto it = assigned.find({job, exit.task.index});
-  return it != assigned.end() && it->second == exit.attempt;
+  return cache_.places(exit.task, exit.attempt, exit.machine);
 }
 
 void ExitRelay::saw(uint64_t term, const RelayedExit& exit) {
--- a/src/coordination/holder.hpp
+++ b/src/coordination/holder.hpp
@@ -166,6 +166,7 @@
   Task<bool> commit_and_apply(Txn txn, std::stop_token token, bool starts = false);
   Task<void> reread(std::vector<std::string> failed);
   bool records_current() const;
+  static constexpr double pause_after_refusal_s = 0.2;
   static bool is_over(const Job& job) { return job.cancelled ? job.live == 0 : job.finished(); }
 
   // --- jobs whose records are too large for the announced limits (holder_layout.cpp)
@@ -193,14 +194,7 @@
   void finish_gang(const Job& gang, uint64_t attempt);
   // Tells every task of the attempt at once.
   void stop_gang(const Job& gang, double grace_s);
-  struct LiveTaskRef {
-    TaskName name;
-    uint64_t attempt;
-    std::string machine;
-  };
-  // A task that the records place on a machine.
-  std::vector<LiveTaskRef> live_tasks(const Job& job) const;
-  void stop_task(const LiveTaskRef& task, double grace_s);
+  void stop_task(const PlacedTask& task, double grace_s);
 
   // --- what placement sees (holder_view.cpp)
   void reset_view();
--- a/src/coordination/holder_cancelled.cpp
+++ b/src/coordination/holder_cancelled.cpp
@@ -27,14 +27,11 @@
 
 void Holder::stop_cancelled(const Job& job) {
   if (!cancelled_.insert(job.spec.id).second) return;
-  for (auto& [n, chunk] : job.chunks)
-    for (auto& t : chunk.record.live) {
-      auto it = machines_.find(t.machine);
-      if (it == machines_.end()) continue;
-      TaskName name{job.spec.id, n * job.chunk_size + t.index};
-      if (it->second.tasks.contains(name))
-        order(it->second, {Command::Op::stop, name, t.attempt, 0});
-    }
+  for (auto& task : job.live_tasks()) {
+    auto it = machines_.find(task.machine);
+    if (it != machines_.end() && it->second.tasks.contains(task.name))
+      order(it->second, {Command::Op::stop, task.name, task.attempt, 0});
+  }
 }
 
 // A message of the machine just now doesn't show the task, or shows it ended. No proof that it may
@@ -64,13 +61,12 @@
     if (!job) continue;
     const double age = now - cancelled_since(*job);
     if (age < limit || (!settled && (age < latest || age > too_late))) continue;
-    for (auto& [n, chunk] : job->chunks)
-      for (auto& t : chunk.record.live) {
-        TaskName name{id, n * job->chunk_size + t.index};
-        if (exits_.contains(name) || has_released(t.machine, name, t.attempt)) continue;
-        overdue_.insert(t.machine);
-        want_return(t.machine, "it keeps a task of cancelled " + id);
-      }
+    for (auto& task : job->live_tasks()) {
+      if (exits_.contains(task.name) || has_released(task.machine, task.name, task.attempt))
+        continue;
+      overdue_.insert(task.machine);
+      want_return(task.machine, "it keeps a task of cancelled " + id);
+    }
   }
 }
 
--- a/src/coordination/holder_commit.cpp
+++ b/src/coordination/holder_commit.cpp
@@ -12,7 +12,6 @@
 
 // Share of a report period that one pass may go on committing starts.
 constexpr double starts_share = 0.05;
-constexpr double pause_after_refusal_s = 0.2;
 
 placing::Amounts need_of(const JobSpec& s) { return {s.cpus, s.gpus, s.memory_gb}; }
 
@@ -238,11 +237,7 @@
     edits.require_unchanged(*job);
     std::vector<CommittedStart> started;
     for (uint32_t n = 0; n < job->chunk_count(); ++n) {
-      auto known = job->chunks.find(n);
-      const bool all_started = known != job->chunks.end() &&
-                               known->second.record.next == job->size_of(n) &&
-                               known->second.record.waiting.empty();
-      if (all_started) continue;
+      if (job->all_started(n)) continue;
       auto* record = edits.edit(*job, n);
       if (!record) break;
       uint32_t index = 0;
@@ -301,10 +296,7 @@
       ChunkRecord* record = nullptr;
       bool full = false;
       for (; chunk < job->chunk_count(); ++chunk) {
-        auto c = job->chunks.find(chunk);
-        if (c != job->chunks.end() && c->second.record.next == job->size_of(chunk) &&
-            c->second.record.waiting.empty())
-          continue;
+        if (job->all_started(chunk)) continue;
         record = edits.edit(*job, chunk);
         if (!record) {
           full = true;
--- a/src/coordination/holder_gangs.cpp
+++ b/src/coordination/holder_gangs.cpp
@@ -7,14 +7,6 @@
 
 namespace damsonport {
 
-std::vector<Holder::LiveTaskRef> Holder::live_tasks(const Job& job) const {
-  std::vector<LiveTaskRef> out;
-  for (auto& [n, chunk] : job.chunks)
-    for (auto& task : chunk.record.live)
-      out.push_back({{job.spec.id, n * job.chunk_size + task.index}, task.attempt, task.machine});
-  return out;
-}
-
 Holder::GangHints& Holder::gang_hints(const Job& gang) {
   auto& hints = hints_[gang.spec.id].gang;
   if (const uint64_t attempt = live_attempt(gang); hints.attempt != attempt)
@@ -30,7 +22,7 @@
   standing.done = static_cast<uint32_t>(gang.done);
   standing.ran = hints.ran;
   standing.broken = hints.broken;
-  for (auto& task : live_tasks(gang)) {
+  for (auto& task : gang.live_tasks()) {
     auto stop = stopping_.find(task.name);
     standing.stopping |= stop != stopping_.end() && stop->second.attempt == task.attempt;
   }
@@ -51,8 +43,8 @@
   const auto action = gang_action(gang_standing(gang), patience_s);
   if (action != GangAction::complete) return action;
   // Whether it runs already is not known before all its machines were heard.
-  const auto live = live_tasks(gang);
-  const bool all_heard = std::all_of(live.begin(), live.end(), [&](const LiveTaskRef& task) {
+  const auto live = gang.live_tasks();
+  const bool all_heard = std::all_of(live.begin(), live.end(), [&](const PlacedTask& task) {
     auto m = machines_.find(task.machine);
     return m != machines_.end() && m->second.session != 0;
   });
@@ -69,7 +61,7 @@
 
 void Holder::review_gang(const Job& gang) {
   if (is_cancelled(gang) || next_gang_action(gang) != GangAction::give_up) return;
-  for (auto& task : live_tasks(gang)) {
+  for (auto& task : gang.live_tasks()) {
     auto stop = stopping_.find(task.name);
     // One that was told to save goes on with it.
     if (stop != stopping_.end() && stop->second.attempt == task.attempt) continue;
@@ -91,7 +83,7 @@
 // The tasks of a gang complete together: when one is done, all of its attempt are, whether or not
 // their own reports arrive any more.
 void Holder::finish_gang(const Job& gang, uint64_t attempt) {
-  for (auto& task : live_tasks(gang))
+  for (auto& task : gang.live_tasks())
     if (task.attempt == attempt && !exits_.contains(task.name))
       exits_[task.name] = {attempt, ExitCause::done, task.machine};
 }
@@ -115,10 +107,10 @@
 }
 
 void Holder::stop_gang(const Job& gang, double grace_s) {
-  for (auto& task : live_tasks(gang)) stop_task(task, grace_s);
+  for (auto& task : gang.live_tasks()) stop_task(task, grace_s);
 }
 
-void Holder::stop_task(const LiveTaskRef& task, double grace_s) {
+void Holder::stop_task(const PlacedTask& task, double grace_s) {
   if (returned_.contains(task.machine)) return;  // gone with its machine
   stopping_[task.name] = {task.attempt, grace_s};
   Machine& m = machine(task.machine);
--- a/src/coordination/holder_layout.cpp
+++ b/src/coordination/holder_layout.cpp
@@ -12,10 +12,6 @@
 
 namespace damsonport {
 
-namespace {
-constexpr double pause_after_refusal_s = 0.2;
-}  // namespace
-
 const StateLimits& Holder::limits() const { return settings_.state_limits.always(); }
 
 bool Holder::waits_for_layout(const Job& job, const ChunkRecord& record) {
--- a/src/coordination/holder_machines.cpp
+++ b/src/coordination/holder_machines.cpp
@@ -341,11 +341,7 @@
 // Asked again right before an order goes out: the records may have moved on since it was made.
 bool Holder::still_wanted(const Machine& m, const Command& c) const {
   if (c.op != Command::Op::start) return true;
-  Job* job = cache_.job(c.task.job);
-  if (!job || exits_.contains(c.task)) return false;
-  auto& assigned = cache_.assigned(m.id);
-  auto it = assigned.find({job, c.task.index});
-  return it != assigned.end() && it->second == c.attempt;
+  return !exits_.contains(c.task) && cache_.places(c.task, c.attempt, m.id);
 }
 
 Task<void> Holder::send_orders(std::string id) {
--- a/src/coordination/lease_renewal.cpp
+++ b/src/coordination/lease_renewal.cpp
@@ -74,11 +74,8 @@
   for (auto& [node, relayed] : cache_.relayed_exits()) {
     if (relayed.term != term_) continue;
     for (auto& exit : relayed.exits) {
-      Job* job = cache_.job(exit.task.job);
-      if (!job || exits_.contains(exit.task)) continue;
-      auto& assigned = cache_.assigned(exit.machine);
-      auto it = assigned.find({job, exit.task.index});
-      if (it == assigned.end() || it->second != exit.attempt) continue;
+      if (exits_.contains(exit.task) || !cache_.places(exit.task, exit.attempt, exit.machine))
+        continue;
       spdlog::debug("{} attempt {} ended on {}, as {} says", exit.task.text(), exit.attempt,
                     exit.machine, node);
       note_exit(exit.task, {exit.attempt, exit.cause, exit.machine});
--- a/src/coordination/orphan_cleanup.cpp
+++ b/src/coordination/orphan_cleanup.cpp
@@ -28,12 +28,11 @@
     const double age = (loop_.now() - since) / settings_.cancel_s;
     Job* job = cache_.job(id);
     if (!job || age < begin_share || age > too_late_share) continue;
-    for (auto& [n, chunk] : job->chunks)
-      for (auto& t : chunk.record.live) {
-        auto& m = out[t.machine];
-        m.id = t.machine;
-        m.tasks.push_back({{id, n * job->chunk_size + t.index}, t.attempt});
-      }
+    for (auto& task : job->live_tasks()) {
+      auto& host = out[task.machine];
+      host.id = task.machine;
+      host.tasks.push_back({task.name, task.attempt});
+    }
   }
   std::vector<OrphanHost> list;
   list.reserve(out.size());
--- a/src/storage/cache.cpp
+++ b/src/storage/cache.cpp
@@ -10,6 +10,22 @@
 const std::map<Assignment, uint64_t> no_assignments;
 }  // namespace
 
+bool Job::all_started(uint32_t chunk) const {
+  auto it = chunks.find(chunk);
+  if (it == chunks.end()) return false;
+  const ChunkRecord& record = it->second.record;
+  return record.next == size_of(chunk) && record.waiting.empty();
+}
+
+std::vector<PlacedTask> Job::live_tasks() const {
+  std::vector<PlacedTask> out;
+  out.reserve(live);
+  for (auto& [n, chunk] : chunks)
+    for (auto& task : chunk.record.live)
+      out.push_back({{spec.id, n * chunk_size + task.index}, task.attempt, task.machine});
+  return out;
+}
+
 Cache::Cache(Loop& loop, StateClient& state, double min_watch_gap_s, double clock_off_s)
     : loop_(loop), state_(state), min_watch_gap_s_(min_watch_gap_s), clock_off_s_(clock_off_s) {}
 
@@ -39,6 +55,14 @@
   return it == assigned_.end() ? no_assignments : it->second;
 }
 
+bool Cache::places(const TaskName& task, uint64_t attempt, const std::string& machine) {
+  Job* placed = job(task.job);
+  if (!placed) return false;
+  auto& tasks = assigned(machine);
+  auto it = tasks.find({placed, task.index});
+  return it != tasks.end() && it->second == attempt;
+}
+
 uint64_t Cache::chunk_version(const std::string& id, uint32_t chunk) const {
   auto it = jobs_.find(id);
   if (it == jobs_.end()) return 0;
--- a/src/storage/cache.hpp
+++ b/src/storage/cache.hpp
@@ -13,6 +13,13 @@
 
 namespace damsonport {
 
+// A task that the records place on a machine.
+struct PlacedTask {
+  TaskName name;
+  uint64_t attempt = 0;
+  std::string machine;
+};
+
 struct Job {
   JobSpec spec;
   uint64_t version = 0;
@@ -33,6 +40,9 @@
   uint32_t size_of(uint32_t chunk) const {
     return std::min(chunk_size, spec.tasks - chunk * chunk_size);
   }
+  // Every task of the chunk was started at least once, and none waits to be started again.
+  bool all_started(uint32_t chunk) const;
+  std::vector<PlacedTask> live_tasks() const;
   bool finished() const { return done == spec.tasks; }
   // Tasks neither live nor done.
   uint64_t unstarted() const { return spec.tasks - live - done; }
@@ -70,6 +80,8 @@
   const FinalState* final_state(const std::string& id) const;
   void remember_final(const std::string& id, FinalState state);
   const std::map<Assignment, uint64_t>& assigned(const std::string& machine) const;
+  // Whether the records place this attempt of the task on the machine.
+  bool places(const TaskName& task, uint64_t attempt, const std::string& machine);
   // Machines that some record names.
   const std::unordered_map<std::string, std::map<Assignment, uint64_t>>& assignments() const {
     return assigned_;
