--- a/src/coordination/holder.cpp
+++ b/src/coordination/holder.cpp
@@ -13,7 +13,14 @@
       loop_(parts.loop),
       settings_(parts.settings),
       tuning_(parts.settings.tuning),
-      cache_(parts.cache) {}
+      cache_(parts.cache),
+      rentals_(loop_, settings_, parts.state, cache_, parts.http, parts.incarnation) {
+  rentals_.on_rented = [this](auto& machines, const MachineKind& kind) {
+    for (auto& id : machines)
+      if (!machines_.contains(id) && !cache_.leaving(id))
+        booting_.try_emplace(id, Booting{kind.type, kind.zone, kind.spot, loop_.now()});
+  };
+}
 
 const Grant* Holder::own_grant() const {
   for (auto& g : cache_.blocks().grants)
@@ -73,9 +80,7 @@
   send_queue_.clear();
   returning_.clear();
   booting_.clear();
-  // A request under way under an older term ends without a word: its kind must not stay closed.
-  renting_.clear();
-  answered_rentals_.clear();
+  rentals_.begin_term(term_);
   hints_.clear();
   failures_.clear();
   place_again_ = true;
@@ -107,6 +112,7 @@
   if (!own && term_ != 0) {
     spdlog::info("the grant with term {} has gone to another holder", term_);
     term_ = 0;
+    rentals_.begin_term(0);
   }
   if (!p_.election.leading()) co_return term_ != 0;
   if (own && now < next_renewal_) co_return true;
@@ -231,7 +237,7 @@
       }
       if (holding() && loop_.now() >= next_sizing_) {
         next_sizing_ = loop_.now() + settings_.report_s / 2;
-        co_await rent(token);
+        rent(token);
       }
     } else if (!overdue_.empty()) {
       // A holder whose leadership ended and whose successor is gone too, in an outage: what others
--- a/src/coordination/holder.hpp
+++ b/src/coordination/holder.hpp
@@ -18,6 +18,7 @@
 #include "coordination/placement.hpp"
 #include "coordination/reconcile.hpp"
 #include "coordination/renewal_policy.hpp"
+#include "coordination/rentals.hpp"
 #include "coordination/silence_timeout.hpp"
 #include "coordination/sizing.hpp"
 #include "coordination/straggler.hpp"
@@ -243,7 +244,6 @@
   void watch_cancelled();
   void watch_drains();
   void watch_stragglers();
-  bool refused(const std::string& kind) const;
   const MachineType* coming_type(const std::string& id, const Booting& b) const;
   Task<void> return_machines(bool overdue_only, std::stop_token token);
   void sort_most_urgent_first(std::vector<std::string>& machines) const;
@@ -251,11 +251,7 @@
   // Keeps those that must go without a mark, in an outage; false: none.
   bool return_unmarked(std::vector<std::string>& machines);
   Task<bool> ask_return(std::vector<std::string> ask);
-  Task<void> rent(std::stop_token token);
-  void start_rental(RentalRequest request, std::stop_token token);
-  Task<void> rental(RentalRequest request, std::stop_token token);
-  Task<void> do_rental(RentalRequest request, std::stop_token token);
-  Task<void> forget_rental(std::string id);
+  void rent(std::stop_token token);
   sizing::Input sizing_input() const;
   uint64_t team_limit(const JobSpec& spec) const;
   void drain(Machine& m, const std::string& why);
@@ -301,14 +297,9 @@
   std::set<std::string> unmarked_;                // returned in an outage, to be marked after it
   std::set<std::string> returned_;                // the cloud has confirmed it
   std::set<std::string> returning_;
-  struct Refusal {
-    double until = 0, pause = 0;
-  };
-  std::map<std::string, Refusal> refusals_;
   std::map<std::string, Booting> booting_;
-  std::map<std::string, int> renting_;      // requests under way, by kind
-  std::set<std::string> answered_rentals_;  // only their records are still to be removed
-  std::deque<std::string> send_queue_;      // machines with orders
+  Rentals rentals_;
+  std::deque<std::string> send_queue_;  // machines with orders
   std::set<std::string> probing_;
   int sends_ = 0;
   std::vector<sizing::Demand> unplaced_;
--- a/src/coordination/holder_cloud.cpp
+++ b/src/coordination/holder_cloud.cpp
@@ -11,16 +11,10 @@
 namespace {
 constexpr size_t max_returned_at_once = 100;
 constexpr size_t max_returns_a_tick = 4;  // the cloud's calls are also wanted for rentals
-constexpr int max_rented_at_once = 50;
-constexpr int max_rentals_a_kind = 4;  // under way at once
 // A worker that gets no answer in 4 s goes to the next controller a second later.
 constexpr double worker_retry_s = 5;
 constexpr double slow_boot = 1.6;    // times boot_s: the room is no longer counted on
 constexpr double never_boots = 4.0;  // times boot_s: returned
-
-std::string kind_key(const std::string& type, const std::string& zone, bool spot) {
-  return type + "/" + zone + (spot ? "/spot" : "/ordinary");
-}
 }  // namespace
 
 Task<void> Holder::read_list(std::stop_token token) {
@@ -152,11 +146,6 @@
   }
 }
 
-bool Holder::refused(const std::string& kind) const {
-  auto r = refusals_.find(kind);
-  return r != refusals_.end() && r->second.until > loop_.now();
-}
-
 // First a replacement, then no new tasks. Where the cloud has none, giving the slow machine back is
 // what makes room for one, so it is drained at once; and one that does not come is not waited for.
 void Holder::watch_stragglers() {
@@ -171,7 +160,7 @@
         break;
       }
     }
-    if (!m.draining && (refused(kind_key(m.type, m.zone, m.spot)) ||
+    if (!m.draining && (rentals_.refused({m.type, m.zone, m.spot}) ||
                         now - m.replacing_since > slow_boot * (type ? type->boot_s : 0)))
       drain(m, "straggler, no replacement to be had");
   }
@@ -253,7 +242,7 @@
   for (auto& id : ask) {
     // The cloud has room for its like again: no pause after an earlier refusal stands against it.
     if (auto m = machines_.find(id); m != machines_.end() && !m->second.type.empty()) {
-      refusals_.erase(kind_key(m->second.type, m->second.zone, m->second.spot));
+      rentals_.forget_refusal({m->second.type, m->second.zone, m->second.spot});
       // What ran on it shows as demand only when its exits are committed, and boots take longer
       // still.
       if (given_up_.contains(id))
@@ -310,8 +299,9 @@
   for (auto& t : in.types)
     for (auto& zone : t.zones)
       for (bool spot : {false, true}) {
-        auto kind = kind_key(t.name, zone, spot);
-        in.offers.push_back({t.name, zone, spot, refused(kind) || renting_.contains(kind)});
+        const MachineKind kind{t.name, zone, spot};
+        const bool closed = rentals_.refused(kind) || rentals_.under_way(kind);
+        in.offers.push_back({t.name, zone, spot, closed});
       }
   for (auto& [id, m] : machines_) {
     if (cache_.leaving(id) || to_return_.contains(id) || m.type.empty()) continue;
@@ -350,128 +340,26 @@
   return in;
 }
 
-Task<void> Holder::rent(std::stop_token token) {
-  // Requests that an earlier holder, or we, sent without getting an answer: the same request again
-  // rents nothing twice.
-  std::vector<RentalRequest> left;
-  for (auto& [id, rental] : cache_.rentals())
-    if (!renting_.contains(kind_key(rental.request.type, rental.request.zone, rental.request.spot)))
-      left.push_back(rental.request);
-  for (auto& request : left) start_rental(std::move(request), token);
+void Holder::rent(std::stop_token token) {
+  rentals_.resume(token);
   auto input = sizing_input();
   for (auto& [id, m] : machines_) {
-    auto kind = kind_key(m.type, m.zone, m.spot);
-    if (m.replacing_since == 0 || m.draining || m.replacement_asked || renting_.contains(kind))
-      continue;
+    const bool wanted = m.replacing_since > 0 && !m.draining && !m.replacement_asked;
+    if (!wanted || rentals_.under_way({m.type, m.zone, m.spot})) continue;
     m.replacement_asked = true;
     input.replacements.push_back({m.type, m.zone, m.spot, false});
   }
   std::erase_if(lost_, [&](auto& kind) {
-    if (renting_.contains(kind_key(kind.type, kind.zone, kind.spot))) return false;
+    if (rentals_.under_way({kind.type, kind.zone, kind.spot})) return false;
     input.replacements.push_back(kind);
     return true;
   });
   auto plan = sizing::plan(input);
   for (auto& id : plan.give_back) want_return(id, "idle");
   for (auto& r : plan.rent) {
-    auto key = kind_key(r.type, r.zone, r.spot);
-    if (renting_.contains(key)) continue;
-    int left_to_rent = r.count;
-    for (int calls = 0; left_to_rent > 0 && calls < max_rentals_a_kind; ++calls) {
-      const int count = std::min(left_to_rent, max_rented_at_once);
-      left_to_rent -= count;
-      // Unique over nodes and incarnations.
-      start_rental({"r-" + std::to_string(p_.incarnation) + "-" + std::to_string(loop_.random64()),
-                    r.type, r.zone, r.spot, count},
-                   token);
-    }
+    const MachineKind kind{r.type, r.zone, r.spot};
+    if (!rentals_.under_way(kind)) rentals_.rent(kind, r.count, token);
   }
-  co_return;
-}
-
-void Holder::start_rental(RentalRequest request, std::stop_token token) {
-  ++renting_[kind_key(request.type, request.zone, request.spot)];
-  loop_.spawn("rental", rental(std::move(request), token));
-}
-
-Task<void> Holder::rental(RentalRequest request, std::stop_token token) {
-  const auto term = term_;
-  const auto key = kind_key(request.type, request.zone, request.spot);
-  co_await do_rental(std::move(request), std::move(token));
-  // One of an older term is not among those counted.
-  if (term != term_) co_return;
-  if (auto it = renting_.find(key); it != renting_.end() && --it->second <= 0) renting_.erase(it);
-}
-
-Task<void> Holder::do_rental(RentalRequest request, std::stop_token token) {
-  const auto term = term_;
-  const auto key = kind_key(request.type, request.zone, request.spot);
-  // Answered, but the state service could not remove its record: not asked for again and again.
-  if (answered_rentals_.contains(request.id)) {
-    co_await forget_rental(request.id);
-    co_return;
-  }
-  // Committed before it is sent, so that what it rents is never lost sight of.
-  if (!cache_.rentals().contains(request.id)) {
-    Txn txn;
-    txn.conditions[keys::blocks] = cache_.blocks_version();
-    txn.conditions[keys::rental(request.id)] = 0;
-    txn.writes.push_back({keys::rental(request.id),
-                          {{"type", request.type},
-                           {"zone", request.zone},
-                           {"spot", request.spot},
-                           {"count", request.count}},
-                          0});
-    auto writes = txn.writes;
-    auto reply = co_await p_.state.commit(std::move(txn), Importance::placing);
-    if (reply.outcome != Outcome::committed) co_return;
-    cache_.apply_writes(writes, reply.revision);
-  }
-  HttpReply reply;
-  for (int tries = 0; term == term_ && !token.stop_requested(); ++tries) {
-    reply = co_await p_.http.request(settings_.cloud, Method::post, "/hosts",
-                                     encode_rental(request), 3.0);
-    if (reply.status == 200 || reply.status == 400) break;
-    if (reply.status == 503) {
-      auto m = decode_map(reply.body);
-      if (m.is_object() && m.value("error", std::string()) == "no capacity") break;
-    }
-    if (tries >= 5) break;
-    if (!co_await Sleep(loop_, loop_.uniform(0.3, 1.0) * (tries + 1), token)) co_return;
-  }
-  if (term != term_) co_return;
-  auto& refusal = refusals_[key];
-  size_t got = 0;
-  if (reply.status == 200) {
-    auto ids = decode_rented(decode_map(reply.body));
-    got = ids.size();
-    for (auto& id : ids)
-      if (!machines_.contains(id) && !cache_.leaving(id))
-        booting_.try_emplace(id, Booting{request.type, request.zone, request.spot, loop_.now()});
-    spdlog::info("rented {} of {} {} in {}{}", got, request.count, request.type, request.zone,
-                 request.spot ? " (spot)" : "");
-  }
-  if (static_cast<int>(got) < request.count) {
-    // Remembered, but never for good: capacity comes back.
-    double first = settings_.report_s * 2;
-    refusal.pause = refusal.pause > 0 ? std::min(refusal.pause * 2, first * 8) : first;
-    refusal.until = loop_.now() + refusal.pause * loop_.uniform(0.8, 1.2);
-    spdlog::debug("the cloud has no more {}", key);
-  } else {
-    refusal = {};
-  }
-  answered_rentals_.insert(request.id);
-  co_await forget_rental(request.id);
-}
-
-Task<void> Holder::forget_rental(std::string id) {
-  Txn txn;
-  txn.writes.push_back({keys::rental(id), Json(), 0});
-  auto writes = txn.writes;
-  auto removed = co_await p_.state.commit(std::move(txn), Importance::placing);
-  if (removed.outcome != Outcome::committed) co_return;
-  cache_.apply_writes(writes, removed.revision);
-  answered_rentals_.erase(id);
 }
 
 }  // namespace damsonport
--- /dev/null
+++ b/src/coordination/rentals.cpp
@@ -0,0 +1,161 @@
+#include "coordination/rentals.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+namespace damsonport {
+
+namespace {
+constexpr int max_machines_a_request = 50;
+constexpr int max_requests_a_kind = 4;  // under way at once
+constexpr int max_repeats = 5;          // before the next pass asks again
+constexpr double cloud_timeout_s = 3.0;
+// Pause after a refusal, in report periods, and how far it grows.
+constexpr double first_pause_reports = 2, longest_pause_factor = 8;
+
+MachineKind kind_of(const RentalRequest& request) {
+  return {request.type, request.zone, request.spot};
+}
+
+bool is_answer(const HttpReply& reply) {
+  if (reply.status == 200 || reply.status == 400) return true;
+  if (reply.status != 503) return false;
+  auto body = decode_map(reply.body);
+  return body.is_object() && body.value("error", std::string()) == "no capacity";
+}
+}  // namespace
+
+Rentals::Rentals(Loop& loop, const Settings& settings, StateClient& state, Cache& cache,
+                 HttpClient& http, uint64_t incarnation)
+    : loop_(loop),
+      settings_(settings),
+      state_(state),
+      cache_(cache),
+      http_(http),
+      incarnation_(incarnation) {}
+
+void Rentals::begin_term(uint64_t term) {
+  term_ = term;
+  if (term == 0) return;
+  // The kinds of requests of an older term must not stay closed.
+  under_way_.clear();
+  answered_.clear();
+}
+
+bool Rentals::refused(const MachineKind& kind) const {
+  auto it = refusals_.find(kind);
+  return it != refusals_.end() && it->second.until > loop_.now();
+}
+
+void Rentals::resume(std::stop_token token) {
+  std::vector<RentalRequest> left;
+  for (auto& [id, rental] : cache_.rentals())
+    if (!under_way(kind_of(rental.request))) left.push_back(rental.request);
+  for (auto& request : left) start(std::move(request), token);
+}
+
+void Rentals::rent(const MachineKind& kind, int count, std::stop_token token) {
+  for (int calls = 0; count > 0 && calls < max_requests_a_kind; ++calls) {
+    const int now = std::min(count, max_machines_a_request);
+    count -= now;
+    // Unique over nodes and incarnations.
+    start({"r-" + std::to_string(incarnation_) + "-" + std::to_string(loop_.random64()), kind.type,
+           kind.zone, kind.spot, now},
+          token);
+  }
+}
+
+void Rentals::start(RentalRequest request, std::stop_token token) {
+  ++under_way_[kind_of(request)];
+  loop_.spawn("rental", run(std::move(request), std::move(token)));
+}
+
+Task<void> Rentals::run(RentalRequest request, std::stop_token token) {
+  const auto term = term_;
+  const auto kind = kind_of(request);
+  co_await carry_out(std::move(request), std::move(token));
+  // One of an older term is not among those counted.
+  if (term != term_) co_return;
+  if (auto it = under_way_.find(kind); it != under_way_.end() && --it->second <= 0)
+    under_way_.erase(it);
+}
+
+Task<void> Rentals::carry_out(RentalRequest request, std::stop_token token) {
+  const auto term = term_;
+  // Answered, but the state service could not remove its record: not asked for again and again.
+  if (answered_.contains(request.id)) {
+    co_await forget_request(request.id);
+    co_return;
+  }
+  if (!cache_.rentals().contains(request.id) && !co_await commit_request(request)) co_return;
+  const auto reply = co_await ask_cloud(request, token);
+  if (term != term_ || token.stop_requested()) co_return;
+  note_answer(request, reply);
+  answered_.insert(request.id);
+  co_await forget_request(request.id);
+}
+
+Task<bool> Rentals::commit_request(const RentalRequest& request) {
+  Txn txn;
+  txn.conditions[keys::blocks] = cache_.blocks_version();
+  txn.conditions[keys::rental(request.id)] = 0;
+  txn.writes.push_back({keys::rental(request.id),
+                        {{"type", request.type},
+                         {"zone", request.zone},
+                         {"spot", request.spot},
+                         {"count", request.count}},
+                        0});
+  auto writes = txn.writes;
+  auto reply = co_await state_.commit(std::move(txn), Importance::placing);
+  if (reply.outcome != Outcome::committed) co_return false;
+  cache_.apply_writes(writes, reply.revision);
+  co_return true;
+}
+
+Task<HttpReply> Rentals::ask_cloud(const RentalRequest& request, std::stop_token token) {
+  const auto term = term_;
+  HttpReply reply;
+  for (int tries = 0; term == term_ && !token.stop_requested(); ++tries) {
+    reply = co_await http_.request(settings_.cloud, Method::post, "/hosts", encode_rental(request),
+                                   cloud_timeout_s);
+    if (is_answer(reply) || tries >= max_repeats) break;
+    if (!co_await Sleep(loop_, loop_.uniform(0.3, 1.0) * (tries + 1), token)) break;
+  }
+  co_return reply;
+}
+
+void Rentals::note_answer(const RentalRequest& request, const HttpReply& reply) {
+  const auto kind = kind_of(request);
+  std::vector<std::string> machines;
+  if (reply.status == 200) {
+    machines = decode_rented(decode_map(reply.body));
+    if (on_rented) on_rented(machines, kind);
+    spdlog::info("rented {} of {} {} in {}{}", machines.size(), request.count, request.type,
+                 request.zone, request.spot ? " (spot)" : "");
+  }
+  auto& refusal = refusals_[kind];
+  if (static_cast<int>(machines.size()) >= request.count) {
+    refusal = {};
+    return;
+  }
+  // Remembered, but never for good: capacity comes back.
+  const double first_s = settings_.report_s * first_pause_reports;
+  refusal.pause_s =
+      refusal.pause_s > 0 ? std::min(refusal.pause_s * 2, first_s * longest_pause_factor) : first_s;
+  refusal.until = loop_.now() + refusal.pause_s * loop_.uniform(0.8, 1.2);
+  spdlog::debug("the cloud has no more {} in {}{}", kind.type, kind.zone,
+                kind.spot ? " (spot)" : "");
+}
+
+Task<void> Rentals::forget_request(std::string id) {
+  Txn txn;
+  txn.writes.push_back({keys::rental(id), Json(), 0});
+  auto writes = txn.writes;
+  auto removed = co_await state_.commit(std::move(txn), Importance::placing);
+  if (removed.outcome != Outcome::committed) co_return;
+  cache_.apply_writes(writes, removed.revision);
+  answered_.erase(id);
+}
+
+}  // namespace damsonport
--- /dev/null
+++ b/src/coordination/rentals.hpp
@@ -0,0 +1,66 @@
+// The holder's rental requests. Each is committed before it is sent, so that what it rents is never
+// lost sight of, and sent again under the same name until the cloud has answered it.
+#pragma once
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "protocol/settings.hpp"
+#include "storage/cache.hpp"
+#include "transport/http.hpp"
+
+namespace damsonport {
+
+// What a rental request asks for.
+struct MachineKind {
+  std::string type, zone;
+  bool spot = false;
+  auto operator<=>(const MachineKind&) const = default;
+};
+
+class Rentals {
+ public:
+  Rentals(Loop& loop, const Settings& settings, StateClient& state, Cache& cache, HttpClient& http,
+          uint64_t incarnation);
+  // Called with the machines that the cloud says it has rented.
+  std::function<void(const std::vector<std::string>& machines, const MachineKind&)> on_rented;
+
+  // A grant with this term begins, or ends (0). Requests under way under an older term end without
+  // a word.
+  void begin_term(uint64_t term);
+  // Requests that an earlier holder, or this one, sent without getting an answer.
+  void resume(std::stop_token token);
+  void rent(const MachineKind& kind, int count, std::stop_token token);
+  bool under_way(const MachineKind& kind) const { return under_way_.contains(kind); }
+  // The cloud has refused this kind lately.
+  bool refused(const MachineKind& kind) const;
+  // Capacity of this kind has come back.
+  void forget_refusal(const MachineKind& kind) { refusals_.erase(kind); }
+
+ private:
+  struct Refusal {
+    double until = 0, pause_s = 0;
+  };
+  void start(RentalRequest request, std::stop_token token);
+  Task<void> run(RentalRequest request, std::stop_token token);
+  Task<void> carry_out(RentalRequest request, std::stop_token token);
+  Task<bool> commit_request(const RentalRequest& request);
+  Task<HttpReply> ask_cloud(const RentalRequest& request, std::stop_token token);
+  void note_answer(const RentalRequest& request, const HttpReply& reply);
+  Task<void> forget_request(std::string id);
+
+  Loop& loop_;
+  const Settings& settings_;
+  StateClient& state_;
+  Cache& cache_;
+  HttpClient& http_;
+  const uint64_t incarnation_;
+  uint64_t term_ = 0;
+  std::map<MachineKind, Refusal> refusals_;
+  std::map<MachineKind, int> under_way_;  // requests
+  std::set<std::string> answered_;        // only their records are still to be removed
+};
+
+}  // namespace damsonport
