--- a/src/coordination/holder.cpp
+++ b/src/coordination/holder.cpp
@@ -4,10 +4,6 @@
 
 namespace damsonport {
 
-namespace {
-constexpr double clock_drift = 0.0005;  // steady clocks of different machines drift by this much
-}
-
 Holder::Holder(Parts parts)
     : p_(parts),
       loop_(parts.loop),
--- a/src/coordination/holder.hpp
+++ b/src/coordination/holder.hpp
@@ -251,7 +251,7 @@
   // Keeps those that must go without a mark, in an outage; false: none.
   bool return_unmarked(std::vector<std::string>& machines);
   Task<bool> ask_return(std::vector<std::string> ask);
-  void rent(std::stop_token token);
+  void rent(const std::stop_token& token);
   sizing::Input sizing_input() const;
   uint64_t team_limit(const JobSpec& spec) const;
   void drain(Machine& m, const std::string& why);
--- a/src/coordination/holder_cloud.cpp
+++ b/src/coordination/holder_cloud.cpp
@@ -340,7 +340,7 @@
   return in;
 }
 
-void Holder::rent(std::stop_token token) {
+void Holder::rent(const std::stop_token& token) {
   rentals_.resume(token);
   auto input = sizing_input();
   for (auto& [id, m] : machines_) {
--- a/src/coordination/rentals.cpp
+++ b/src/coordination/rentals.cpp
@@ -48,14 +48,14 @@
   return it != refusals_.end() && it->second.until > loop_.now();
 }
 
-void Rentals::resume(std::stop_token token) {
+void Rentals::resume(const std::stop_token& token) {
   std::vector<RentalRequest> left;
   for (auto& [id, rental] : cache_.rentals())
     if (!under_way(kind_of(rental.request))) left.push_back(rental.request);
   for (auto& request : left) start(std::move(request), token);
 }
 
-void Rentals::rent(const MachineKind& kind, int count, std::stop_token token) {
+void Rentals::rent(const MachineKind& kind, int count, const std::stop_token& token) {
   for (int calls = 0; count > 0 && calls < max_requests_a_kind; ++calls) {
     const int now = std::min(count, max_machines_a_request);
     count -= now;
--- a/src/coordination/rentals.hpp
+++ b/src/coordination/rentals.hpp
@@ -31,8 +31,8 @@
   // a word.
   void begin_term(uint64_t term);
   // Requests that an earlier holder, or this one, sent without getting an answer.
-  void resume(std::stop_token token);
-  void rent(const MachineKind& kind, int count, std::stop_token token);
+  void resume(const std::stop_token& token);
+  void rent(const MachineKind& kind, int count, const std::stop_token& token);
   bool under_way(const MachineKind& kind) const { return under_way_.contains(kind); }
   // The cloud has refused this kind lately.
   bool refused(const MachineKind& kind) const;
--- a/tests/world/judge.cpp
+++ b/tests/world/judge.cpp
@@ -1,3 +1,5 @@
+#include <fmt/format.h>
+
 #include <algorithm>
 
 #include "world/fleet.hpp"
@@ -102,7 +104,8 @@
       if (attempt.first.job != task.job) continue;
       ++in_zone[other->zone];
       if (attempt.first == task && id != machine)
-        broke("ran_twice", task.text() + " starts on " + machine + " while it is on " + id);
+        broke("ran_twice",
+              fmt::format("{} starts on {} while it is on {}", task.text(), machine, id));
     }
   if (s->one_zone && in_zone.size() > 1) broke("wrong_place", task.text() + " in a second zone");
   if (s->spread && in_zone[w.zone] > (s->tasks + 1) / 2)
--- a/tests/world/meeting.cpp
+++ b/tests/world/meeting.cpp
@@ -187,6 +187,7 @@
   settings_.cloud = {cloud_host, 8443};
   if (settings_.teams.empty()) settings_.teams.push_back({"t", 0, 0, 0, 0});
   std::vector<std::pair<std::string, std::string>> nodes;
+  nodes.reserve(static_cast<size_t>(node_count_));
   for (int i = 0; i < node_count_; ++i)
     nodes.emplace_back("n" + std::to_string(i), "10.0.0." + std::to_string(i + 1));
   state_ = std::make_unique<StateService>(world_, state_host, limits_);
--- a/tests/world/state_service.cpp
+++ b/tests/world/state_service.cpp
@@ -22,7 +22,7 @@
 }
 }  // namespace
 
-StateService::StateService(World& world, std::string host, const StateLimits& limits)
+StateService::StateService(World& world, const std::string& host, const StateLimits& limits)
     : world_(world),
       limits_(limits),
       requests_(limits.requests_per_s),
@@ -131,11 +131,11 @@
 }
 
 void StateService::handle(const std::string& from, Method method, const std::string& target,
-                          const std::string& body, World::Answer answer) {
+                          const std::string& body, const World::Answer& answer) {
   if (down_ || refused_.contains(from)) return answer({503, {}});
   auto query = query_of(target);
   const auto path = target.substr(0, target.find('?'));
-  if (path == "/txn") return txn(from, body, std::move(answer));
+  if (path == "/txn") return txn(from, body, answer);
   if (over_rate(0)) return answer({429, {}});
   if (path == "/watch") {
     const uint64_t since = std::stoull(query["since"]);
--- a/tests/world/state_service.hpp
+++ b/tests/world/state_service.hpp
@@ -12,7 +12,7 @@
 
 class StateService {
  public:
-  StateService(World& world, std::string host, const StateLimits& limits);
+  StateService(World& world, const std::string& host, const StateLimits& limits);
   // In force from now on; what is stored stays readable.
   void set_limits(const StateLimits& limits) { limits_ = limits; }
   // During an outage all get 503 and open watches wait; afterwards leases get their full time.
@@ -45,7 +45,7 @@
     World::Key expiry;
   };
   void handle(const std::string& from, Method method, const std::string& target,
-              const std::string& body, World::Answer answer);
+              const std::string& body, const World::Answer& answer);
   void txn(const std::string& from, const std::string& body, const World::Answer& answer);
   HttpReply apply(const Json& m);
   HttpReply list(const std::map<std::string, std::string>& query) const;
--- a/tests/world/world.cpp
+++ b/tests/world/world.cpp
@@ -208,11 +208,11 @@
 }
 
 void World::ask(const std::string& from, const std::string& to, Method method, std::string target,
-                std::string body, Answer answer) {
+                std::string body, const Answer& answer) {
   send(from, to,
        [this, from, to, method, target = std::move(target), body = std::move(body), answer] {
-         Answer back = [this, from, to, answer](HttpReply reply) {
-           send(to, from, [answer, reply = std::move(reply)] { answer(reply); });
+         Answer back = [this, from, to, answer](const HttpReply& reply) {
+           send(to, from, [answer, reply] { answer(reply); });
          };
          auto it = servers_.find(to);
          if (it == servers_.end()) return back({0, {}});
--- a/tests/world/world.hpp
+++ b/tests/world/world.hpp
@@ -44,7 +44,7 @@
   void send(const std::string& from, const std::string& to, std::function<void()> arrive);
   // Both messages of an exchange; a host that isn't there refuses.
   void ask(const std::string& from, const std::string& to, Method method, std::string target,
-           std::string body, Answer answer);
+           std::string body, const Answer& answer);
 
  private:
   double now_ = 0;
