Blame in dispute returns no machine; a holder apart from its machines gives up sooner; order by name

Found by a test that failed once in many runs: two jobs at fault may fail first on the same empty machine, which was then returned before either had failed elsewhere. It is closed as soon as before and returned only if the blame stands for a lease.

--- a/src/coordination/fleet.hpp
+++ b/src/coordination/fleet.hpp
@@ -59,7 +59,7 @@
   bool replaces = false;                      // it came for one such
   std::map<std::string, double> failed_jobs;  // jobs whose tasks ended in error here, and when
   bool draining = false;                      // takes no new tasks
-  bool drained_for_failures = false;
+  double failing_since = 0;                   // drained because tasks failed here; 0: not for that
   std::string drain_why;
   int lost_sessions = 0;
   double idle_since = 0;
--- a/src/coordination/holder.cpp
+++ b/src/coordination/holder.cpp
@@ -248,9 +248,12 @@
 // gives the leadership up, and one that they reach takes over. Where nobody else hears them either,
 // the fault is theirs, and nothing is gained by going.
 void Holder::resign_if_deaf() {
+  // A report period and a half, over which a healthy machine reports at least once.
+  constexpr double heard_within_reports = 1.5, deaf_lease_share = 0.125;
   const double now = loop_.now();
+  const double heard_within = heard_within_reports * settings_.report_s;
   size_t heard = 0;
-  for (auto& [id, m] : machines_) heard += now - m.last_heard < doubt_s() && m.session != 0;
+  for (auto& [id, m] : machines_) heard += now - m.last_heard < heard_within && m.session != 0;
   // After a takeover they come here by way of the others.
   const bool settled = now - took_over_at_ > 3 * settings_.report_s;
   const bool deaf = settled && p_.mesh.misrouted_machines() > heard;
@@ -259,7 +262,7 @@
     return;
   }
   if (deaf_since_ == 0) deaf_since_ = now;
-  if (now - deaf_since_ < settings_.lease_s / 4) return;
+  if (now - deaf_since_ < settings_.lease_s * deaf_lease_share) return;
   spdlog::warn("{} machines heard here and {} by other controllers: giving the leadership up",
                heard, p_.mesh.misrouted_machines());
   p_.election.resign();
--- a/src/coordination/holder_cloud.cpp
+++ b/src/coordination/holder_cloud.cpp
@@ -139,7 +139,10 @@
         }
       }
     }
-    if (m.draining && cache_.assigned(id).empty() && m.tasks.empty() && m.session != 0)
+    // The jobs that failed here are tried elsewhere first, which may take the blame back.
+    const bool in_dispute = m.failing_since > 0 && now - m.failing_since < settings_.lease_s;
+    const bool empty = cache_.assigned(id).empty() && m.tasks.empty() && m.session != 0;
+    if (m.draining && empty && !in_dispute)
       want_return(id, "empty and drained (" + m.drain_why + ")");
     // Its answers don't reach it: sessions end though we answer every report.
     if (m.failed_sends >= 3 && m.lost_sessions >= 1) want_return(id, "it can't be answered");
--- a/src/coordination/holder_machines.cpp
+++ b/src/coordination/holder_machines.cpp
@@ -279,12 +279,13 @@
   constexpr double most_drained_share = 0.25;
   size_t drained = 0;
   for (auto& [id, m] : machines_) {
-    if (m.drained_for_failures && !to_return_.contains(id) && !failures_.machine_at_fault(id)) {
+    if (m.failing_since > 0 && !to_return_.contains(id) && !failures_.machine_at_fault(id)) {
       spdlog::info("{} takes tasks again: the jobs that failed on it are at fault", id);
-      m.drained_for_failures = m.draining = false;
+      m.draining = false;
+      m.failing_since = 0;
       dirty_machines_.insert(id);
     }
-    drained += m.drained_for_failures;
+    drained += m.failing_since > 0;
   }
   const auto most = static_cast<size_t>(
       std::max(1.0, most_drained_share * static_cast<double>(machines_.size())));
@@ -292,7 +293,7 @@
     if (drained >= most) return;
     if (m.draining || !failures_.machine_at_fault(id)) continue;
     spdlog::warn("{} fails the tasks of different jobs: it takes no more", id);
-    m.drained_for_failures = true;
+    m.failing_since = loop_.now();
     drain(m, "sick");
     ++drained;
   }
--- a/src/coordination/holder_view.cpp
+++ b/src/coordination/holder_view.cpp
@@ -144,7 +144,9 @@
     it = held_back_.erase(it);  // put back if its pause goes on
   }
   // Jobs first: the machines' tasks refer to them.
-  for (Job* job : dirty_jobs_) refresh_job(*job);
+  std::vector<Job*> dirty(dirty_jobs_.begin(), dirty_jobs_.end());
+  std::sort(dirty.begin(), dirty.end(), [](Job* a, Job* b) { return a->spec.id < b->spec.id; });
+  for (Job* job : dirty) refresh_job(*job);
   dirty_jobs_.clear();
   for (auto& id : dirty_machines_)
     if (auto it = machines_.find(id); it != machines_.end()) refresh_machine(it->second);
--- a/src/storage/cache.hpp
+++ b/src/storage/cache.hpp
@@ -52,7 +52,10 @@
 struct Assignment {
   Job* job;
   uint32_t index;  // in the job
-  bool operator<(const Assignment& o) const { return job != o.job ? job < o.job : index < o.index; }
+  // By name and not by address, so that equal histories are decided equally.
+  bool operator<(const Assignment& o) const {
+    return job != o.job ? job->spec.id < o.job->spec.id : index < o.index;
+  }
 };
 
 enum class FinalState : uint8_t { done, cancelled };
