Blame of a job that worked elsewhere outlasts the job

Change: what a job that worked elsewhere says of a machine is kept as a count, no more than a verdict needs, for five leases after the last failure there or until something that began later works there. Tests: the unit test that expected nothing to be left after forget_job now expects what is left and that it goes in time.

--- a/src/coordination/failure_evidence.cpp
+++ b/src/coordination/failure_evidence.cpp
@@ -43,13 +43,25 @@
   auto& jobs = it->second.failed_jobs;
   auto blaming = std::count_if(jobs.begin(), jobs.end(),
                                [&](const std::string& job) { return blames_machine(job); });
-  return static_cast<size_t>(blaming) >= jobs_against_a_machine;
+  return static_cast<size_t>(blaming) + it->second.ended_jobs >= jobs_against_a_machine;
 }
 
+// A machine that fails everything meets jobs that are done elsewhere within seconds.
 void FailureEvidence::forget_job(const std::string& job) {
-  jobs_.erase(job);
-  for (auto& [machine, record] : machines_) record.failed_jobs.erase(job);
-  std::erase_if(machines_, [](auto& entry) { return entry.second.failed_jobs.empty(); });
+  auto it = jobs_.find(job);
+  const bool worked = it != jobs_.end() && it->second.worked;
+  if (it != jobs_.end()) jobs_.erase(it);
+  for (auto& [machine, record] : machines_) {
+    if (record.failed_jobs.erase(job) == 0 || !worked) continue;
+    record.ended_jobs = std::min(record.ended_jobs + 1, jobs_against_a_machine);
+  }
+  std::erase_if(machines_, [](auto& entry) { return entry.second.empty(); });
+}
+
+void FailureEvidence::forget_failures_before(double before) {
+  for (auto& [machine, record] : machines_)
+    if (record.last_failure < before) record.ended_jobs = 0;
+  std::erase_if(machines_, [](auto& entry) { return entry.second.empty(); });
 }
 
 void FailureEvidence::forget_machine(const std::string& machine) { machines_.erase(machine); }
--- a/src/coordination/failure_evidence.hpp
+++ b/src/coordination/failure_evidence.hpp
@@ -23,9 +23,13 @@
   bool machine_at_fault(const std::string& machine) const;
 
   // Something has failed that is still remembered.
-  bool any() const { return !jobs_.empty(); }
+  bool any() const { return !jobs_.empty() || !machines_.empty(); }
 
+  // The job is over. What it says of machines stays where it worked elsewhere: it can't be at fault
+  // any more.
   void forget_job(const std::string& job);
+  // Blame of jobs that are over and have not been followed by another failure since `before` goes.
+  void forget_failures_before(double before);
   void forget_machine(const std::string& machine);
   void clear();
 
@@ -39,7 +43,10 @@
   // Since something last worked there.
   struct MachineRecord {
     std::set<std::string> failed_jobs;
+    // Of jobs that are over and had worked elsewhere; counted no further than a verdict needs.
+    size_t ended_jobs = 0;
     double last_failure = 0;
+    bool empty() const { return failed_jobs.empty() && ended_jobs == 0; }
   };
   std::map<std::string, MachineRecord> machines_;
 };
--- a/src/coordination/holder_machines.cpp
+++ b/src/coordination/holder_machines.cpp
@@ -276,7 +276,8 @@
 }
 
 void Holder::review_failures() {
-  constexpr double most_drained_share = 0.25;
+  constexpr double most_drained_share = 0.25, remembered_leases = 5;
+  failures_.forget_failures_before(loop_.now() - settings_.lease_s * remembered_leases);
   size_t drained = 0;
   for (auto& [id, m] : machines_) {
     if (m.failing_since > 0 && !to_return_.contains(id) && !failures_.machine_at_fault(id)) {
--- a/tests/failure_evidence_test.cpp
+++ b/tests/failure_evidence_test.cpp
@@ -68,8 +68,45 @@
   evidence.worked("run-1", "i-2", 2);
   EXPECT_FALSE(evidence.job_at_fault("run-1"));
   evidence.forget_job("run-1");
+  EXPECT_TRUE(evidence.any()) << "it failed on i-1 and worked elsewhere";
+  evidence.forget_failures_before(2);
   EXPECT_FALSE(evidence.any());
 }
 
+TEST(FailureEvidence, BlameOfAJobThatWorkedElsewhereOutlastsIt) {
+  FailureEvidence evidence;
+  for (auto* job : {"run-1", "run-2"}) {
+    evidence.failed(job, "i-1", 10);
+    evidence.worked(job, "i-2", 11);
+    evidence.forget_job(job);
+  }
+  EXPECT_TRUE(evidence.machine_at_fault("i-1"));
+  evidence.forget_failures_before(10);
+  EXPECT_TRUE(evidence.machine_at_fault("i-1"));
+  evidence.forget_failures_before(11);
+  EXPECT_FALSE(evidence.machine_at_fault("i-1"));
+}
+
+TEST(FailureEvidence, BlameOfAJobThatWorkedNowhereGoesWithIt) {
+  FailureEvidence evidence;
+  for (auto* job : {"run-1", "run-2"}) {
+    evidence.failed(job, "i-1", 10);
+    evidence.forget_job(job);
+  }
+  EXPECT_FALSE(evidence.machine_at_fault("i-1"));
+  EXPECT_FALSE(evidence.any());
+}
+
+TEST(FailureEvidence, WhatWorksOnAMachineClearsItOfEndedJobsToo) {
+  FailureEvidence evidence;
+  for (auto* job : {"run-1", "run-2"}) {
+    evidence.failed(job, "i-1", 10);
+    evidence.worked(job, "i-2", 11);
+    evidence.forget_job(job);
+  }
+  evidence.worked("run-3", "i-1", 12);
+  EXPECT_FALSE(evidence.machine_at_fault("i-1"));
+}
+
 }  // namespace
 }  // namespace damsonport
