Team limits divided among regions: budgets that always sum to at most the limit

Need: the operators' target has four regions that lose each other for an hour; a team's limit is one figure that one holder counts. Change: each region keeps, in its own state service, an account of its part of every team's limit: what it began with, and totals of what it has sent to and received from each other region (src/coordination/budgets). The holder changes it between two of its other transactions, conditional on 'blocks'; totals only grow, so messages may be late, lost, doubled or out of order. The policy that decides what is asked and given is pure. The reader of S-expressions and the framing of messages between controllers are parts of their own now, used by both that need them.

--- /dev/null
+++ b/src/coordination/budgets/region_network.hpp
@@ -0,0 +1,44 @@
+// Streams to and from the controllers of other regions, and the duty of telling them what this
+// region has and wants. The networks in between belong to others: what comes is checked against the
+// regions file, and is a hint or a committed fact of its sender, never an order.
+#pragma once
+#include <functional>
+#include <map>
+#include <memory>
+
+#include "coordination/budgets/team_budgets.hpp"
+#include "transport/network.hpp"
+
+namespace damsonport::budgets {
+
+class RegionNetwork {
+ public:
+  // `regions`: null where limits are not divided; then there is no listener and no message.
+  RegionNetwork(Loop& loop, Network& network, const Settings& settings,
+                const RegionSettings* regions, TeamBudgets& budgets);
+  bool listening() const { return !regions_ || (listener_ && listener_->listening()); }
+  // Tells the other regions as long as `term` yields one: that of the grant held here.
+  Task<void> run(std::function<uint64_t()> term, std::stop_token token);
+  // Something should be told at once.
+  void wake() { wake_.notify(); }
+  // A message calls for a change of records.
+  std::function<void()> on_news;
+
+  uint64_t bytes_sent() const { return bytes_sent_; }
+  uint64_t messages_sent() const { return messages_sent_; }
+
+ private:
+  long take(std::string_view bytes);
+  void tell_all(uint64_t term);
+
+  Loop& loop_;
+  const Settings& settings_;
+  const RegionSettings* regions_;
+  TeamBudgets& budgets_;
+  Signal wake_;
+  std::map<size_t, std::vector<std::unique_ptr<StreamLink>>> links_;  // by region
+  std::unique_ptr<StreamListener> listener_;
+  uint64_t bytes_sent_ = 0, messages_sent_ = 0;
+};
+
+}  // namespace damsonport::budgets
--- /dev/null
+++ b/src/coordination/budgets/team_budgets.cpp
@@ -0,0 +1,262 @@
+#include "coordination/budgets/team_budgets.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+#include "coordination/budgets/initial_parts.hpp"
+
+namespace damsonport::budgets {
+
+namespace {
+
+// What was heard of a region longer ago, in report periods, no longer says what it wants or spares.
+constexpr double fresh_reports = 8;
+// Budget that was needed within so many leases is kept from work elsewhere that isn't urgent.
+constexpr double kept_leases = 2;
+// A limit of 0 stands for none, so where nothing may be used the limit is the least there is.
+constexpr double nothing = 1e-9;
+
+}  // namespace
+
+const std::vector<TeamBudgets::Resource> TeamBudgets::resources = {
+    {&BudgetParts::cpus, &placing::Amounts::cpus, &TeamSettings::cpus_max, &TeamSettings::cpus},
+    {&BudgetParts::gpus, &placing::Amounts::gpus, &TeamSettings::gpus_max, &TeamSettings::gpus}};
+
+TeamBudgets::TeamBudgets(const Settings& settings, const RegionSettings* regions,
+                         const Cache& cache)
+    : settings_(settings), regions_(regions), cache_(cache) {
+  if (!regions_) return;
+  for (auto& team : settings_.teams) {
+    auto& regions = regions_->regions;
+    const size_t own = regions_->own_index;
+    initial_[team.name] = {initial_parts(team.cpus_max, regions)[own],
+                           initial_parts(team.gpus_max, regions)[own]};
+    guarantees_[team.name] = {guarantee_shares(team.cpus, team.cpus_max, regions)[own],
+                              guarantee_shares(team.gpus, team.gpus_max, regions)[own], 0};
+  }
+}
+
+BudgetRecord TeamBudgets::first_record(const TeamSettings& team) const {
+  BudgetRecord record;
+  // Without a file there is no telling what other regions have: nothing, until one is given.
+  if (regions_) record.initial = initial_.at(team.name);
+  return record;
+}
+
+BudgetRecord TeamBudgets::record_of(const TeamSettings& team) const {
+  auto it = cache_.budgets().find(team.name);
+  return it == cache_.budgets().end() ? first_record(team) : it->second.record;
+}
+
+placing::Amounts TeamBudgets::limit(const TeamSettings& team) const {
+  if (!divided()) return {team.cpus_max, team.gpus_max, 0};
+  placing::Amounts out;
+  const auto parts = record_of(team).parts();
+  for (auto& r : resources)
+    if (team.*r.limit > 0)
+      out.*r.amount = std::max(amount_of(parts.*r.parts, team.*r.limit), nothing);
+  return out;
+}
+
+placing::Amounts TeamBudgets::guarantee(const TeamSettings& team) const {
+  if (!regions_) return {team.cpus, team.gpus, 0};
+  return guarantees_.at(team.name);
+}
+
+void TeamBudgets::begin_term() {
+  peaks_.clear();
+  demands_.clear();
+  measured_at_ = never;
+}
+
+void TeamBudgets::measure(double now) {
+  measured_at_ = now;
+  demands_ = measure_demands(cache_);
+  for (auto& team : settings_.teams) {
+    if (!limited(team)) continue;
+    auto& peaks = peaks_[team.name];
+    peaks.resize(resources.size());
+    auto& demand = demands_[team.name];
+    for (size_t i = 0; i < resources.size(); ++i) {
+      auto& r = resources[i];
+      const double wanted = demand.used.*r.amount + demand.need.*r.amount;
+      peaks[i].note(parts_covering(wanted, team.*r.limit), now, settings_.lease_s * kept_leases);
+    }
+  }
+}
+
+Standing TeamBudgets::standing(const TeamSettings& team, const BudgetRecord& record,
+                               const Resource& r) const {
+  Standing s;
+  const double limit = team.*r.limit;
+  s.budget = record.parts().*r.parts;
+  s.guaranteed = parts_covering(guarantee(team).*r.amount, limit);
+  if (auto it = demands_.find(team.name); it != demands_.end()) {
+    s.used = parts_covering(it->second.used.*r.amount, limit);
+    s.urgent_need = parts_covering(it->second.urgent_need.*r.amount, limit);
+    s.need = parts_covering(it->second.need.*r.amount, limit);
+    s.smallest = parts_covering(it->second.smallest.*r.amount, limit);
+  }
+  if (auto it = peaks_.find(team.name); it != peaks_.end())
+    s.recent_peak = it->second[static_cast<size_t>(&r - resources.data())].value();
+  return s;
+}
+
+const TeamExchange* TeamBudgets::heard_of(size_t region, const std::string& team) const {
+  auto it = heard_.find(regions_->regions[region].name);
+  if (it == heard_.end()) return nullptr;
+  auto exchange = it->second.teams.find(team);
+  return exchange == it->second.teams.end() ? nullptr : &exchange->second;
+}
+
+bool TeamBudgets::fresh(size_t region) const {
+  auto it = heard_.find(regions_->regions[region].name);
+  return it != heard_.end() && measured_at_ - it->second.at < settings_.report_s * fresh_reports;
+}
+
+// --- changes of records
+
+bool TeamBudgets::receive(const TeamSettings& team, BudgetRecord& record) const {
+  bool changed = false;
+  for (size_t i = 0; i < regions_->regions.size(); ++i) {
+    auto* exchange = heard_of(i, team.name);
+    if (!exchange) continue;
+    const auto& region = regions_->regions[i].name;
+    const auto before = record.received_from(region);
+    BudgetParts total{std::max(before.cpus, exchange->sent.cpus),
+                      std::max(before.gpus, exchange->sent.gpus)};
+    if (total == before) continue;
+    record.received[region] = total;
+    changed = true;
+  }
+  // Only a peer that doesn't speak the truth can bring more than all there is.
+  const auto parts = record.parts();
+  if (parts.cpus <= all_parts && parts.gpus <= all_parts) return changed;
+  spdlog::error("the regions claim to have sent more of the limit of {} than there is", team.name);
+  return false;
+}
+
+bool TeamBudgets::give(const TeamSettings& team, BudgetRecord& record) const {
+  bool changed = false;
+  for (size_t i = 0; i < regions_->regions.size(); ++i) {
+    auto* exchange = heard_of(i, team.name);
+    if (i == regions_->own_index || !exchange || !fresh(i)) continue;
+    const auto& region = regions_->regions[i].name;
+    for (auto& r : resources) {
+      const Ask ask{exchange->urgent_ask.*r.parts, exchange->ask.*r.parts};
+      const uint64_t sent = record.sent_to(region).*r.parts;
+      const uint64_t on_the_way = excess(sent, exchange->received.*r.parts);
+      const auto can = spare(standing(team, record, r), yields_to(i));
+      const uint64_t gift = decide_gift(can, ask, on_the_way);
+      if (gift == 0) continue;
+      record.sent[region].*r.parts += gift;
+      changed = true;
+    }
+  }
+  return changed;
+}
+
+Txn TeamBudgets::next_changes(int most) const {
+  Txn txn;
+  if (!regions_) return txn;
+  for (auto& team : settings_.teams) {
+    if (static_cast<int>(txn.writes.size()) >= most) break;
+    if (!limited(team)) continue;
+    auto known = cache_.budgets().find(team.name);
+    const bool first = known == cache_.budgets().end();
+    auto record = record_of(team);
+    const auto before = record;
+    if (!receive(team, record)) record = before;
+    // Nothing is given from a record that isn't there yet.
+    if (!first && exchanging()) give(team, record);
+    if (!first && record == before) continue;
+    txn.conditions[keys::budget(team.name)] = first ? 0 : known->second.version;
+    txn.writes.push_back({keys::budget(team.name), encode_budget(record), 0});
+  }
+  return txn;
+}
+
+// --- messages
+
+void TeamBudgets::add_spare(const TeamSettings& team, const BudgetRecord& record, size_t region,
+                            TeamExchange& out) const {
+  for (auto& r : resources) {
+    const auto can = spare(standing(team, record, r), yields_to(region));
+    out.urgent_spare.*r.parts = can.urgent;
+    out.spare.*r.parts = can.any;
+  }
+}
+
+void TeamBudgets::add_asks(const TeamSettings& team, const BudgetRecord& record, size_t region,
+                           TeamExchange& out) const {
+  for (auto& r : resources) {
+    std::vector<Spare> told(regions_->regions.size());
+    for (size_t i = 0; i < told.size(); ++i)
+      if (auto* exchange = heard_of(i, team.name); exchange && fresh(i))
+        told[i] = {exchange->urgent_spare.*r.parts, exchange->spare.*r.parts};
+    const auto ask = divide_asks(unmet(standing(team, record, r)), told)[region];
+    out.urgent_ask.*r.parts = ask.urgent;
+    out.ask.*r.parts = ask.any;
+  }
+}
+
+bool TeamBudgets::any_unmet() const {
+  return std::any_of(settings_.teams.begin(), settings_.teams.end(), [&](auto& team) {
+    if (!limited(team)) return false;
+    const auto record = record_of(team);
+    return std::any_of(resources.begin(), resources.end(), [&](auto& r) {
+      return team.*r.limit > 0 && unmet(standing(team, record, r)).any > 0;
+    });
+  });
+}
+
+RegionMessage TeamBudgets::message_to(size_t region, uint64_t term) {
+  RegionMessage message;
+  message.region = regions_->own().name;
+  message.receiver = regions_->regions[region].name;
+  message.node = settings_.node_name;
+  message.term = term;
+  message.number = next_number_++;
+  for (auto& team : settings_.teams) {
+    auto known = cache_.budgets().find(team.name);
+    if (!limited(team) || known == cache_.budgets().end()) continue;
+    auto& record = known->second.record;
+    auto& exchange = message.teams.emplace_back();
+    exchange.team = team.name;
+    exchange.sent = record.sent_to(message.receiver);
+    exchange.received = record.received_from(message.receiver);
+    add_spare(team, record, region, exchange);
+    add_asks(team, record, region, exchange);
+  }
+  return message;
+}
+
+bool TeamBudgets::hear(const RegionMessage& message, double now) {
+  if (!regions_ || message.receiver != regions_->own().name) return false;
+  const auto region = regions_->index_of(message.region);
+  if (!region || *region == regions_->own_index) return false;
+  auto& heard = heard_[message.region];
+  const bool newer = std::pair(message.term, message.number) > std::pair(heard.term, heard.number);
+  if (newer) {
+    heard.term = message.term;
+    heard.number = message.number;
+    heard.at = now;
+  }
+  bool calls_for_change = false;
+  for (auto& exchange : message.teams) {
+    auto& known = heard.teams[exchange.team];
+    // Totals only grow: the largest that was ever heard is true, whenever it comes.
+    const BudgetParts sent{std::max(known.sent.cpus, exchange.sent.cpus),
+                           std::max(known.sent.gpus, exchange.sent.gpus)};
+    calls_for_change |= !(sent == known.sent);
+    if (newer) {
+      calls_for_change |= !exchange.ask.none();
+      known = exchange;
+    }
+    known.sent = sent;
+  }
+  return calls_for_change;
+}
+
+}  // namespace damsonport::budgets
--- /dev/null
+++ b/src/coordination/budgets/team_budgets.hpp
@@ -0,0 +1,99 @@
+// This region's budgets of the teams' limits: what placement may use, what is moved between
+// regions, and what is said to them about it.
+//
+// The records are the only truth. A gift is committed here before it is told, and counted there
+// after it was committed, so the budgets of all regions together never exceed the limit, whoever
+// ends or is cut off in between (docs/regions.md).
+#pragma once
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "coordination/budgets/budget_policy.hpp"
+#include "coordination/budgets/team_demand.hpp"
+#include "protocol/region_message.hpp"
+#include "protocol/region_settings.hpp"
+
+namespace damsonport::budgets {
+
+class TeamBudgets {
+ public:
+  // `regions`: null where limits are not divided.
+  TeamBudgets(const Settings& settings, const RegionSettings* regions, const Cache& cache);
+
+  // The limits are divided: by the regions file, or by an earlier holder according to the records.
+  bool divided() const { return regions_ || !cache_.budgets().empty(); }
+  // Budgets can be moved from here.
+  bool exchanging() const { return regions_ && regions_->regions.size() > 1; }
+
+  // What the team's tasks in this region may use at once; 0: no limit.
+  placing::Amounts limit(const TeamSettings& team) const;
+  // Of the guarantee, what work in this region has.
+  placing::Amounts guarantee(const TeamSettings& team) const;
+
+  // A new term begins: what was heard before still counts, what was measured doesn't.
+  void begin_term();
+  // What the records say now; to be called before the two below.
+  void measure(double now);
+  // The changes of records that are due: first records, what came, what is given. Empty: none.
+  // Every record is named by a condition, and nothing else may be written until the outcome is
+  // known. `most`: puts in one transaction.
+  Txn next_changes(int most) const;
+  // What to tell this region.
+  RegionMessage message_to(size_t region, uint64_t term);
+  // Some team's work waits for budget.
+  bool any_unmet() const;
+
+  // True if something in it calls for a change of records.
+  bool hear(const RegionMessage& message, double now);
+
+ private:
+  struct Heard {
+    uint64_t term = 0, number = 0;
+    double at = never;
+    std::map<std::string, TeamExchange> teams;
+  };
+  static constexpr double never = -1e9;
+
+  // One resource of a team: where its figures are in the records of several kinds.
+  struct Resource {
+    uint64_t BudgetParts::*parts;
+    double placing::Amounts::*amount;
+    double TeamSettings::*limit;
+    double TeamSettings::*guarantee;
+  };
+  static const std::vector<Resource> resources;
+
+  static bool limited(const TeamSettings& team) { return team.cpus_max > 0 || team.gpus_max > 0; }
+  BudgetRecord first_record(const TeamSettings& team) const;
+  BudgetRecord record_of(const TeamSettings& team) const;
+  Standing standing(const TeamSettings& team, const BudgetRecord& record,
+                    const Resource& resource) const;
+  const TeamExchange* heard_of(size_t region, const std::string& team) const;
+  // Hints are heeded while they are fresh.
+  bool fresh(size_t region) const;
+  // Of two regions with too little each, the later one in the file gives way.
+  bool yields_to(size_t region) const { return regions_->own_index > region; }
+
+  bool receive(const TeamSettings& team, BudgetRecord& record) const;
+  bool give(const TeamSettings& team, BudgetRecord& record) const;
+  void add_spare(const TeamSettings& team, const BudgetRecord& record, size_t region,
+                 TeamExchange& out) const;
+  void add_asks(const TeamSettings& team, const BudgetRecord& record, size_t region,
+                TeamExchange& out) const;
+
+  const Settings& settings_;
+  const RegionSettings* regions_;
+  const Cache& cache_;
+  // This region's, by team.
+  std::map<std::string, BudgetParts> initial_;
+  std::map<std::string, placing::Amounts> guarantees_;
+  std::map<std::string, Heard> heard_;  // by region
+  Demands demands_;
+  std::map<std::string, std::vector<RecentPeak>> peaks_;  // by team, one a resource
+  double measured_at_ = never;
+  uint64_t next_number_ = 1;
+};
+
+}  // namespace damsonport::budgets
--- a/src/coordination/catalog.cpp
+++ b/src/coordination/catalog.cpp
@@ -56,8 +56,10 @@
   });
   if (!fits) return Verdict::fits_no_type;
   double count = job.kind == Kind::batch ? 1 : job.tasks;
-  if ((team->cpus_max > 0 && job.cpus * count > team->cpus_max + 1e-9) ||
-      (team->gpus_max > 0 && job.gpus * count > team->gpus_max + 1e-9))
+  const double cpus_here = team->cpus_max - team->cpus_elsewhere;
+  const double gpus_here = team->gpus_max - team->gpus_elsewhere;
+  if ((team->cpus_max > 0 && job.cpus * count > cpus_here + 1e-9) ||
+      (team->gpus_max > 0 && job.gpus * count > gpus_here + 1e-9))
     return Verdict::over_limit;
   return Verdict::ok;
 }
--- a/src/coordination/holder.cpp
+++ b/src/coordination/holder.cpp
@@ -82,6 +82,8 @@
   place_again_ = true;
   next_list_ = 0;
   next_sizing_ = took_over_at_ + 2 * settings_.report_s;
+  p_.budgets.begin_term();
+  budget_news_ = true;
   reset_view();
   for (auto& [id, assigned] : cache_.assignments()) machine(id);
   // Marked by an earlier holder, who may not have got round to it.
@@ -191,6 +193,7 @@
       busy = co_await commit_exits(token);
       if (holding()) busy = co_await commit_finals(token) || busy;
       if (holding()) busy = co_await commit_layouts(token) || busy;
+      if (holding()) busy = co_await commit_budgets(token) || busy;
       if (holding()) busy = co_await commit_starts(token) || busy;
     }
     if (busy) continue;
--- a/src/coordination/holder.hpp
+++ b/src/coordination/holder.hpp
@@ -7,6 +7,7 @@
 #include <unordered_map>
 #include <unordered_set>
 
+#include "coordination/budgets/region_network.hpp"
 #include "coordination/catalog.hpp"
 #include "coordination/chunk_edits.hpp"
 #include "coordination/election.hpp"
@@ -40,6 +41,8 @@
     Election& election;
     const VersionRegistry& versions;
     ExitRelay& exit_relay;
+    budgets::TeamBudgets& budgets;
+    budgets::RegionNetwork& regions;
     Signal& changed;
     uint64_t incarnation;
   };
@@ -63,6 +66,8 @@
   uint64_t misrouted_machines() const;
   void job_changed(Job* job);
   void job_gone(Job* job);
+  // Another region has given budget, or asks for some.
+  void budget_news();
   // Another controller says that the job is cancelled; the records may follow.
   void cancelled_elsewhere(const std::string& job);
   // The records put a task of this job on the machine, or took one away.
@@ -182,6 +187,10 @@
   Task<bool> commit_divided_chunks(std::string id, std::stop_token token);
   Task<bool> commit_new_layout(std::string id, std::stop_token token);
 
+  // --- the teams' limits among regions (holder_budgets.cpp)
+  Task<bool> commit_budgets(std::stop_token token);
+  void tell_of_unmet_need();
+
   // --- gangs (holder_gangs.cpp)
   // Takes note of a proven exit; of a gang it says something about the other tasks too.
   void note_exit(const TaskName& task, PendingExit exit);
@@ -312,6 +321,8 @@
     std::map<uint32_t, ChunkRecord> to_write;
   };
   Dividing dividing_;
+  bool budget_news_ = false, unmet_told_ = false;
+  double next_budgets_ = 0;
   double next_list_ = 0, next_sizing_ = 0, next_orphan_check_ = 0;
   bool place_again_ = true;
   double next_place_ = 0;
--- /dev/null
+++ b/src/coordination/holder_budgets.cpp
@@ -0,0 +1,51 @@
+// The holder's part in dividing the teams' limits among regions: it alone changes this region's
+// records of them, between two of its other transactions.
+#include <spdlog/spdlog.h>
+
+#include "coordination/holder.hpp"
+
+namespace damsonport {
+
+namespace {
+// Report periods between two looks at what the teams want.
+constexpr double measure_reports = 0.1;
+}  // namespace
+
+// A gift counts on the records alone: none of this holder's starts is under way or in doubt here,
+// since it writes one transaction at a time, and an older holder's fail on `blocks`.
+Task<bool> Holder::commit_budgets(std::stop_token token) {
+  if (!p_.budgets.exchanging() || !records_current()) co_return false;
+  // An older version that takes over would count the whole limit as its own.
+  if (!p_.versions.all_have(VersionRegistry::budgets)) co_return false;
+  const double now = loop_.now();
+  if (!budget_news_ && now < next_budgets_) co_return false;
+  budget_news_ = false;
+  next_budgets_ = now + settings_.report_s * measure_reports;
+  p_.budgets.measure(now);
+  // One place is kept: the limits of a transaction hold for conditions too.
+  Txn txn = p_.budgets.next_changes(limits().txn_writes - 1);
+  if (txn.writes.empty()) {
+    tell_of_unmet_need();
+    co_return false;
+  }
+  txn.conditions[keys::blocks] = cache_.blocks_version();
+  spdlog::debug("budgets of {} teams change", txn.writes.size());
+  if (co_await commit_and_apply(std::move(txn), token)) place_again_ = true;
+  budget_news_ = true;  // more may be due
+  p_.regions.wake();
+  co_return true;
+}
+
+// Other regions hear at once that a team wants more than it has here.
+void Holder::tell_of_unmet_need() {
+  const bool unmet = p_.budgets.any_unmet();
+  if (unmet && !unmet_told_) p_.regions.wake();
+  unmet_told_ = unmet;
+}
+
+void Holder::budget_news() {
+  budget_news_ = true;
+  p_.changed.notify();
+}
+
+}  // namespace damsonport
--- a/src/coordination/holder_cloud.cpp
+++ b/src/coordination/holder_cloud.cpp
@@ -270,8 +270,9 @@
 uint64_t Holder::team_limit(const JobSpec& spec) const {
   auto* team = settings_.team(spec.team);
   double n = 1e6;
-  if (team && team->cpus_max > 0 && spec.cpus > 0) n = std::min(n, team->cpus_max / spec.cpus);
-  if (team && team->gpus_max > 0 && spec.gpus > 0) n = std::min(n, team->gpus_max / spec.gpus);
+  const auto limit = team ? p_.budgets.limit(*team) : placing::Amounts{};
+  if (limit.cpus > 0 && spec.cpus > 0) n = std::min(n, limit.cpus / spec.cpus);
+  if (limit.gpus > 0 && spec.gpus > 0) n = std::min(n, limit.gpus / spec.gpus);
   return static_cast<uint64_t>(n + 1e-6);
 }
 
--- a/src/coordination/holder_view.cpp
+++ b/src/coordination/holder_view.cpp
@@ -26,7 +26,7 @@
   view_.gang_hold_after_s = settings_.gang_wait_s * tuning_.gang_hold_after_share;
   view_.gang_hold_for_s = settings_.gang_wait_s * tuning_.gang_hold_for_share;
   for (auto& t : settings_.teams)
-    view_.teams.push_back({t.name, {t.cpus, t.gpus, 0}, {t.cpus_max, t.gpus_max, 0}});
+    view_.teams.push_back({t.name, p_.budgets.guarantee(t), p_.budgets.limit(t)});
   slot_jobs_.clear();
   free_job_slots_.clear();
   free_machine_slots_.clear();
@@ -161,6 +161,9 @@
                                view_.zones.id(b.zone),
                                b.spot,
                                {type->cpus, type->gpus, type->memory_gb}});
+  if (p_.budgets.divided())
+    for (size_t t = 0; t < view_.teams.size(); ++t)
+      view_.teams[t].limit = p_.budgets.limit(settings_.teams[t]);
   view_.now = loop_.wall();
   view_.steady_now = now;
 }
--- a/src/coordination/node.cpp
+++ b/src/coordination/node.cpp
@@ -39,7 +39,7 @@
 }
 }  // namespace
 
-Node::Node(Loop& loop, Network& network, const Settings& settings)
+Node::Node(Loop& loop, Network& network, const Settings& settings, const RegionSettings* regions)
     : loop_(loop),
       settings_(settings),
       incarnation_(new_incarnation(loop)),
@@ -52,9 +52,11 @@
       mesh_(loop, network, settings, cancellations_),
       versions_(loop, settings, state_, cache_),
       exit_relay_(loop, settings, state_, cache_),
+      budgets_(settings, regions, cache_),
+      regions_(loop, network, settings, regions, budgets_),
       election_(loop, settings, state_, cache_, incarnation_, changed_),
       holder_({loop, settings, state_, cache_, *http_, catalog_, mesh_, cancellations_, election_,
-               versions_, exit_relay_, changed_, incarnation_}),
+               versions_, exit_relay_, budgets_, regions_, changed_, incarnation_}),
       api_(loop, settings, state_, cache_, catalog_, versions_),
       server_(network.server(max_body,
                              static_cast<size_t>(std::max(settings.max_sockets - kept_sockets -
@@ -76,6 +78,7 @@
     holder_.job_changed(job);
   };
   mesh_.on_cancelled = [this](const std::string& job) { holder_.cancelled_elsewhere(job); };
+  regions_.on_news = [this] { holder_.budget_news(); };
   cache_.on_assignment = [this](const std::string& machine, const Job& job, bool added) {
     holder_.assignment_changed(machine, job, added);
   };
@@ -94,12 +97,17 @@
     spdlog::error("cannot listen on {} for the other controllers", settings_.mesh_listen.text());
     return false;
   }
+  if (!regions_.listening()) {
+    spdlog::error("cannot listen for the controllers of other regions");
+    return false;
+  }
   spdlog::info("{} in {} serves on {}", settings_.node_name, settings_.zone,
                settings_.listen.text());
   auto token = loop_.stop_token();
   loop_.spawn("cache", cache_.follow(token));
   loop_.spawn("catalogue", catalog_.follow(token));
   loop_.spawn("mesh", mesh_.send_heartbeats([this] { return next_heartbeat(); }, token));
+  loop_.spawn("regions", regions_.run([this] { return holder_.term(); }, token));
   loop_.spawn("version", versions_.announce(token));
   loop_.spawn("exit relay", exit_relay_.run(token));
   loop_.spawn("election", election_.run(token));
--- a/src/coordination/node.hpp
+++ b/src/coordination/node.hpp
@@ -7,7 +7,9 @@
 
 class Node {
  public:
-  Node(Loop& loop, Network& network, const Settings& settings);
+  // `regions`: among which the teams' limits are divided; null: there is this region only.
+  Node(Loop& loop, Network& network, const Settings& settings,
+       const RegionSettings* regions = nullptr);
   // False when an address can't be had.
   bool start();
   uint16_t port() const { return server_->port(); }
@@ -33,6 +35,8 @@
   Mesh mesh_;
   VersionRegistry versions_;
   ExitRelay exit_relay_;
+  budgets::TeamBudgets budgets_;
+  budgets::RegionNetwork regions_;
   Election election_;
   Holder holder_;
   UserApi api_;
--- a/src/coordination/version_registry.hpp
+++ b/src/coordination/version_registry.hpp
@@ -14,7 +14,9 @@
  public:
   // The first version whose gangs are started, stopped and restarted as a whole.
   static constexpr uint64_t gangs = 1;
-  static constexpr uint64_t current = gangs;
+  // The first version that divides the teams' limits among regions.
+  static constexpr uint64_t budgets = 2;
+  static constexpr uint64_t current = budgets;
 
   VersionRegistry(Loop& loop, const Settings& settings, StateClient& state, Cache& cache)
       : loop_(loop), settings_(settings), state_(state), cache_(cache) {}
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -6,7 +6,9 @@
 #include <CLI/CLI.hpp>
 #include <cstdlib>
 #include <iostream>
+#include <optional>
 
+#include "coordination/budgets/initial_parts.hpp"
 #include "coordination/node.hpp"
 #include "transport/event_network.hpp"
 
@@ -37,9 +39,11 @@
 int main(int argc, char** argv) {
   CLI::App app{
       "damsonport: schedules the replicas and batches of language models on rented fleets"};
-  std::string config;
+  std::string config, regions_file;
   bool check = false;
   app.add_option("--config", config, "settings file (TOML) of this controller")->required();
+  app.add_option("--regions", regions_file,
+                 "file that names the regions among which the teams' limits are divided");
   app.add_flag("--check", check, "check the settings and end");
   app.set_version_flag("--version", DAMSONPORT_VERSION);
   try {
@@ -53,6 +57,16 @@
     spdlog::error("{}", settings.error());
     return exit_bad_settings;
   }
+  std::optional<damsonport::RegionSettings> regions;
+  if (!regions_file.empty()) {
+    auto loaded = damsonport::load_regions(regions_file, settings->zone);
+    if (!loaded) {
+      spdlog::error("{}", loaded.error());
+      return exit_bad_settings;
+    }
+    regions = std::move(*loaded);
+    damsonport::budgets::keep_guarantees_elsewhere(*settings, *regions);
+  }
   spdlog::info("damsonport {} starts as {}", DAMSONPORT_VERSION, settings->node_name);
   if (check) {
     std::cout << config << ": ok\n";
@@ -60,7 +74,7 @@
   }
   damsonport::EventLoop loop;
   damsonport::EventNetwork network(loop);
-  damsonport::Node node(loop, network, *settings);
+  damsonport::Node node(loop, network, *settings, regions ? &*regions : nullptr);
   if (!node.start()) return 1;
   auto on_signal = [](evutil_socket_t, short, void* l) {
     spdlog::info("told to end");
--- a/src/protocol/heartbeat.cpp
+++ b/src/protocol/heartbeat.cpp
@@ -33,19 +33,14 @@
     body.text(c.job);
     body.number(c.age_ms);
   }
-  VarintWriter frame;
-  frame.text(body.bytes());
-  return frame.bytes();
+  return encode_frame(body.bytes());
 }
 
 Framed decode_heartbeat(std::string_view in, Heartbeat& out, size_t& used) {
-  VarintReader head(in);
-  uint64_t size = 0;
-  if (!head.number(size)) return in.size() >= 10 ? Framed::bad : Framed::partial;
-  if (size > max_frame) return Framed::bad;
-  if (in.size() - head.used() < size) return Framed::partial;
-  VarintReader body(in.substr(head.used(), size));
-  used = head.used() + size;
+  std::string_view content;
+  if (auto framed = decode_frame(in, max_frame, content, used); framed != Framed::whole)
+    return framed;
+  VarintReader body(content);
   out = {};
   uint64_t version = 0, loaded = 0, cancelled = 0;
   if (!body.number(version) || version < heartbeat_version || !body.text(out.node) ||
--- a/src/protocol/heartbeat.hpp
+++ b/src/protocol/heartbeat.hpp
@@ -5,6 +5,8 @@
 #include <string_view>
 #include <vector>
 
+#include "protocol/frame.hpp"
+
 namespace damsonport {
 
 struct Heartbeat {
@@ -32,7 +34,6 @@
   std::vector<Cancellation> cancelled;
 };
 std::string encode_heartbeat(const Heartbeat& b);  // framed
-enum class Framed : uint8_t { partial, whole, bad };
 // Takes one framed heartbeat off the front; `used` bytes were consumed when whole. What a later
 // version adds at the end is passed over.
 Framed decode_heartbeat(std::string_view in, Heartbeat& out, size_t& used);
--- /dev/null
+++ b/src/protocol/region_message.cpp
@@ -0,0 +1,76 @@
+#include "protocol/region_message.hpp"
+
+#include <array>
+
+#include "protocol/varint.hpp"
+
+namespace damsonport {
+
+namespace {
+
+constexpr uint64_t message_version = 1;
+constexpr uint64_t max_frame = uint64_t{1024} * 1024;
+constexpr uint64_t max_teams = 100000;
+
+constexpr std::array<BudgetParts TeamExchange::*, 6> exchange_fields = {
+    &TeamExchange::sent,  &TeamExchange::received,   &TeamExchange::urgent_spare,
+    &TeamExchange::spare, &TeamExchange::urgent_ask, &TeamExchange::ask};
+
+std::string encode_exchange(const TeamExchange& exchange) {
+  VarintWriter body;
+  body.text(exchange.team);
+  for (auto field : exchange_fields) {
+    body.number((exchange.*field).cpus);
+    body.number((exchange.*field).gpus);
+  }
+  return body.bytes();
+}
+
+// What a later version adds at the end of an entry is passed over.
+bool decode_exchange(std::string_view in, TeamExchange& out) {
+  VarintReader body(in);
+  if (!body.text(out.team)) return false;
+  for (auto field : exchange_fields)
+    if (!body.number((out.*field).cpus) || !body.number((out.*field).gpus)) return false;
+  return true;
+}
+
+bool decode_body(std::string_view in, RegionMessage& out) {
+  VarintReader body(in);
+  uint64_t version = 0, teams = 0;
+  if (!body.number(version)) return false;
+  if (version != message_version) return true;
+  if (!body.text(out.region) || !body.text(out.receiver) || !body.text(out.node) ||
+      !body.number(out.term) || !body.number(out.number) || !body.number(teams) ||
+      teams > max_teams)
+    return false;
+  std::string entry;
+  for (uint64_t i = 0; i < teams; ++i) {
+    if (!body.text(entry) || !decode_exchange(entry, out.teams.emplace_back())) return false;
+  }
+  return true;
+}
+
+}  // namespace
+
+std::string encode_region_message(const RegionMessage& message) {
+  VarintWriter body;
+  body.number(message_version);
+  body.text(message.region);
+  body.text(message.receiver);
+  body.text(message.node);
+  body.number(message.term);
+  body.number(message.number);
+  body.number(message.teams.size());
+  for (auto& exchange : message.teams) body.text(encode_exchange(exchange));
+  return encode_frame(body.bytes());
+}
+
+Framed decode_region_message(std::string_view in, RegionMessage& out, size_t& used) {
+  std::string_view body;
+  if (auto framed = decode_frame(in, max_frame, body, used); framed != Framed::whole) return framed;
+  out = {};
+  return decode_body(body, out) ? Framed::whole : Framed::bad;
+}
+
+}  // namespace damsonport
--- a/src/protocol/settings.hpp
+++ b/src/protocol/settings.hpp
@@ -19,6 +19,8 @@
 struct TeamSettings {
   std::string name;
   double cpus = 0, cpus_max = 0, gpus = 0, gpus_max = 0;  // 0: none
+  // Of the limit, what other regions keep for their share of the guarantee.
+  double cpus_elsewhere = 0, gpus_elsewhere = 0;
 };
 
 struct Objective {
--- a/src/protocol/tuning.cpp
+++ b/src/protocol/tuning.cpp
@@ -1,13 +1,8 @@
 #include "protocol/tuning.hpp"
 
-#include <sfsexp/sexp.h>
-#include <sfsexp/sexp_memory.h>
-#include <sfsexp/sexp_ops.h>
-
 #include <charconv>
-#include <cstring>
-#include <memory>
-#include <vector>
+
+#include "protocol/sexp_document.hpp"
 
 namespace damsonport {
 
@@ -38,28 +33,15 @@
     {"spare-share", 0, 4, &Tuning::spare_share, nullptr},
 };
 
-// sfsexp keeps no positions, so the line of a named entry is found in the text again.
-std::string at_line(const std::string& text, const std::string& word) {
-  auto at = text.find(word);
-  if (at == std::string::npos) at = text.size();
-  int line = 1;
-  for (size_t i = 0; i < at; ++i) line += text[i] == '\n';
-  return "line " + std::to_string(line) + ": ";
-}
-
-std::string atom(const sexp_t* s) {
-  return s && s->ty == SEXP_VALUE && s->val ? std::string(s->val) : std::string();
-}
-
-Result<bool> apply(Tuning& out, const std::string& text, const sexp_t* entry) {
-  if (entry->ty != SEXP_LIST || !entry->list)
-    return Error{at_line(text, atom(entry)) + "expected (NAME VALUE)"};
-  const std::string name = atom(entry->list);
+Result<bool> apply(Tuning& out, const SexpDocument& document, const sexp_t* entry) {
+  if (!SexpDocument::is_list(entry))
+    return Error{document.at_line(SexpDocument::atom(entry)) + "expected (NAME VALUE)"};
+  const std::string name = SexpDocument::atom(entry->list);
   const sexp_t* value = entry->list->next;
-  const auto where = at_line(text, name);
+  const auto where = document.at_line(name);
   for (const Knob& knob : knobs) {
     if (name != knob.name) continue;
-    std::string word = atom(value);
+    std::string word = SexpDocument::atom(value);
     double number = 0;
     auto [end, err] = std::from_chars(word.data(), word.data() + word.size(), number);
     if (word.empty() || err != std::errc{} || end != word.data() + word.size() || value->next)
@@ -78,38 +60,14 @@
   return Error{where + "unknown entry '" + name + "'"};
 }
 
-// Comments run from ';' to the end of the line; sfsexp reads only one expression at a time.
-std::string without_comments(const std::string& text) {
-  std::string out;
-  bool comment = false;
-  for (char c : text) {
-    if (c == ';') comment = true;
-    if (c == '\n') comment = false;
-    out.push_back(comment ? ' ' : c);
-  }
-  return out;
-}
-
 }  // namespace
 
-Result<Tuning> parse_tuning(const std::string& raw) {
-  std::string text = without_comments(raw);
-  int depth = 0, line = 1;
-  for (char c : text) {
-    line += c == '\n';
-    depth += c == '(' ? 1 : c == ')' ? -1 : 0;
-    if (depth < 0) return Error{"line " + std::to_string(line) + ": ')' without '('"};
-  }
-  if (depth != 0) return Error{"line " + std::to_string(line) + ": a '(' is not closed"};
-  std::vector<char> buffer(text.begin(), text.end());
-  buffer.push_back('\0');
-  std::unique_ptr<sexp_t, void (*)(sexp_t*)> root(parse_sexp(buffer.data(), text.size()),
-                                                  destroy_sexp);
-  if (!root || root->ty != SEXP_LIST || atom(root->list) != "damsonport")
-    return Error{"line 1: expected (damsonport ...)"};
+Result<Tuning> parse_tuning(const std::string& text) {
+  auto document = SexpDocument::parse(text, "damsonport");
+  if (!document) return Error{document.error()};
   Tuning tuning;
-  for (const sexp_t* entry = root->list->next; entry; entry = entry->next) {
-    auto done = apply(tuning, text, entry);
+  for (const sexp_t* entry = document->entries(); entry; entry = entry->next) {
+    auto done = apply(tuning, *document, entry);
     if (!done) return Error{done.error()};
   }
   return tuning;
--- /dev/null
+++ b/src/storage/budget_record.hpp
@@ -0,0 +1,27 @@
+// A region's account of its part of one team's limit, kept in the region's own state service.
+//
+// It holds totals since the beginning. What a region may use is its initial parts, plus all that it
+// has received, less all that it has sent (docs/regions.md has the proof that this is exact).
+#pragma once
+#include <map>
+#include <string>
+
+#include "protocol/budget_parts.hpp"
+#include "protocol/messages.hpp"
+
+namespace damsonport {
+
+struct BudgetRecord {
+  BudgetParts initial;
+  std::map<std::string, BudgetParts> sent, received;  // by the other region
+
+  BudgetParts parts() const;
+  BudgetParts sent_to(const std::string& region) const;
+  BudgetParts received_from(const std::string& region) const;
+  bool operator==(const BudgetRecord&) const = default;
+};
+
+Json encode_budget(const BudgetRecord& record);
+BudgetRecord decode_budget(const Json& value);
+
+}  // namespace damsonport
--- a/src/storage/cache.cpp
+++ b/src/storage/cache.cpp
@@ -117,6 +117,8 @@
     } else {
       relayed_exits_.erase(tail(keys::exits));
     }
+  } else if (key.starts_with(keys::budgets)) {
+    apply_budget(tail(keys::budgets), item);
   } else if (key.starts_with(keys::versions)) {
     if (item.value.is_object())
       versions_[tail(keys::versions)] = item.value.value("v", uint64_t{0});
@@ -138,6 +140,13 @@
   return false;
 }
 
+// Never removed: without it the team's limit would count as undivided.
+void Cache::apply_budget(const std::string& team, const Item& item) {
+  auto& budget = budgets_[team];
+  if (item.value.is_object() && item.version > budget.version)
+    budget = {decode_budget(item.value), item.version};
+}
+
 void Cache::apply_job(const std::string& id, const Item& item) {
   if (item.value.is_null()) {
     // A job's record goes only when it is over. That it is done is not inferred from that: a
--- a/src/storage/cache.hpp
+++ b/src/storage/cache.hpp
@@ -8,6 +8,7 @@
 #include <string>
 #include <unordered_map>
 
+#include "storage/budget_record.hpp"
 #include "storage/records.hpp"
 #include "storage/state_client.hpp"
 
@@ -116,6 +117,13 @@
   // Exits that controllers saw for the holder, by controller.
   const std::map<std::string, RelayedExits>& relayed_exits() const { return relayed_exits_; }
 
+  // This region's budgets of the teams' limits, by team; none where limits are not divided.
+  struct Budget {
+    BudgetRecord record;
+    uint64_t version = 0;
+  };
+  const std::map<std::string, Budget>& budgets() const { return budgets_; }
+
   // Called after every applied change; the argument is the job concerned, or null.
   std::function<void(Job*)> on_change;
   // Called for each task that a change puts on a machine or takes from it.
@@ -127,6 +135,7 @@
   Task<bool> load(std::stop_token token);
   bool outlived(const Item& item);
   void apply_job(const std::string& id, const Item& item);
+  void apply_budget(const std::string& team, const Item& item);
   void apply_chunk(const std::string& rest, const Item& item);
   void set_chunk(Job& job, uint32_t n, ChunkRecord record, uint64_t version);
   void assign(Job& job, uint32_t index, const LiveTask& task, bool add);
@@ -163,6 +172,7 @@
   std::map<std::string, Rental> rentals_;
   std::map<std::string, uint64_t> versions_;
   std::map<std::string, RelayedExits> relayed_exits_;
+  std::map<std::string, Budget> budgets_;
 };
 
 }  // namespace damsonport
