Regions on virtual time; the stand-ins are a library; the rule checker counts the task that starts

The stand-ins have moved from tests/world to simulation, so that the load tool can use them; a controller that can be killed is one class there, for meetings and regions alike. The rule checker counted a starting task only from the next start on, so it missed a limit that was passed by one task: it is counted now.

--- a/tests/world/fleet.cpp
+++ b/simulation/fleet.cpp
@@ -1,8 +1,8 @@
-#include "world/fleet.hpp"
+#include "simulation/fleet.hpp"
 
 #include <algorithm>
 
-namespace damsonport::world {
+namespace damsonport::simulation {
 
 namespace {
 constexpr double worker_patience_s = 4, next_node_s = 1, soonest_s = 0.5;
@@ -210,13 +210,13 @@
   Running& t = tasks_[a];
   t.report.task = a.first;
   t.report.attempt = a.second;
-  auto* spec = fleet_.judge_.spec(a.first.job);
+  auto* spec = fleet_.rules_.spec(a.first.job);
   if (!spec) return exit(t, ExitCause::unknown);
   double cpus = 0, gpus = 0, memory = 0;
   for (auto& [other, o] : tasks_) {
     if (o.report.state == TaskState::exited) continue;
     if (other.first == a.first && other != a) return exit(t, ExitCause::busy);
-    if (auto* s = fleet_.judge_.spec(other.first.job))
+    if (auto* s = fleet_.rules_.spec(other.first.job))
       cpus += s->cpus, gpus += s->gpus, memory += s->memory_gb;
   }
   for (auto& type_of : fleet_.types)
@@ -234,14 +234,15 @@
 
 void Worker::fetched(const Attempt& a) {
   Running& t = tasks_.at(a);
-  auto& spec = *fleet_.judge_.spec(a.first.job);
+  auto& spec = *fleet_.rules_.spec(a.first.job);
   images_.insert(spec.image);
   ++fleet_.starts_[a.first.job];
   if (sick || fleet_.broken_jobs_.contains(a.first.job)) return exit(t, ExitCause::error);
-  if (fleet_.judge_.is_done(a.first)) return exit(t, ExitCause::done);
-  fleet_.judge_.starts(id, a.first);
-  if (spec.kind == Kind::gang) return wait_for_gang(a);
+  if (fleet_.rules_.is_done(a.first)) return exit(t, ExitCause::done);
+  // On the machine from now on: the checker counts it as well.
   t.report.state = TaskState::running;
+  fleet_.rules_.starts(id, a.first);
+  if (spec.kind == Kind::gang) return wait_for_gang(a);
   t.progress = fleet_.saved_[a.first];
   const double run = fleet_.run_s_[a.first.job];
   t.since = world_.now();
@@ -286,7 +287,7 @@
 void Worker::leave_gangs() {
   std::vector<Attempt> running;
   for (auto& [a, t] : tasks_) {
-    auto* spec = fleet_.judge_.spec(a.first.job);
+    auto* spec = fleet_.rules_.spec(a.first.job);
     if (spec && spec->kind == Kind::gang && t.report.state == TaskState::running)
       running.push_back(a);
   }
@@ -298,7 +299,7 @@
   if (t.report.state == TaskState::running &&
       fleet_.gangs_.told_to_stop(*this, t.report.task, t.report.attempt, grace))
     return;
-  auto* spec = fleet_.judge_.spec(t.report.task.job);
+  auto* spec = fleet_.rules_.spec(t.report.task.job);
   const bool saves = spec && spec->checkpoint_s > 0 && t.report.state == TaskState::running &&
                      grace >= spec->save_s;
   if (!saves) return exit(t, ExitCause::stopped);
@@ -314,7 +315,7 @@
 void Worker::exit(Running& t, ExitCause cause, bool saved) {
   if (t.timed) world_.cancel(t.next);
   t.timed = false;
-  if (cause == ExitCause::done) fleet_.judge_.done(t.report.task);
+  if (cause == ExitCause::done) fleet_.rules_.done(t.report.task);
   t.report.state = TaskState::exited;
   t.report.cause = cause;
   t.report.saved = saved;
@@ -345,12 +346,13 @@
 }
 
 Fleet::Fleet(World& world, const Settings& s, std::vector<MachineType> types_,
-             std::vector<std::pair<std::string, std::string>> nodes_)
+             std::vector<std::pair<std::string, std::string>> nodes_, std::string address_prefix)
     : settings(s),
       types(std::move(types_)),
       nodes(std::move(nodes_)),
       world_(world),
-      judge_(world, s, *this),
+      address_prefix_(std::move(address_prefix)),
+      rules_(world, s, *this),
       gangs_(world, *this) {
   world_.serve(s.cloud.host, [this](auto&, Method method, auto& target, auto& body, auto answer) {
     world_.in(0.1,
@@ -361,7 +363,8 @@
 Worker& Fleet::add(const std::string& type, const std::string& zone, bool spot) {
   const int n = next_id_++;
   std::string id = "i-" + std::to_string(100000 + n);
-  std::string address = "10.1." + std::to_string(n / 200) + "." + std::to_string(n % 200) + ":9000";
+  std::string address =
+      address_prefix_ + std::to_string(n / 200) + "." + std::to_string(n % 200) + ":9000";
   machines_[id] = {type, zone, spot, world_.now()};
   auto& worker = workers_[id] =
       std::make_unique<Worker>(world_, *this, id, address, type, zone, spot);
@@ -458,4 +461,4 @@
   answer({200, encode(charters_[charter])});
 }
 
-}  // namespace damsonport::world
+}  // namespace damsonport::simulation
--- a/tests/world/fleet.hpp
+++ b/simulation/fleet.hpp
@@ -1,19 +1,19 @@
-// Stand-ins for workers and cloud, and the judge of the protocol's rules. Written from the
+// Stand-ins for workers and cloud, and the checker of the protocol's rules. Written from the
 // protocol.
 #pragma once
 #include "protocol/messages.hpp"
 #include "protocol/settings.hpp"
-#include "world/gang_runs.hpp"
-#include "world/world.hpp"
+#include "simulation/gang_runs.hpp"
+#include "simulation/world.hpp"
 
-namespace damsonport::world {
+namespace damsonport::simulation {
 
 class Fleet;
 
 // What users were told, and which rules are broken.
-class Judge {
+class RuleChecker {
  public:
-  Judge(World& world, const Settings& settings, const Fleet& fleet)
+  RuleChecker(World& world, const Settings& settings, const Fleet& fleet)
       : world_(world), settings_(settings), fleet_(fleet) {}
   void submitted(const JobSpec& spec) { specs_.emplace(spec.id, spec); }
   const JobSpec* spec(const std::string& job) const;
@@ -23,6 +23,8 @@
   void starts(const std::string& machine, const TaskName& task);
   void done(const TaskName& task) { done_.insert(task); }
   bool is_done(const TaskName& task) const { return done_.contains(task); }
+  // Called after the rules were checked for a task that starts.
+  std::function<void(const TaskName& task)> on_start;
   void broke(const std::string& rule, const std::string& what);
   const std::vector<std::string>& broken() const { return broken_; }
   int starts_after_cancellation() const { return starts_after_cancellation_; }
@@ -116,8 +118,9 @@
 class Fleet {
  public:
   Fleet(World& world, const Settings& settings, std::vector<MachineType> types,
-        std::vector<std::pair<std::string, std::string>> nodes);
-  Judge& judge() { return judge_; }
+        std::vector<std::pair<std::string, std::string>> nodes,
+        std::string address_prefix = "10.1.");
+  RuleChecker& rules() { return rules_; }
   // Up and reporting from now on.
   Worker& add_up(const std::string& type, const std::string& zone, bool spot);
   Worker* find(const std::string& id);
@@ -148,7 +151,8 @@
                    const World::Answer& answer);
   Json list() const;
   World& world_;
-  Judge judge_;
+  const std::string address_prefix_;  // of the machines' addresses, with a dot at the end
+  RuleChecker rules_;
   GangRuns gangs_;
   std::map<std::string, std::unique_ptr<Worker>> workers_;
   std::map<std::string, double> run_s_;
@@ -168,4 +172,4 @@
   std::map<std::string, int> starts_;
 };
 
-}  // namespace damsonport::world
+}  // namespace damsonport::simulation
--- a/tests/world/gang_runs.cpp
+++ b/simulation/gang_runs.cpp
@@ -1,10 +1,10 @@
-#include "world/gang_runs.hpp"
+#include "simulation/gang_runs.hpp"
 
 #include <cmath>
 
-#include "world/fleet.hpp"
+#include "simulation/fleet.hpp"
 
-namespace damsonport::world {
+namespace damsonport::simulation {
 
 std::vector<GangRuns::Member> GangRuns::members(const Key& key) const {
   std::vector<Member> out;
@@ -39,7 +39,7 @@
   if (run.running) return;  // too late: it waits alone
   uint32_t ready = 0;
   for (auto& m : members(key)) ready += m.worker->ready_for_gang(m.task, attempt);
-  if (ready < fleet_.judge().spec(task.job)->tasks) return;
+  if (ready < fleet_.rules().spec(task.job)->tasks) return;
   run.running = true;
   run.begun_at = world_.now();
   run.progress = saved_[task.job];
@@ -58,7 +58,7 @@
   run.ended = true;
   world_.cancel(run.completion);
   const double reached = progress(run);
-  const double every = fleet_.judge().spec(key.first)->checkpoint_s;
+  const double every = fleet_.rules().spec(key.first)->checkpoint_s;
   double& saved = saved_[key.first];
   if (every > 0) saved = std::max(saved, std::floor(reached / every) * every);
   lost_progress_[key.first] += std::max(reached - saved, 0.0);
@@ -83,7 +83,7 @@
   auto it = runs_.find(key);
   if (it == runs_.end() || !it->second.running || it->second.ended) return false;
   Run& run = it->second;
-  auto* spec = fleet_.judge().spec(task.job);
+  auto* spec = fleet_.rules().spec(task.job);
   if (spec->checkpoint_s <= 0 || grace_s < spec->save_s) {
     // With a second halt without grace a task that saves ends, too.
     worker.end_gang_task(task, attempt, ExitCause::stopped, false);
@@ -95,7 +95,7 @@
     world_.cancel(run.completion);
     world_.in(fleet_.settings.gang_peer_s, [this, key] {
       Run& late = runs_[key];
-      if (late.ended || late.told.size() >= fleet_.judge().spec(key.first)->tasks) return;
+      if (late.ended || late.told.size() >= fleet_.rules().spec(key.first)->tasks) return;
       fall_back(key, late);
       end(key, ExitCause::peers, false);
     });
@@ -113,4 +113,4 @@
   end(key, ExitCause::stopped, true);
 }
 
-}  // namespace damsonport::world
+}  // namespace damsonport::simulation
--- a/tests/world/gang_runs.hpp
+++ b/simulation/gang_runs.hpp
@@ -5,9 +5,9 @@
 #include <set>
 
 #include "protocol/messages.hpp"
-#include "world/world.hpp"
+#include "simulation/world.hpp"
 
-namespace damsonport::world {
+namespace damsonport::simulation {
 
 class Fleet;
 class Worker;
@@ -55,4 +55,4 @@
   std::map<std::string, double> lost_progress_;
 };
 
-}  // namespace damsonport::world
+}  // namespace damsonport::simulation
--- a/tests/world/judge.cpp
+++ b/simulation/rule_checker.cpp
@@ -2,9 +2,9 @@
 
 #include <algorithm>
 
-#include "world/fleet.hpp"
+#include "simulation/fleet.hpp"
 
-namespace damsonport::world {
+namespace damsonport::simulation {
 
 namespace {
 bool on_machine(const TaskReport& t) {
@@ -13,21 +13,21 @@
 }
 }  // namespace
 
-const JobSpec* Judge::spec(const std::string& job) const {
+const JobSpec* RuleChecker::spec(const std::string& job) const {
   auto it = specs_.find(job);
   return it == specs_.end() ? nullptr : &it->second;
 }
 
-void Judge::broke(const std::string& rule, const std::string& what) {
+void RuleChecker::broke(const std::string& rule, const std::string& what) {
   broken_.push_back(rule + " at " + std::to_string(world_.now()) + ": " + what);
 }
 
-bool Judge::was_told(const std::string& job, const std::string& state) const {
+bool RuleChecker::was_told(const std::string& job, const std::string& state) const {
   auto it = over_.find(job);
   return it != over_.end() && it->second.second == state;
 }
 
-void Judge::told(const std::string& job, int status, const std::string& state, double asked) {
+void RuleChecker::told(const std::string& job, int status, const std::string& state, double asked) {
   const double now = world_.now();
   auto known = known_.find(job);
   const bool knew = known != known_.end() && known->second < asked;
@@ -60,19 +60,19 @@
   world_.in(settings_.cancel_s + 0.01, [this, job] { check_cancelled(job); });
 }
 
-std::vector<std::string> Judge::wanted() const {
+std::vector<std::string> RuleChecker::wanted() const {
   std::vector<std::string> out;
   for (auto& [job, at] : known_)
     if (!asked_to_cancel_.contains(job)) out.push_back(job);
   return out;
 }
 
-double Judge::last_answered(const std::string& job) const {
+double RuleChecker::last_answered(const std::string& job) const {
   auto it = answered_.find(job);
   return it == answered_.end() ? -1 : it->second;
 }
 
-void Judge::check_cancelled(const std::string& job) {
+void RuleChecker::check_cancelled(const std::string& job) {
   for (auto& [id, w] : fleet_.workers())
     for (auto& [attempt, t] : w->tasks())
       if (attempt.first.job == job && on_machine(t.report))
@@ -80,7 +80,7 @@
 }
 
 // Called when a task has its image and begins.
-void Judge::starts(const std::string& machine, const TaskName& task) {
+void RuleChecker::starts(const std::string& machine, const TaskName& task) {
   auto* s = spec(task.job);
   if (!s) return broke("ran_unknown", task.text());
   if (auto over = over_.find(task.job); over != over_.end() && over->second.second == "aborted") {
@@ -115,6 +115,7 @@
         (team->gpus_max > 0 && gpus > team->gpus_max + 1e-6))
       broke("quota", s->team + " uses " + std::to_string(gpus) + " accelerators and " +
                          std::to_string(cpus) + " CPUs");
+  if (on_start) on_start(task);
 }
 
-}  // namespace damsonport::world
+}  // namespace damsonport::simulation
--- a/tests/world/state_service.cpp
+++ b/simulation/state_service.cpp
@@ -1,8 +1,8 @@
-#include "world/state_service.hpp"
+#include "simulation/state_service.hpp"
 
 #include <algorithm>
 
-namespace damsonport::world {
+namespace damsonport::simulation {
 
 namespace {
 constexpr size_t kept_changes = 10000;
@@ -267,4 +267,4 @@
   return {200, encode({{"ledger", revision_}})};
 }
 
-}  // namespace damsonport::world
+}  // namespace damsonport::simulation
--- a/tests/world/state_service.hpp
+++ b/simulation/state_service.hpp
@@ -6,9 +6,9 @@
 
 #include "protocol/messages.hpp"
 #include "protocol/state_limits.hpp"
-#include "world/world.hpp"
+#include "simulation/world.hpp"
 
-namespace damsonport::world {
+namespace damsonport::simulation {
 
 class StateService {
  public:
@@ -79,4 +79,4 @@
   size_t over_rate_ = 0, over_size_ = 0;
 };
 
-}  // namespace damsonport::world
+}  // namespace damsonport::simulation
--- /dev/null
+++ b/simulation/virtual_controller.cpp
@@ -0,0 +1,42 @@
+#include "simulation/virtual_controller.hpp"
+
+namespace damsonport::simulation {
+
+VirtualController::VirtualController(World& world, VirtualNetwork::Streams& streams,
+                                     Settings settings, std::optional<RegionSettings> regions,
+                                     double clock_rate)
+    : world_(world),
+      streams_(streams),
+      settings_(std::move(settings)),
+      regions_(std::move(regions)),
+      clock_rate_(clock_rate) {}
+
+VirtualController::~VirtualController() {
+  if (network_) network_->end();
+}
+
+void VirtualController::start() {
+  constexpr double most_wall_error_s = 0.02;
+  auto& process = *processes_.emplace_back(std::make_unique<Process>(Process{settings_, regions_}));
+  loop_ = std::make_unique<VirtualLoop>(world_, name(),
+                                        std::seed_seq{static_cast<unsigned>(world_.random64()),
+                                                      static_cast<unsigned>(world_.random64())},
+                                        clock_rate_,
+                                        world_.uniform(-most_wall_error_s, most_wall_error_s));
+  network_ = std::make_unique<VirtualNetwork>(*loop_, host(), streams_);
+  node_ = std::make_unique<Node>(*loop_, *network_, process.settings,
+                                 process.regions ? &*process.regions : nullptr);
+  node_->start();
+}
+
+void VirtualController::crash(double for_s) {
+  if (!node_) return;
+  network_->end();
+  loop_->stop();
+  ended_loops_.push_back(std::move(loop_));
+  ended_networks_.push_back(std::move(network_));
+  ended_nodes_.push_back(std::move(node_));
+  world_.in(for_s, [this] { start(); });
+}
+
+}  // namespace damsonport::simulation
--- /dev/null
+++ b/simulation/virtual_controller.hpp
@@ -0,0 +1,58 @@
+// A whole controller on virtual time, which can be killed and started again.
+#pragma once
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "coordination/node.hpp"
+#include "simulation/world.hpp"
+
+namespace damsonport::simulation {
+
+class VirtualController {
+ public:
+  VirtualController(World& world, VirtualNetwork::Streams& streams, Settings settings,
+                    std::optional<RegionSettings> regions, double clock_rate);
+  ~VirtualController();
+  VirtualController(const VirtualController&) = delete;
+  VirtualController& operator=(const VirtualController&) = delete;
+
+  void start();
+  // The process ends at once: nothing more of it reaches the world. It is back after so long.
+  void crash(double for_s);
+  bool running() const { return node_ != nullptr; }
+  // The process stands still while its clocks run on.
+  void stall(double seconds) {
+    if (loop_) loop_->stall(seconds);
+  }
+
+  const std::string& name() const { return settings_.node_name; }
+  const std::string& host() const { return settings_.listen.host; }
+  const std::string& zone() const { return settings_.zone; }
+  // In force from the next start on.
+  Settings& settings() { return settings_; }
+  std::optional<RegionSettings>& regions() { return regions_; }
+
+ private:
+  // What a process read at its start, kept for as long as something of it may run.
+  struct Process {
+    Settings settings;
+    std::optional<RegionSettings> regions;
+  };
+  World& world_;
+  VirtualNetwork::Streams& streams_;
+  Settings settings_;
+  std::optional<RegionSettings> regions_;
+  double clock_rate_;
+  std::vector<std::unique_ptr<Process>> processes_;
+  // Routines of ended processes are told to stop, and what is left of them is kept aside.
+  std::vector<std::unique_ptr<VirtualLoop>> ended_loops_;
+  std::vector<std::unique_ptr<VirtualNetwork>> ended_networks_;
+  std::vector<std::unique_ptr<Node>> ended_nodes_;
+  std::unique_ptr<VirtualLoop> loop_;
+  std::unique_ptr<VirtualNetwork> network_;
+  std::unique_ptr<Node> node_;
+};
+
+}  // namespace damsonport::simulation
--- a/tests/world/world.cpp
+++ b/simulation/world.cpp
@@ -1,6 +1,6 @@
-#include "world/world.hpp"
+#include "simulation/world.hpp"
 
-namespace damsonport::world {
+namespace damsonport::simulation {
 
 namespace {
 constexpr double least_delay_s = 0.0005, most_delay_s = 0.002;
@@ -144,7 +144,7 @@
 
 class VirtualLink : public StreamLink {
  public:
-  VirtualLink(VirtualLoop& loop, std::string from, std::string to, VirtualNetwork::Streams& streams,
+  VirtualLink(VirtualLoop& loop, std::string from, Endpoint to, VirtualNetwork::Streams& streams,
               std::shared_ptr<bool> alive)
       : loop_(loop),
         from_(std::move(from)),
@@ -153,14 +153,15 @@
         alive_(std::move(alive)) {}
   void send(const std::string& bytes) override {
     if (!*alive_) return;
-    loop_.world().send(from_, to_, [&streams = streams_, to = to_, bytes] {
-      if (auto it = streams.find(to); it != streams.end()) it->second(bytes);
+    loop_.world().send(from_, to_.host, [&streams = streams_, to = to_, bytes] {
+      if (auto it = streams.find(to.text()); it != streams.end()) it->second(bytes);
     });
   }
 
  private:
   VirtualLoop& loop_;
-  std::string from_, to_;
+  std::string from_;
+  Endpoint to_;
   VirtualNetwork::Streams& streams_;
   std::shared_ptr<bool> alive_;
 };
@@ -233,7 +234,7 @@
   if (!*alive_) return;
   *alive_ = false;
   loop_.world().vanish(host_);
-  streams_.erase(host_);
+  std::erase_if(streams_, [&](auto& stream) { return stream.first.starts_with(host_ + ":"); });
 }
 
 std::unique_ptr<HttpClient> VirtualNetwork::client() {
@@ -246,13 +247,13 @@
 }
 
 std::unique_ptr<StreamLink> VirtualNetwork::link(const Endpoint& to) {
-  return std::make_unique<VirtualLink>(loop_, host_, to.host, streams_, alive_);
+  return std::make_unique<VirtualLink>(loop_, host_, to, streams_, alive_);
 }
 
-std::unique_ptr<StreamListener> VirtualNetwork::listener(const Endpoint&, size_t,
+std::unique_ptr<StreamListener> VirtualNetwork::listener(const Endpoint& at, size_t,
                                                          StreamListener::OnBytes on_bytes) {
-  streams_[host_] = [&loop = loop_, alive = alive_,
-                     on_bytes = std::move(on_bytes)](std::string_view bytes) {
+  streams_[at.text()] = [&loop = loop_, alive = alive_,
+                         on_bytes = std::move(on_bytes)](std::string_view bytes) {
     loop.when_awake([alive, on_bytes, bytes = std::string(bytes)] {
       if (*alive) on_bytes(bytes);
     });
@@ -261,4 +262,4 @@
   return std::make_unique<VirtualListener>();
 }
 
-}  // namespace damsonport::world
+}  // namespace damsonport::simulation
--- a/tests/world/world.hpp
+++ b/simulation/world.hpp
@@ -9,7 +9,7 @@
 
 #include "transport/network.hpp"
 
-namespace damsonport::world {
+namespace damsonport::simulation {
 
 // What happens next happens at its time, and in the order it was asked for.
 class World {
@@ -89,7 +89,7 @@
 // One controller's sockets. When its process ends nothing of it reaches the world any more.
 class VirtualNetwork : public Network {
  public:
-  // Streams of the mesh, by the listener's host.
+  // Streams between controllers, by the listener's address.
   using Streams = std::map<std::string, StreamListener::OnBytes>;
   VirtualNetwork(VirtualLoop& loop, std::string host, Streams& streams)
       : loop_(loop), host_(std::move(host)), streams_(streams) {}
@@ -109,4 +109,4 @@
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
-}  // namespace damsonport::world
+}  // namespace damsonport::simulation
--- a/tests/meeting_test.cpp
+++ b/tests/meeting_test.cpp
@@ -12,7 +12,7 @@
 
 #include "world/random_meeting.hpp"
 
-namespace damsonport::world {
+namespace damsonport::simulation {
 namespace {
 
 const World* shown = nullptr;
@@ -139,4 +139,4 @@
                          [](auto& test) { return test.param; });
 
 }  // namespace
-}  // namespace damsonport::world
+}  // namespace damsonport::simulation
--- a/tests/world/meeting.cpp
+++ b/tests/world/meeting.cpp
@@ -4,7 +4,7 @@
 #include <fstream>
 #include <sstream>
 
-namespace damsonport::world {
+namespace damsonport::simulation {
 
 namespace {
 constexpr double user_patience_s = 5, poll_patience_s = 2, poll_every_s = 5, user_retry_s = 1,
@@ -64,11 +64,6 @@
   return out;
 }
 
-Meeting::~Meeting() {
-  for (auto& c : controllers_)
-    if (c->network) c->network->end();
-}
-
 std::string Meeting::line(const std::string& text) {
   std::istringstream in(text.substr(0, text.find('#')));
   std::string verb, name;
@@ -202,21 +197,20 @@
   }
   if (!stored_.empty()) store_records(fixtures_dir + "/" + stored_);
   for (int i = 0; i < node_count_; ++i) {
-    auto c = std::make_unique<Controller>();
-    c->name = nodes[static_cast<size_t>(i)].first, c->host = nodes[static_cast<size_t>(i)].second;
-    c->zone = settings_.zones[static_cast<size_t>(i) % settings_.zones.size()];
-    c->settings = settings_;
-    c->settings.node_name = c->name, c->settings.zone = c->zone;
-    c->settings.listen = {c->host, 8080}, c->settings.mesh_listen = {c->host, 8081};
+    Settings own = settings_;
+    auto& [name, host] = nodes[static_cast<size_t>(i)];
+    own.node_name = name;
+    own.zone = settings_.zones[static_cast<size_t>(i) % settings_.zones.size()];
+    own.listen = {host, 8080};
+    own.mesh_listen = {host, 8081};
     for (int j = 0; j < node_count_; ++j)
       if (j != i)
-        c->settings.peers.push_back(
-            {nodes[static_cast<size_t>(j)].first,
-             settings_.zones[static_cast<size_t>(j) % settings_.zones.size()],
-             {nodes[static_cast<size_t>(j)].second, 8081}});
-    c->rate = 1 + (i % 2 ? drift_ : 0);
-    controllers_.push_back(std::move(c));
-    start(*controllers_.back());
+        own.peers.push_back({nodes[static_cast<size_t>(j)].first,
+                             settings_.zones[static_cast<size_t>(j) % settings_.zones.size()],
+                             {nodes[static_cast<size_t>(j)].second, 8081}});
+    controllers_.push_back(std::make_unique<VirtualController>(
+        world_, streams_, std::move(own), std::nullopt, 1 + (i % 2 ? drift_ : 0)));
+    controllers_.back()->start();
   }
 }
 
@@ -235,13 +229,13 @@
       for (auto& t : record.live) open.insert(t.index);
       for (auto& t : record.waiting) open.insert(t.index);
       for (uint32_t i = 0; i < record.next; ++i)
-        if (!open.contains(i)) fleet_->judge().done({chunk->job, i});
+        if (!open.contains(i)) fleet_->rules().done({chunk->job, i});
       continue;
     }
     if (!key.starts_with(keys::jobs)) continue;
     const auto job = key.substr(keys::jobs.size());
-    fleet_->judge().submitted(jobs_.at(job));
-    fleet_->judge().told(job, 201, "queued", world_.now());
+    fleet_->rules().submitted(jobs_.at(job));
+    fleet_->rules().told(job, 201, "queued", world_.now());
     // Whoever knows of a job asks on.
     world_.in(user_retry_s, [this, job] {
       if (!quiet_users_ && polled_.insert(job).second) polls(job);
@@ -249,43 +243,18 @@
   }
 }
 
-void Meeting::start(Controller& c) {
-  c.loop = std::make_unique<VirtualLoop>(world_, c.name,
-                                         std::seed_seq{static_cast<unsigned>(world_.random64()),
-                                                       static_cast<unsigned>(world_.random64())},
-                                         c.rate, world_.uniform(-0.02, 0.02));
-  c.network = std::make_unique<VirtualNetwork>(*c.loop, c.host, streams_);
-  c.node = std::make_unique<Node>(*c.loop, *c.network, c.settings);
-  c.node->start();
-}
-
-// The process ends at once: nothing more of it reaches the world. Its routines are told to stop,
-// and what is left of them is kept aside.
-void Meeting::crash(Controller& c, double for_s) {
-  if (!c.node) return;
-  c.network->end();
-  c.loop->stop();
-  auto old = std::make_unique<Controller>();
-  old->settings = c.settings;
-  std::swap(old->loop, c.loop);
-  std::swap(old->network, c.network);
-  std::swap(old->node, c.node);
-  ended_.push_back(std::move(old));
-  world_.in(for_s, [this, &c] { start(c); });
-}
-
 std::string Meeting::leader() const {
   auto* value = state_->value("d/l");
   return value ? value->value("node", std::string()) : std::string();
 }
 
-std::vector<Meeting::Controller*> Meeting::controllers(const std::string& word) {
-  std::vector<Controller*> out;
+std::vector<VirtualController*> Meeting::controllers(const std::string& word) {
+  std::vector<VirtualController*> out;
   for (auto& part : split(word))
     for (auto& c : controllers_) {
-      const bool leads = c->name == leader();
-      if (part == c->name || part == "nodes" || part == "all" || (part == "leader" && leads) ||
-          (part == "others" && !leads) || part == "zone:" + c->zone)
+      const bool leads = c->name() == leader();
+      if (part == c->name() || part == "nodes" || part == "all" || (part == "leader" && leads) ||
+          (part == "others" && !leads) || part == "zone:" + c->zone())
         out.push_back(c.get());
     }
   return out;
@@ -314,7 +283,7 @@
   for (auto& part : split(word)) {
     if (part == "state") out.push_back(state_host);
     if (part == "cloud") out.push_back(cloud_host);
-    for (auto* c : self->controllers(part)) out.push_back(c->host);
+    for (auto* c : self->controllers(part)) out.push_back(c->host());
     for (auto* w : machines(part)) out.push_back(w->host);
   }
   return out;
@@ -353,13 +322,13 @@
   } else if (h.verb == "repeat") {  // the submission again, whatever became of it
     for (auto& id : jobs(h.name))
       for (auto* c : controllers(str(w, "via", "all")))
-        submit(id, static_cast<size_t>(c->name[1] - '0'), world_.now(), false);
+        submit(id, static_cast<size_t>(c->name()[1] - '0'), world_.now(), false);
   } else if (h.verb == "cancel") {
     double later = 0;
     for (auto& id : jobs(h.name)) {
       const auto via = str(w, "via");
       world_.in(later, [this, id, via] {
-        fleet_->judge().asked_to_cancel(id);
+        fleet_->rules().asked_to_cancel(id);
         cancel(id, pick(via), world_.now());
       });
       later += num(w, "every");
@@ -369,13 +338,13 @@
       for (auto& id : jobs(h.name)) {
         const auto via = str(w, "via", "all");
         world_.in(later, [this, id, via] {
-          for (auto* c : controllers(via)) poll(id, static_cast<size_t>(c->name[1] - '0'));
+          for (auto* c : controllers(via)) poll(id, static_cast<size_t>(c->name()[1] - '0'));
         });
       }
   } else if (h.verb == "refuse") {
     for (auto* c : controllers(h.name)) {
-      state_->refuse(c->host, true);
-      world_.in(for_s, [this, host = c->host] { state_->refuse(host, false); });
+      state_->refuse(c->host(), true);
+      world_.in(for_s, [this, host = c->host()] { state_->refuse(host, false); });
     }
   } else if (h.verb == "outage") {
     state_->set_down(true);
@@ -384,7 +353,7 @@
     auto of = controllers(str(w, "of"));
     state_->set_fate(
         h.name == "late" ? StateService::Fate::applied_late : StateService::Fate::answer_lost,
-        of.empty() ? std::string() : of.front()->host);
+        of.empty() ? std::string() : of.front()->host());
     world_.in(for_s, [this] { state_->set_fate(StateService::Fate::normal, {}); });
   } else if (h.verb == "lower_limits") {  // the announced limits come into force
     state_->set_limits(announced_limits_);
@@ -392,10 +361,9 @@
     state_->set_delay(num(w, "by"));
     world_.in(for_s, [this] { state_->set_delay(0.004); });
   } else if (h.verb == "crash") {
-    for (auto* c : controllers(h.name)) crash(*c, num(w, "for", 6));
+    for (auto* c : controllers(h.name)) c->crash(num(w, "for", 6));
   } else if (h.verb == "stall") {  // stall NODES for=S: their clocks run on
-    for (auto* c : controllers(h.name))
-      if (c->loop) c->loop->stall(for_s);
+    for (auto* c : controllers(h.name)) c->stall(for_s);
   } else if (h.verb == "boots") {  // boots quick|late|never for=S [in=S]: of machines rented then
     fleet_->set_boot(h.name == "never" ? Fleet::never_boots : num(w, "in"));
     world_.in(for_s, [this] { fleet_->set_boot(boot_s_); });
@@ -466,7 +434,7 @@
     if (fleet_->rented < least || fleet_->rented > most)
       complain(h.name + ", but " + std::to_string(fleet_->rented) + " were");
   } else if (what == "served") {  // every job that was accepted and not called off
-    for (auto& id : fleet_->judge().wanted()) {
+    for (auto& id : fleet_->rules().wanted()) {
       auto& spec = jobs_.at(id);
       int running = 0, present = 0;
       count_tasks(id, running, present);
@@ -475,10 +443,10 @@
                  " replicas run");
       // Not all who know of a job ask on: what counts is what was done.
       for (uint32_t i = 0; spec.kind != Kind::service && i < spec.tasks; ++i)
-        if (!fleet_->judge().is_done({id, i}))
+        if (!fleet_->rules().is_done({id, i}))
           complain(id + "/" + std::to_string(i) + " is not done");
       if (spec.kind == Kind::service &&
-          world_.now() - fleet_->judge().last_answered(id) > forgotten_after_s)
+          world_.now() - fleet_->rules().last_answered(id) > forgotten_after_s)
         complain("nobody answers about " + id);
     }
   } else if (what == "gang_starts") {  // expect gang_starts run-1 times=N
@@ -498,8 +466,8 @@
       if (std::to_string(m->session()) != h.name)
         complain(h.name + ", but " + m->id + " is in " + std::to_string(m->session()));
   } else if (what == "late_starts") {
-    if (std::to_string(fleet_->judge().starts_after_cancellation()) != h.name)
-      complain(h.name + ", but " + std::to_string(fleet_->judge().starts_after_cancellation()));
+    if (std::to_string(fleet_->rules().starts_after_cancellation()) != h.name)
+      complain(h.name + ", but " + std::to_string(fleet_->rules().starts_after_cancellation()));
   } else if (what == "running" || what == "gone" || what == "told" || what == "accepted") {
     for (auto& id : jobs(h.name)) {
       int running = 0, present = 0;
@@ -508,9 +476,9 @@
         complain(id + ", but " + std::to_string(running) + " tasks run");
       if (what == "gone" && present)
         complain(id + ", but " + std::to_string(present) + " are there");
-      if (what == "told" && !fleet_->judge().was_told(id, h.words.begin()->first))
+      if (what == "told" && !fleet_->rules().was_told(id, h.words.begin()->first))
         complain(id + " " + h.words.begin()->first + ", but it was not");
-      if (what == "accepted" && !fleet_->judge().accepted(id)) complain(id + ", but it was not");
+      if (what == "accepted" && !fleet_->rules().accepted(id)) complain(id + ", but it was not");
     }
   } else {
     complain("is not known");
@@ -521,11 +489,11 @@
 // --- users
 
 size_t Meeting::pick(const std::string& via) {
-  std::vector<Controller*> able;
+  std::vector<VirtualController*> able;
   for (auto* c : controllers(via.empty() ? "all" : via))
-    if (c->node) able.push_back(c);
+    if (c->running()) able.push_back(c);
   if (able.empty()) return world_.random64() % controllers_.size();
-  return static_cast<size_t>(able[world_.random64() % able.size()]->name[1] - '0');
+  return static_cast<size_t>(able[world_.random64() % able.size()]->name()[1] - '0');
 }
 
 void Meeting::ask(size_t node, Method method, const std::string& path, const std::string& body,
@@ -538,11 +506,11 @@
     then(reply, asked);
   };
   world_.in(patience, [answer] { answer({0, {}}); });
-  world_.ask(user_host, controllers_[node]->host, method, path, body, answer);
+  world_.ask(user_host, controllers_[node]->host(), method, path, body, answer);
 }
 
 void Meeting::submit(const std::string& job, size_t node, double since, bool with_repeats) {
-  fleet_->judge().submitted(jobs_.at(job));
+  fleet_->rules().submitted(jobs_.at(job));
   ask(node, Method::post, "/api/jobs", encode(submission_of(jobs_.at(job))), user_patience_s,
       [this, job, node, since, with_repeats](const HttpReply& reply, double asked) {
         told(job, reply, asked);
@@ -598,7 +566,7 @@
         // Whoever can't say yet may tell the user to come back; nothing of the kind is ever
         // accepted.
         if (reply.status != expected && reply.status != 503 && reply.status != 0)
-          fleet_->judge().broke("odd request " + std::to_string(kind),
+          fleet_->rules().broke("odd request " + std::to_string(kind),
                                 "answered " + std::to_string(reply.status));
       });
 }
@@ -606,7 +574,7 @@
 void Meeting::told(const std::string& job, const HttpReply& reply, double asked) {
   auto m = decode_map(reply.body);
   const auto status = m.is_object() ? m.value("status", std::string()) : std::string();
-  fleet_->judge().told(job, reply.status, status, asked);
+  fleet_->rules().told(job, reply.status, status, asked);
   const bool final = status == "done" || status == "aborted";
   // Whoever knows of a job asks on.
   if (reply.status < 300 && !quiet_users_ && polled_.insert(job).second) polls(job);
@@ -633,9 +601,9 @@
                    [](auto& a, auto& b) { return a.at < b.at; });
   for (auto& h : happenings_) world_.at(std::min(h.at, until_ - 1e-6), [this, &h] { happen(h); });
   world_.run_until(until_);
-  auto out = fleet_->judge().broken();
+  auto out = fleet_->rules().broken();
   out.insert(out.end(), unmet_.begin(), unmet_.end());
   return out;
 }
 
-}  // namespace damsonport::world
+}  // namespace damsonport::simulation
--- a/tests/world/meeting.hpp
+++ b/tests/world/meeting.hpp
@@ -1,18 +1,17 @@
 // A meeting of troubles: whole controllers against the stand-ins, driven by a trace. See
 // traces/meetings/README.
 #pragma once
-#include "coordination/node.hpp"
-#include "world/fleet.hpp"
-#include "world/state_service.hpp"
+#include "simulation/fleet.hpp"
+#include "simulation/state_service.hpp"
+#include "simulation/virtual_controller.hpp"
 
-namespace damsonport::world {
+namespace damsonport::simulation {
 
 using Words = std::map<std::string, std::string>;
 
 class Meeting {
  public:
   explicit Meeting(uint64_t seed = 1) : world_(seed) {}
-  ~Meeting();
   // Where the files with stored records are.
   std::string fixtures_dir;
   // One line of a trace; yields a complaint, or nothing.
@@ -24,14 +23,6 @@
   const World& world() const { return world_; }
 
  private:
-  struct Controller {
-    std::string name, host, zone;
-    Settings settings;
-    std::unique_ptr<VirtualLoop> loop;
-    std::unique_ptr<VirtualNetwork> network;
-    std::unique_ptr<Node> node;
-    double rate = 1;
-  };
   struct Happening {
     double at;
     std::string verb, name;
@@ -39,14 +30,12 @@
   };
   void set_up();
   void store_records(const std::string& file);
-  void start(Controller& c);
-  void crash(Controller& c, double for_s);
   void happen(const Happening& h);
   std::string unmet(const Happening& h);
   std::string leader() const;
   // Hosts that a word of a trace means: n0, leader, other, nodes, state, a zone, m3, with:JOB ...
   std::vector<std::string> hosts(const std::string& word) const;
-  std::vector<Controller*> controllers(const std::string& word);
+  std::vector<VirtualController*> controllers(const std::string& word);
   std::vector<Worker*> machines(const std::string& word) const;
   std::vector<std::string> jobs(const std::string& word) const;
   void cut(const std::string& a, const std::string& b, const Words& w);
@@ -88,8 +77,7 @@
   std::unique_ptr<StateService> state_;
   std::unique_ptr<Fleet> fleet_;
   VirtualNetwork::Streams streams_;
-  std::vector<std::unique_ptr<Controller>> controllers_;
-  std::vector<std::unique_ptr<Controller>> ended_;
+  std::vector<std::unique_ptr<VirtualController>> controllers_;
   std::vector<std::string> machine_order_;
   std::vector<std::string> unmet_;
 };
@@ -97,4 +85,4 @@
 // "run-1..run-4" and "run-1,run-2" spelt out.
 std::vector<std::string> spell_out(const std::string& word);
 
-}  // namespace damsonport::world
+}  // namespace damsonport::simulation
--- a/tests/world/random_meeting.cpp
+++ b/tests/world/random_meeting.cpp
@@ -4,7 +4,7 @@
 
 #include <random>
 
-namespace damsonport::world {
+namespace damsonport::simulation {
 
 namespace {
 class Draw {
@@ -186,4 +186,4 @@
   return out;
 }
 
-}  // namespace damsonport::world
+}  // namespace damsonport::simulation
--- a/tests/world/random_meeting.hpp
+++ b/tests/world/random_meeting.hpp
@@ -4,8 +4,8 @@
 #include <string>
 #include <vector>
 
-namespace damsonport::world {
+namespace damsonport::simulation {
 
 std::vector<std::string> random_meeting(uint64_t seed);
 
-}  // namespace damsonport::world
+}  // namespace damsonport::simulation
