--- a/simulation/fleet.cpp
+++ b/simulation/fleet.cpp
@@ -40,9 +40,7 @@
   leave_gangs();
   gone = true;
   world_.vanish(host);
-  for (auto& [a, t] : tasks_)
-    if (t.timed) world_.cancel(t.next);
-  tasks_.clear();
+  drop_tasks();
   world_.cancel(lease_);
   world_.cancel(next_report_);
 }
@@ -315,6 +313,7 @@
 void Worker::exit(Running& t, ExitCause cause, bool saved) {
   if (t.timed) world_.cancel(t.next);
   t.timed = false;
+  if (on_machine(t.report)) fleet_.rules_.leaves(id, t.report.task);
   if (cause == ExitCause::done) fleet_.rules_.done(t.report.task);
   t.report.state = TaskState::exited;
   t.report.cause = cause;
@@ -322,6 +321,15 @@
   changed();
 }
 
+// With the machine or the session.
+void Worker::drop_tasks() {
+  for (auto& [a, t] : tasks_) {
+    if (t.timed) world_.cancel(t.next);
+    if (on_machine(t.report)) fleet_.rules_.leaves(id, a.first);
+  }
+  tasks_.clear();
+}
+
 void Worker::watch_lease() {
   world_.cancel(lease_);
   const double ends = acknowledged_ + fleet_.settings.lease_s;
@@ -332,9 +340,7 @@
 void Worker::end_session() {
   if (gone || hung()) return;
   leave_gangs();
-  for (auto& [a, t] : tasks_)
-    if (t.timed) world_.cancel(t.next);
-  tasks_.clear();
+  drop_tasks();
   ++session_;
   acknowledged_ = world_.now();
   watch_lease();
@@ -383,7 +389,7 @@
   return it == workers_.end() || it->second->gone ? nullptr : it->second.get();
 }
 
-Json Fleet::list() const {
+Json Fleet::list_now() const {
   Json out = Json::array();
   for (auto& [id, m] : machines_) {
     auto& w = *workers_.at(id);
@@ -398,6 +404,25 @@
   return out;
 }
 
+Json Fleet::list(const std::string& since, size_t limit) {
+  constexpr double least_gap_s = 0.5;
+  const double now = world_.now();
+  if (lists_.empty() || now - lists_.back().first >= least_gap_s)
+    lists_.emplace_back(now, list_now());
+  const double seen = now - settings.list_lag_s;
+  while (lists_.size() > 1 && lists_[1].first <= seen) lists_.pop_front();
+  Json shown = Json::array();
+  bool more = false;
+  if (lists_.front().first <= seen)
+    for (auto& machine : lists_.front().second) {
+      if (machine["ref"].get_ref<const std::string&>() <= since) continue;
+      more = shown.size() >= limit;
+      if (more) break;
+      shown.push_back(machine);
+    }
+  return {{"vessels", std::move(shown)}, {"more", more}};
+}
+
 void Fleet::serve_cloud(Method method, const std::string& target, const std::string& body,
                         const World::Answer& answer) {
   if (target == "/catalog") {
@@ -416,13 +441,15 @@
     return answer({200, encode({{"hulls", std::move(hulls)}})});
   }
   if (method == Method::get) {
-    // As it was a lag ago.
-    const double seen = world_.now() - settings.list_lag_s;
-    lists_.emplace_back(world_.now(), list());
-    Json shown = Json::array();
-    for (auto& [at, l] : lists_)
-      if (at <= seen) shown = l;
-    return answer({200, encode({{"vessels", std::move(shown)}, {"more", false}})});
+    const auto query = query_of(target);
+    auto get = [&](const char* name) {
+      auto it = query.find(name);
+      return it == query.end() ? std::string() : it->second;
+    };
+    constexpr size_t most_in_a_list = 500;
+    const auto limit = get("limit");
+    return answer(
+        {200, encode(list(get("since"), limit.empty() ? most_in_a_list : std::stoul(limit)))});
   }
   auto m = decode_map(body);
   if (target == "/hosts/return") {
--- a/simulation/fleet.hpp
+++ b/simulation/fleet.hpp
@@ -1,6 +1,8 @@
 // Stand-ins for workers and cloud, and the checker of the protocol's rules. Written from the
 // protocol.
 #pragma once
+#include <deque>
+
 #include "protocol/messages.hpp"
 #include "protocol/settings.hpp"
 #include "simulation/gang_runs.hpp"
@@ -10,6 +12,9 @@
 
 class Fleet;
 
+// On its machine, also while it saves or waits for the rest of its gang.
+bool on_machine(const TaskReport& task);
+
 // What users were told, and which rules are broken.
 class RuleChecker {
  public:
@@ -20,11 +25,15 @@
   // A user got this answer to a question asked at `asked`.
   void told(const std::string& job, int status, const std::string& state, double asked);
   void asked_to_cancel(const std::string& job) { asked_to_cancel_.insert(job); }
+  // A task has its image and begins; it counts until it leaves.
   void starts(const std::string& machine, const TaskName& task);
+  void leaves(const std::string& machine, const TaskName& task);
   void done(const TaskName& task) { done_.insert(task); }
   bool is_done(const TaskName& task) const { return done_.contains(task); }
   // Called after the rules were checked for a task that starts.
   std::function<void(const TaskName& task)> on_start;
+  // What a team's tasks on machines take changes by so much.
+  std::function<void(const std::string& team, double cpus, double gpus)> on_use;
   void broke(const std::string& rule, const std::string& what);
   const std::vector<std::string>& broken() const { return broken_; }
   int starts_after_cancellation() const { return starts_after_cancellation_; }
@@ -36,6 +45,8 @@
 
  private:
   void check_cancelled(const std::string& job);
+  void check_place(const JobSpec& spec, const Worker& worker, const TaskName& task);
+  void count(const JobSpec& spec, const std::string& zone, double sign);
   World& world_;
   const Settings& settings_;
   const Fleet& fleet_;
@@ -46,6 +57,13 @@
   std::set<std::string> asked_to_cancel_;
   std::set<TaskName> done_;
   std::vector<std::string> broken_;
+  // What is on machines, kept by starts() and leaves().
+  std::map<TaskName, std::vector<std::string>> machines_of_;
+  std::map<std::string, std::map<std::string, int>> in_zone_;  // by job
+  struct Use {
+    double cpus = 0, gpus = 0;
+  };
+  std::map<std::string, Use> used_;  // by team
   int starts_after_cancellation_ = 0;
 };
 
@@ -92,6 +110,7 @@
              const World::Answer& answer);
   void watch_lease();
   void end_session();
+  void drop_tasks();
   void start(const Attempt& attempt);
   void fetched(const Attempt& attempt);
   void wait_for_gang(const Attempt& attempt);
@@ -149,7 +168,9 @@
   Worker& add(const std::string& type, const std::string& zone, bool spot);
   void serve_cloud(Method method, const std::string& target, const std::string& body,
                    const World::Answer& answer);
-  Json list() const;
+  // As it was a lag ago, the machines behind `since`.
+  Json list(const std::string& since, size_t limit);
+  Json list_now() const;
   World& world_;
   const std::string address_prefix_;  // of the machines' addresses, with a dot at the end
   RuleChecker rules_;
@@ -165,7 +186,7 @@
   };
   std::map<std::string, Rented> machines_;
   std::map<std::string, Json> charters_;
-  std::vector<std::pair<double, Json>> lists_;
+  std::deque<std::pair<double, Json>> lists_;  // by time, from the newest that may be shown on
   int next_id_ = 1, capacity_ = 0;
   double boot_s_ = 0;  // 0: as the catalogue says
   std::set<std::string> broken_jobs_;
--- a/simulation/rule_checker.cpp
+++ b/simulation/rule_checker.cpp
@@ -6,12 +6,10 @@
 
 namespace damsonport::simulation {
 
-namespace {
-bool on_machine(const TaskReport& t) {
-  return t.state == TaskState::running || t.state == TaskState::saving ||
-         t.state == TaskState::waiting;
+bool on_machine(const TaskReport& task) {
+  return task.state == TaskState::running || task.state == TaskState::saving ||
+         task.state == TaskState::waiting;
 }
-}  // namespace
 
 const JobSpec* RuleChecker::spec(const std::string& job) const {
   auto it = specs_.find(job);
@@ -73,13 +71,20 @@
 }
 
 void RuleChecker::check_cancelled(const std::string& job) {
-  for (auto& [id, w] : fleet_.workers())
-    for (auto& [attempt, t] : w->tasks())
-      if (attempt.first.job == job && on_machine(t.report))
-        broke("ran_cancelled", attempt.first.text() + " is still on " + id);
+  for (auto it = machines_of_.lower_bound({job, 0});
+       it != machines_of_.end() && it->first.job == job; ++it)
+    for (auto& machine : it->second)
+      broke("ran_cancelled", it->first.text() + " is still on " + machine);
+}
+
+void RuleChecker::count(const JobSpec& spec, const std::string& zone, double sign) {
+  auto& use = used_[spec.team];
+  use.cpus += sign * spec.cpus;
+  use.gpus += sign * spec.gpus;
+  in_zone_[spec.id][zone] += sign > 0 ? 1 : -1;
+  if (on_use) on_use(spec.team, sign * spec.cpus, sign * spec.gpus);
 }
 
-// Called when a task has its image and begins.
 void RuleChecker::starts(const std::string& machine, const TaskName& task) {
   auto* s = spec(task.job);
   if (!s) return broke("ran_unknown", task.text());
@@ -89,33 +94,50 @@
       broke("ran_cancelled", task.text() + " starts on " + machine);
   }
   const Worker& w = *fleet_.workers().at(machine);
-  if (!s->types.empty() && std::find(s->types.begin(), s->types.end(), w.type) == s->types.end())
-    broke("wrong_place", task.text() + " starts on a " + w.type);
-  if (!s->zone.empty() && s->zone != w.zone)
-    broke("wrong_place", task.text() + " starts in " + w.zone);
-  if (w.spot && !s->spot) broke("wrong_place", task.text() + " starts on a spot machine");
-  double cpus = 0, gpus = 0;
-  std::map<std::string, uint32_t> in_zone;
-  for (auto& [id, other] : fleet_.workers())
-    for (auto& [attempt, t] : other->tasks()) {
-      if (!on_machine(t.report)) continue;
-      auto* os = spec(attempt.first.job);
-      if (os && os->team == s->team) cpus += os->cpus, gpus += os->gpus;
-      if (attempt.first.job != task.job) continue;
-      ++in_zone[other->zone];
-      if (attempt.first == task && id != machine)
-        broke("ran_twice",
-              fmt::format("{} starts on {} while it is on {}", task.text(), machine, id));
-    }
-  if (s->one_zone && in_zone.size() > 1) broke("wrong_place", task.text() + " in a second zone");
-  if (s->spread && in_zone[w.zone] > (s->tasks + 1) / 2)
-    broke("wrong_place", task.text() + " is one too many in " + w.zone);
+  auto& machines = machines_of_[task];
+  for (auto& other : machines)
+    if (other != machine)
+      broke("ran_twice",
+            fmt::format("{} starts on {} while it is on {}", task.text(), machine, other));
+  machines.push_back(machine);
+  count(*s, w.zone, 1);
+  check_place(*s, w, task);
+  const auto& use = used_[s->team];
   if (auto* team = settings_.team(s->team))
-    if ((team->cpus_max > 0 && cpus > team->cpus_max + 1e-6) ||
-        (team->gpus_max > 0 && gpus > team->gpus_max + 1e-6))
-      broke("quota", s->team + " uses " + std::to_string(gpus) + " accelerators and " +
-                         std::to_string(cpus) + " CPUs");
+    if ((team->cpus_max > 0 && use.cpus > team->cpus_max + 1e-6) ||
+        (team->gpus_max > 0 && use.gpus > team->gpus_max + 1e-6))
+      broke("quota",
+            fmt::format("{} uses {} accelerators and {} CPUs", s->team, use.gpus, use.cpus));
   if (on_start) on_start(task);
 }
 
+void RuleChecker::check_place(const JobSpec& spec, const Worker& worker, const TaskName& task) {
+  if (!spec.types.empty() &&
+      std::find(spec.types.begin(), spec.types.end(), worker.type) == spec.types.end())
+    broke("wrong_place", task.text() + " starts on a " + worker.type);
+  if (!spec.zone.empty() && spec.zone != worker.zone)
+    broke("wrong_place", task.text() + " starts in " + worker.zone);
+  if (worker.spot && !spec.spot) broke("wrong_place", task.text() + " starts on a spot machine");
+  auto& zones = in_zone_[spec.id];
+  const auto used = std::count_if(zones.begin(), zones.end(), [](auto& z) { return z.second > 0; });
+  if (spec.one_zone && used > 1) broke("wrong_place", task.text() + " in a second zone");
+  if (spec.spread && zones[worker.zone] > static_cast<int>((spec.tasks + 1) / 2))
+    broke("wrong_place", task.text() + " is one too many in " + worker.zone);
+}
+
+void RuleChecker::leaves(const std::string& machine, const TaskName& task) {
+  auto* s = spec(task.job);
+  auto it = machines_of_.find(task);
+  if (!s || it == machines_of_.end()) return;
+  auto at = std::find(it->second.begin(), it->second.end(), machine);
+  if (at == it->second.end()) return broke("checker", task.text() + " leaves a machine twice");
+  it->second.erase(at);
+  if (it->second.empty()) machines_of_.erase(it);
+  count(*s, fleet_.workers().at(machine)->zone, -1);
+  auto zones = in_zone_.find(task.job);
+  if (std::all_of(zones->second.begin(), zones->second.end(),
+                  [](auto& z) { return z.second == 0; }))
+    in_zone_.erase(zones);
+}
+
 }  // namespace damsonport::simulation
--- a/simulation/state_service.cpp
+++ b/simulation/state_service.cpp
@@ -7,19 +7,6 @@
 namespace {
 constexpr size_t kept_changes = 10000;
 constexpr double latest_s = 12, least_late_s = 2;
-
-std::map<std::string, std::string> query_of(const std::string& target) {
-  std::map<std::string, std::string> out;
-  auto at = target.find('?');
-  while (at != std::string::npos) {
-    auto end = target.find('&', at + 1);
-    auto word = target.substr(at + 1, end == std::string::npos ? end : end - at - 1);
-    auto eq = word.find('=');
-    out[word.substr(0, eq)] = eq == std::string::npos ? "" : word.substr(eq + 1);
-    at = end;
-  }
-  return out;
-}
 }  // namespace
 
 StateService::StateService(World& world, const std::string& host, const StateLimits& limits)
@@ -101,8 +88,8 @@
 bool StateService::answer_watch(Watch& w, bool timed_out) {
   if (down_ || refused_.contains(w.host)) return false;
   Json news = Json::array();
-  auto first = std::find_if(changes_.begin(), changes_.end(),
-                            [&](const Change& c) { return c.revision > w.since; });
+  auto first = std::partition_point(changes_.begin(), changes_.end(),
+                                    [&](const Change& c) { return c.revision <= w.since; });
   for (; first != changes_.end(); ++first)
     if (first->key.starts_with(w.prefix)) {
       if (first->value.is_null()) {
@@ -197,8 +184,8 @@
   const size_t limit = get("limit").empty() ? 1000 : std::stoul(get("limit"));
   Json pairs = Json::array();
   bool more = false;
-  for (auto it = keys_.upper_bound(since); it != keys_.end(); ++it) {
-    if (!it->first.starts_with(prefix)) continue;
+  auto it = since < prefix ? keys_.lower_bound(prefix) : keys_.upper_bound(since);
+  for (; it != keys_.end() && it->first.starts_with(prefix); ++it) {
     if (pairs.size() >= limit) {
       more = true;
       break;
--- a/simulation/world.cpp
+++ b/simulation/world.cpp
@@ -116,7 +116,10 @@
   bool bind(const Endpoint&) override {
     loop_.world().serve(host_, [this](auto&, Method method, auto& target, auto& body, auto answer) {
       if (body.size() > max_body_) return answer({413, {}});
-      HttpRequest request{method, target.substr(0, target.find('?')), body};
+      const auto question = target.find('?');
+      HttpRequest request{
+          method, target.substr(0, question),
+          question == std::string::npos ? std::string() : target.substr(question + 1), body};
       loop_.when_awake([this, alive = alive_, request, answer = std::move(answer)] {
         if (!*alive) return;
         loop_.enter();
@@ -172,6 +175,19 @@
 };
 }  // namespace
 
+std::map<std::string, std::string> query_of(const std::string& target) {
+  std::map<std::string, std::string> out;
+  auto at = target.find('?');
+  while (at != std::string::npos) {
+    auto end = target.find('&', at + 1);
+    auto word = target.substr(at + 1, end == std::string::npos ? end : end - at - 1);
+    auto eq = word.find('=');
+    out[word.substr(0, eq)] = eq == std::string::npos ? "" : word.substr(eq + 1);
+    at = end;
+  }
+  return out;
+}
+
 World::Key World::at(double time, std::function<void()> what) {
   Key key{std::max(time, now_), ++sequence_};
   events_.emplace(key, std::move(what));
--- a/simulation/world.hpp
+++ b/simulation/world.hpp
@@ -2,6 +2,7 @@
 #pragma once
 #include <deque>
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <set>
@@ -11,11 +12,17 @@
 
 namespace damsonport::simulation {
 
+// The fields of a request's query.
+std::map<std::string, std::string> query_of(const std::string& target);
+
 // What happens next happens at its time, and in the order it was asked for.
 class World {
  public:
   using Key = std::pair<double, uint64_t>;
   explicit World(uint64_t seed) : random_(seed) {}
+  virtual ~World() = default;
+  World(const World&) = delete;
+  World& operator=(const World&) = delete;
   double now() const { return now_; }
   std::string acting;  // the controller at work just now
   Key at(double time, std::function<void()> what);
@@ -33,8 +40,10 @@
       std::function<void(const std::string& from, Method method, const std::string& target,
                          const std::string& body, Answer answer)>;
   enum class Cut : uint8_t { hold, drop };
-  void serve(const std::string& host, Serve handler) { servers_[host] = std::move(handler); }
-  void vanish(const std::string& host) { servers_.erase(host); }
+  virtual void serve(const std::string& host, Serve handler) {
+    servers_[host] = std::move(handler);
+  }
+  virtual void vanish(const std::string& host) { servers_.erase(host); }
   // One way; what is held arrives in order when the cut ends.
   void cut(const std::string& from, const std::string& to, Cut how);
   void heal(const std::string& from, const std::string& to);
@@ -43,8 +52,14 @@
   }
   void send(const std::string& from, const std::string& to, std::function<void()> arrive);
   // Both messages of an exchange; a host that isn't there refuses.
-  void ask(const std::string& from, const std::string& to, Method method, std::string target,
-           std::string body, const Answer& answer);
+  virtual void ask(const std::string& from, const std::string& to, Method method,
+                   std::string target, std::string body, const Answer& answer);
+
+ protected:
+  // When something happens next; nothing: infinite.
+  double next_event() const {
+    return events_.empty() ? std::numeric_limits<double>::infinity() : events_.begin()->first.first;
+  }
 
  private:
   double now_ = 0;
--- a/src/coordination/budgets/region_network.cpp
+++ b/src/coordination/budgets/region_network.cpp
@@ -52,17 +52,25 @@
 void RegionNetwork::tell_all(uint64_t term) {
   for (auto& [region, links] : links_) {
     const auto bytes = encode_region_message(budgets_.message_to(region, term));
-    for (auto& link : links) {
-      link->send(bytes);
-      bytes_sent_ += bytes.size();
-      ++messages_sent_;
-    }
+    for (auto& link : links) link->send(bytes);
+  }
+}
+
+void RegionNetwork::note_silence() {
+  for (auto& [region, links] : links_) {
+    const bool silent = !budgets_.fresh(region, loop_.now());
+    if (silent && silent_.insert(region).second)
+      spdlog::warn("region {} isn't heard: budgets stay as they are between it and this one",
+                   regions_->regions[region].name);
+    if (!silent && silent_.erase(region) > 0)
+      spdlog::info("region {} is heard", regions_->regions[region].name);
   }
 }
 
 Task<void> RegionNetwork::run(std::function<uint64_t()> term, std::stop_token token) {
   if (links_.empty()) co_return;
   while (!token.stop_requested()) {
+    note_silence();
     if (const uint64_t held = term(); held != 0) tell_all(held);
     if (!co_await Sleep(loop_, settings_.report_s * news_pause_reports, token)) co_return;
     co_await wake_.wait(settings_.report_s * period_reports * loop_.uniform(0.85, 1.05), token);
--- a/src/coordination/budgets/region_network.hpp
+++ b/src/coordination/budgets/region_network.hpp
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 
 #include "coordination/budgets/team_budgets.hpp"
 #include "transport/network.hpp"
@@ -24,12 +25,11 @@
   // A message calls for a change of records.
   std::function<void()> on_news;
 
-  uint64_t bytes_sent() const { return bytes_sent_; }
-  uint64_t messages_sent() const { return messages_sent_; }
-
  private:
   long take(std::string_view bytes);
   void tell_all(uint64_t term);
+  // Says in the log when a region falls silent and when it is heard again.
+  void note_silence();
 
   Loop& loop_;
   const Settings& settings_;
@@ -38,7 +38,7 @@
   Signal wake_;
   std::map<size_t, std::vector<std::unique_ptr<StreamLink>>> links_;  // by region
   std::unique_ptr<StreamListener> listener_;
-  uint64_t bytes_sent_ = 0, messages_sent_ = 0;
+  std::set<size_t> silent_;  // regions that were said not to be heard
 };
 
 }  // namespace damsonport::budgets
--- a/src/coordination/budgets/team_budgets.cpp
+++ b/src/coordination/budgets/team_budgets.cpp
@@ -110,9 +110,9 @@
   return exchange == it->second.teams.end() ? nullptr : &exchange->second;
 }
 
-bool TeamBudgets::fresh(size_t region) const {
+bool TeamBudgets::fresh(size_t region, double now) const {
   auto it = heard_.find(regions_->regions[region].name);
-  return it != heard_.end() && measured_at_ - it->second.at < settings_.report_s * fresh_reports;
+  return it != heard_.end() && now - it->second.at < settings_.report_s * fresh_reports;
 }
 
 // --- changes of records
@@ -141,7 +141,7 @@
   bool changed = false;
   for (size_t i = 0; i < regions_->regions.size(); ++i) {
     auto* exchange = heard_of(i, team.name);
-    if (i == regions_->own_index || !exchange || !fresh(i)) continue;
+    if (i == regions_->own_index || !exchange || !fresh(i, measured_at_)) continue;
     const auto& region = regions_->regions[i].name;
     for (auto& r : resources) {
       const Ask ask{exchange->urgent_ask.*r.parts, exchange->ask.*r.parts};
@@ -193,7 +193,7 @@
   for (auto& r : resources) {
     std::vector<Spare> told(regions_->regions.size());
     for (size_t i = 0; i < told.size(); ++i)
-      if (auto* exchange = heard_of(i, team.name); exchange && fresh(i))
+      if (auto* exchange = heard_of(i, team.name); exchange && fresh(i, measured_at_))
         told[i] = {exchange->urgent_spare.*r.parts, exchange->spare.*r.parts};
     const auto ask = divide_asks(unmet(standing(team, record, r)), told)[region];
     out.urgent_ask.*r.parts = ask.urgent;
--- a/src/coordination/budgets/team_budgets.hpp
+++ b/src/coordination/budgets/team_budgets.hpp
@@ -45,6 +45,8 @@
   // Some team's work waits for budget.
   bool any_unmet() const;
 
+  // The region was heard lately; its hints are heeded only then.
+  bool fresh(size_t region, double now) const;
   // True if something in it calls for a change of records.
   bool hear(const RegionMessage& message, double now);
 
@@ -71,8 +73,6 @@
   Standing standing(const TeamSettings& team, const BudgetRecord& record,
                     const Resource& resource) const;
   const TeamExchange* heard_of(size_t region, const std::string& team) const;
-  // Hints are heeded while they are fresh.
-  bool fresh(size_t region) const;
   // Of two regions with too little each, the later one in the file gives way.
   bool yields_to(size_t region) const { return regions_->own_index > region; }
 
--- a/src/coordination/holder.cpp
+++ b/src/coordination/holder.cpp
@@ -98,6 +98,10 @@
   }
   spdlog::info("holding the grant with term {}: {} machines named in records, {} jobs", term_,
                machines_.size(), cache_.jobs().size());
+  if (p_.budgets.divided() && !p_.budgets.exchanging())
+    spdlog::warn(
+        "the teams' limits are divided by the records, but no regions file is given: "
+        "nothing is moved between regions from here");
 }
 
 // One value says who holds what. While it names another the leader replaces it; while it names us
--- a/src/transport/event_http_server.cpp
+++ b/src/transport/event_http_server.cpp
@@ -144,7 +144,9 @@
       request.method = Method::other;
   }
   std::string_view uri = evhttp_request_get_uri(req);
-  request.path = std::string(uri.substr(0, uri.find('?')));
+  const auto question = uri.find('?');
+  request.path = std::string(uri.substr(0, question));
+  if (question != std::string_view::npos) request.query = std::string(uri.substr(question + 1));
   evbuffer* input = evhttp_request_get_input_buffer(req);
   request.body.resize(evbuffer_get_length(input));
   evbuffer_remove(input, request.body.data(), request.body.size());
--- a/src/transport/http.hpp
+++ b/src/transport/http.hpp
@@ -21,7 +21,8 @@
 
 struct HttpRequest {
   Method method = Method::other;
-  std::string path;  // without the query
+  std::string path;   // without the query
+  std::string query;  // what stands behind the question mark
   std::string body;
 };
 
--- /dev/null
+++ b/tests/fleet_tool_test.cpp
@@ -0,0 +1,114 @@
+// The load and experiment tool: its plans, its quantiles, and the check of limits over processes.
+#include <gtest/gtest.h>
+
+#include "experiment.hpp"
+#include "results.hpp"
+#include "team_use.hpp"
+
+namespace damsonport::fleet {
+namespace {
+
+const std::string whole = R"(
+title = "t"
+seconds = 60
+[regions]
+count = 2
+zones = 3
+controllers = [2, 1]
+workers = 100
+[teams]
+count = 3
+gpus_max = 16
+[[machine]]
+name = "g"
+cpus = 64
+gpus = 8
+memory_gb = 512
+[[load]]
+name = "batch"
+priority = "normal"
+tasks = 10
+cpus = 2
+run_s = 30
+jobs_per_s = 0.5
+regions = [1]
+[[fault]]
+kind = "cut_regions"
+at_s = 10
+other = 1
+)";
+
+TEST(Experiment, APlanIsRead) {
+  auto plan = parse_experiment(whole);
+  ASSERT_TRUE(plan) << plan.error();
+  EXPECT_EQ(plan->controllers, (std::vector<size_t>{2, 1}));
+  EXPECT_EQ(plan->workers, (std::vector<int>{100, 100}));
+  EXPECT_EQ(plan->settings.teams.size(), 3u);
+  EXPECT_EQ(plan->processes(), 1 + 2 * 2 + 3 + 1);
+  ASSERT_EQ(plan->loads.size(), 1u);
+  EXPECT_FALSE(plan->loads[0].service);
+  EXPECT_EQ(plan->loads[0].regions, std::vector<size_t>{1});
+  ASSERT_EQ(plan->faults.size(), 1u);
+  EXPECT_EQ(plan->faults[0].kind, FaultKind::cut_regions);
+}
+
+std::string replaced(const std::string& what, const std::string& with) {
+  std::string text = whole;
+  text.replace(text.find(what), what.size(), with);
+  return text;
+}
+
+TEST(Experiment, ErrorsNameTheField) {
+  const std::pair<std::string, std::string> bad[] = {
+      {replaced("seconds = 60", ""), "seconds: is missing"},
+      {replaced("seconds = 60", "seconds = -1"), "seconds: must be a number from 1"},
+      {replaced("controllers = [2, 1]", "controllers = [2]"), "regions.controllers: must have"},
+      {replaced("workers = 100", "workers = 200000"), "regions.workers: must be a number"},
+      {replaced("\"normal\"", "\"soon\""), "load[0].priority: must be one of high, idle"},
+      {replaced("regions = [1]", "regions = [2]"), "load[0].regions: must have numbers from 0"},
+      {replaced("\"cut_regions\"", "\"flood\""), "fault[0].kind: must be one of"},
+      {replaced("[[machine]]", "[[engine]]"), "machine: is missing"},
+      {replaced("title = \"t\"", "title ="), "line 2"}};
+  for (auto& [text, complaint] : bad) {
+    auto plan = parse_experiment(text);
+    ASSERT_FALSE(plan) << complaint;
+    EXPECT_NE(plan.error().find(complaint), std::string::npos) << plan.error();
+  }
+}
+
+TEST(Experiment, APlanThatTakesTooMuchIsRefused) {
+  auto plan = parse_experiment("max_memory_mb = 100\n" + whole);
+  ASSERT_FALSE(plan);
+  EXPECT_NE(plan.error().find("of memory, of 100"), std::string::npos) << plan.error();
+  plan = parse_experiment("max_processes = 8\n" + whole);
+  ASSERT_FALSE(plan);
+  EXPECT_NE(plan.error().find("9 processes, of 8"), std::string::npos) << plan.error();
+  plan = parse_experiment("max_processes = 201\n" + whole);
+  ASSERT_FALSE(plan) << "the bound itself is bounded";
+}
+
+TEST(Quantiles, AreExact) {
+  std::vector<float> values;
+  for (int i = 100; i >= 1; --i) values.push_back(static_cast<float>(i));
+  const auto q = quantiles(values);
+  EXPECT_EQ(q.count, 100u);
+  EXPECT_EQ(q.p50, 50);
+  EXPECT_EQ(q.p99, 99);
+  EXPECT_EQ(q.max, 100);
+  EXPECT_EQ(quantiles({}).count, 0u);
+}
+
+TEST(TeamUse, SumsAndRemembersThePeak) {
+  TeamUse use(2);
+  use.add(1, 2, 1.5);
+  const auto sum = use.add(1, 4, 0.5);
+  EXPECT_DOUBLE_EQ(sum.cpus, 6);
+  EXPECT_DOUBLE_EQ(sum.gpus, 2);
+  use.add(1, -6, -2);
+  EXPECT_DOUBLE_EQ(use.peak(1).cpus, 6);
+  EXPECT_DOUBLE_EQ(use.add(1, 0, 0).cpus, 0);
+  EXPECT_DOUBLE_EQ(use.peak(0).cpus, 0);
+}
+
+}  // namespace
+}  // namespace damsonport::fleet
--- a/tests/regions/region_cluster.cpp
+++ b/tests/regions/region_cluster.cpp
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include "coordination/budgets/initial_parts.hpp"
+#include "simulation/submission.hpp"
 
 namespace damsonport::simulation {
 
@@ -20,10 +21,6 @@
 std::string controller_name(size_t region, size_t n) { return fmt::format("r{}n{}", region, n); }
 std::string zone_name(size_t region) { return fmt::format("zone-{}", region); }
 
-bool on_machine(const TaskReport& task) {
-  return task.state == TaskState::running || task.state == TaskState::saving;
-}
-
 MachineType machine_type(const ClusterPlan& plan) {
   MachineType type;
   type.name = "g", type.cpus = 64, type.gpus = 8, type.memory_gb = 512;
@@ -33,14 +30,6 @@
   return type;
 }
 
-Json submission(const JobSpec& spec) {
-  Json m = {{"same_place", false}, {"spread", false}, {"tender", false},
-            {"voyage_s", 0.0},     {"moor_s", 0.0},   {"stow_s", 0.0}};
-  m.update(encode_job(spec));
-  m.erase("accepted_at");
-  return m;
-}
-
 }  // namespace
 
 RegionCluster::RegionCluster(ClusterPlan plan)
@@ -137,7 +126,7 @@
     if (!std::exchange(*answered, true)) next();
   });
   world_.ask(user_host, regions_[region].controllers[node]->host(), Method::post, "/api/jobs",
-             encode(submission(jobs_.at(job))),
+             encode(submission_of(jobs_.at(job))),
              [this, region, job, asked, answered, next](const HttpReply& reply) {
                if (std::exchange(*answered, true)) return;
                regions_[region].fleet->rules().told(job, reply.status, "queued", asked);
--- a/tests/world/meeting.cpp
+++ b/tests/world/meeting.cpp
@@ -4,6 +4,8 @@
 #include <fstream>
 #include <sstream>
 
+#include "simulation/submission.hpp"
+
 namespace damsonport::simulation {
 
 namespace {
@@ -31,14 +33,6 @@
   return {num(w, "rps", otherwise.requests_per_s), num(w, "writes", otherwise.writes_per_s),
           num(w, "kb", otherwise.value_kb), static_cast<int>(num(w, "ops", otherwise.txn_writes))};
 }
-// The record leaves out what is nothing; a user's message may not.
-Json submission_of(const JobSpec& spec) {
-  Json m = {{"same_place", false}, {"spread", false}, {"tender", false},
-            {"voyage_s", 0.0},     {"moor_s", 0.0},   {"stow_s", 0.0}};
-  m.update(encode_job(spec));
-  m.erase("accepted_at");
-  return m;
-}
 
 std::vector<std::string> split(const std::string& text) {
   std::vector<std::string> out;
--- /dev/null
+++ b/tools/fleet/child_process.cpp
@@ -0,0 +1,101 @@
+#include "child_process.hpp"
+
+#include <fcntl.h>
+#include <signal.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <stdexcept>
+
+namespace damsonport::fleet {
+
+namespace {
+
+void write_line(int fd, const Json& message) {
+  const std::string line = message.dump() + "\n";
+  size_t done = 0;
+  while (done < line.size()) {
+    const ssize_t n = write(fd, line.data() + done, line.size() - done);
+    if (n <= 0) return;  // the other side is gone
+    done += static_cast<size_t>(n);
+  }
+}
+
+// Appends what can be read now; false at the end of the stream.
+bool read_some(int fd, std::string& buffer) {
+  char block[65536];
+  for (;;) {
+    const ssize_t n = read(fd, block, sizeof block);
+    if (n == 0) return false;
+    if (n < 0) return true;
+    buffer.append(block, static_cast<size_t>(n));
+  }
+}
+
+std::vector<Json> take_lines(std::string& buffer) {
+  std::vector<Json> out;
+  size_t from = 0;
+  for (size_t end = 0; (end = buffer.find('\n', from)) != std::string::npos; from = end + 1)
+    out.push_back(Json::parse(buffer.substr(from, end - from)));
+  buffer.erase(0, from);
+  return out;
+}
+
+void set_non_blocking(int fd) { fcntl(fd, F_SETFL, fcntl(fd, F_GETFL) | O_NONBLOCK); }
+
+}  // namespace
+
+void ParentChannel::tell(const Json& message) const { write_line(messages_fd_, message); }
+
+bool ParentChannel::read_commands(const std::function<void(const Json&)>& on_command) {
+  const bool open = read_some(commands_fd_, buffer_);
+  for (auto& command : take_lines(buffer_)) on_command(command);
+  return open;
+}
+
+ChildProcess::ChildProcess(std::string name, const Body& body) : name_(std::move(name)) {
+  int commands[2], messages[2];
+  if (pipe2(commands, O_CLOEXEC) != 0 || pipe2(messages, O_CLOEXEC) != 0)
+    throw std::runtime_error("no pipe is to be had");
+  pid_ = fork();
+  if (pid_ < 0) throw std::runtime_error("no process is to be had");
+  if (pid_ == 0) {
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
+    signal(SIGINT, SIG_IGN);
+    signal(SIGPIPE, SIG_IGN);
+    close(commands[1]);
+    close(messages[0]);
+    set_non_blocking(commands[0]);
+    ParentChannel parent(commands[0], messages[1]);
+    body(parent);
+    _exit(0);
+  }
+  close(commands[0]);
+  close(messages[1]);
+  commands_fd_ = commands[1];
+  messages_fd_ = messages[0];
+  set_non_blocking(messages_fd_);
+}
+
+ChildProcess::~ChildProcess() {
+  kill();
+  close(commands_fd_);
+  close(messages_fd_);
+}
+
+void ChildProcess::tell(const Json& command) const { write_line(commands_fd_, command); }
+
+std::vector<Json> ChildProcess::messages() {
+  read_some(messages_fd_, buffer_);
+  return take_lines(buffer_);
+}
+
+void ChildProcess::kill() {
+  if (pid_ == 0) return;
+  ::kill(pid_, SIGKILL);
+  waitpid(pid_, nullptr, 0);
+  pid_ = 0;
+}
+
+}  // namespace damsonport::fleet
--- /dev/null
+++ b/tools/fleet/emulator.hpp
@@ -0,0 +1,17 @@
+// The bodies of the emulator's processes. Each runs its loop until it is told to finish, reports
+// once a second, and once more at the end with all that it has measured.
+#pragma once
+#include "child_process.hpp"
+#include "experiment.hpp"
+#include "team_use.hpp"
+
+namespace damsonport::fleet {
+
+// One region's state service. Reports each change of the holder, and at the end the budgets.
+void run_state_service(const Experiment& plan, size_t region, ParentChannel& parent);
+// One region's cloud, hollow workers and users.
+void run_site(const Experiment& plan, size_t region, TeamUse& use, ParentChannel& parent);
+// The network between regions: delays, cuts, and counts bytes.
+void run_links(const Experiment& plan, ParentChannel& parent);
+
+}  // namespace damsonport::fleet
--- /dev/null
+++ b/tools/fleet/emulator_loop.cpp
@@ -0,0 +1,33 @@
+#include "emulator_loop.hpp"
+
+namespace damsonport::fleet {
+
+EmulatorLoop::EmulatorLoop(ParentChannel& parent, std::function<void(const Json&)> on_command)
+    : parent_(parent), on_command_(std::move(on_command)) {
+  commands_ = event_new(
+      loop_.base(), parent.commands_fd(), EV_READ | EV_PERSIST,
+      [](evutil_socket_t, short, void* self) { static_cast<EmulatorLoop*>(self)->read(); }, this);
+  event_add(commands_, nullptr);
+}
+
+EmulatorLoop::~EmulatorLoop() {
+  event_free(commands_);
+  if (second_) event_free(second_);
+}
+
+void EmulatorLoop::read() {
+  if (!parent_.read_commands(on_command_)) finish();
+}
+
+void EmulatorLoop::run(std::function<void()> every_second) {
+  every_second_ = std::move(every_second);
+  second_ = event_new(
+      loop_.base(), -1, EV_PERSIST,
+      [](evutil_socket_t, short, void* self) { static_cast<EmulatorLoop*>(self)->every_second_(); },
+      this);
+  const timeval one{1, 0};
+  event_add(second_, &one);
+  event_base_dispatch(loop_.base());
+}
+
+}  // namespace damsonport::fleet
--- /dev/null
+++ b/tools/fleet/experiment.cpp
@@ -0,0 +1,301 @@
+#include "experiment.hpp"
+
+#include <sys/sysinfo.h>
+#include <toml++/toml.h>
+
+#include <algorithm>
+#include <fstream>
+#include <iterator>
+#include <map>
+#include <numeric>
+#include <sstream>
+
+namespace damsonport::fleet {
+
+namespace {
+
+constexpr int most_processes = 200;
+constexpr double memory_share = 0.5;
+// Estimates of what one worker, task and controller take, from experiments/results.
+constexpr double worker_kb = 220, task_kb = 3.5, process_mb = 40;
+
+double machine_memory_mb() {
+  struct sysinfo info {};
+  sysinfo(&info);
+  return static_cast<double>(info.totalram) * info.mem_unit / (1024 * 1024);
+}
+
+// Reads fields; the first problem is kept.
+class Reader {
+ public:
+  std::string problem;
+
+  void fail(const std::string& field, const std::string& what) {
+    if (problem.empty()) problem = field + ": " + what;
+  }
+  double number(const toml::table& t, const std::string& prefix, const char* key, double otherwise,
+                double low, double high) {
+    if (!t.contains(key)) return otherwise;
+    const auto value = t[key].value<double>();
+    if (!value || !(*value >= low && *value <= high)) {
+      std::ostringstream range;
+      range << "must be a number from " << low << " to " << high;
+      fail(prefix + key, range.str());
+      return otherwise;
+    }
+    return *value;
+  }
+  double required(const toml::table& t, const std::string& prefix, const char* key, double low,
+                  double high) {
+    if (!t.contains(key)) fail(prefix + key, "is missing");
+    return number(t, prefix, key, low, low, high);
+  }
+  std::string text(const toml::table& t, const std::string& prefix, const char* key) {
+    const auto value = t[key].value<std::string>();
+    if (!value) fail(prefix + key, t.contains(key) ? "must be a text" : "is missing");
+    return value.value_or("");
+  }
+  // One number for all, or a list with one for each.
+  std::vector<double> each(const toml::table& t, const std::string& prefix, const char* key,
+                           size_t count, double low, double high) {
+    if (auto* list = t[key].as_array()) {
+      std::vector<double> out;
+      for (auto& item : *list) out.push_back(item.value_or(low - 1));
+      const bool fits = out.size() == count && std::all_of(out.begin(), out.end(), [&](double v) {
+                          return v >= low && v <= high;
+                        });
+      if (!fits) fail(prefix + key, "must have a number in range for each region");
+      out.resize(count, low);
+      return out;
+    }
+    return std::vector<double>(count, required(t, prefix, key, low, high));
+  }
+  std::vector<size_t> positions(const toml::table& t, const std::string& prefix, const char* key,
+                                size_t count) {
+    std::vector<size_t> out;
+    if (!t.contains(key)) return out;
+    auto* list = t[key].as_array();
+    if (!list) fail(prefix + key, "must be a list of numbers");
+    if (!list) return out;
+    for (auto& item : *list) {
+      const auto value = item.value<int64_t>();
+      if (!value || *value < 0 || static_cast<size_t>(*value) >= count) {
+        fail(prefix + key, "must have numbers from 0 to " + std::to_string(count - 1));
+        return {};
+      }
+      out.push_back(static_cast<size_t>(*value));
+    }
+    return out;
+  }
+  // A word of a list.
+  template <class T>
+  T choice(const toml::table& t, const std::string& prefix, const char* key,
+           const std::map<std::string, T>& words) {
+    const auto word = text(t, prefix, key);
+    auto it = words.find(word);
+    if (it != words.end()) return it->second;
+    std::string all;
+    for (auto& [name, value] : words) all += (all.empty() ? "" : ", ") + name;
+    fail(prefix + key, "must be one of " + all);
+    return words.begin()->second;
+  }
+  const toml::table& table(const toml::table& t, const char* key) {
+    static const toml::table empty;
+    auto* found = t[key].as_table();
+    if (!found && t.contains(key)) fail(key, "must be a table");
+    return found ? *found : empty;
+  }
+  std::vector<std::pair<std::string, const toml::table*>> tables(const toml::table& t,
+                                                                 const char* key) {
+    std::vector<std::pair<std::string, const toml::table*>> out;
+    if (!t.contains(key)) return out;
+    auto* list = t[key].as_array();
+    if (!list) fail(key, "must be a list of tables");
+    for (size_t i = 0; list && i < list->size(); ++i) {
+      const auto prefix = std::string(key) + "[" + std::to_string(i) + "].";
+      if (auto* entry = (*list)[i].as_table()) {
+        out.emplace_back(prefix, entry);
+      } else {
+        fail(prefix, "must be a table");
+      }
+    }
+    return out;
+  }
+};
+
+const std::map<std::string, Priority> priorities = {{"idle", Priority::idle},
+                                                    {"normal", Priority::normal},
+                                                    {"high", Priority::high},
+                                                    {"production", Priority::production}};
+const std::map<std::string, FaultKind> fault_kinds = {
+    {"kill_holder", FaultKind::kill_holder},   {"kill_region", FaultKind::kill_region},
+    {"pause_holder", FaultKind::pause_holder}, {"cut_regions", FaultKind::cut_regions},
+    {"hang_zone", FaultKind::hang_zone},       {"state_outage", FaultKind::state_outage}};
+
+constexpr double plenty = 1e9, longest_s = 7200;
+
+void read_regions(Reader& r, const toml::table& t, Experiment& out) {
+  const std::string p = "regions.";
+  out.regions = static_cast<size_t>(r.number(t, p, "count", 1, 1, 8));
+  out.zones = static_cast<size_t>(r.number(t, p, "zones", 1, 1, 8));
+  for (double n : r.each(t, p, "controllers", out.regions, 1, 9))
+    out.controllers.push_back(static_cast<size_t>(n));
+  for (double n : r.each(t, p, "workers", out.regions, 1, 20000))
+    out.workers.push_back(static_cast<int>(n));
+  out.link_delay_s = r.number(t, p, "link_delay_ms", 40, 0, 2000) / 1000;
+  out.divide_limits = t["divide_limits"].value_or(true);
+}
+
+void read_settings(Reader& r, const toml::table& root, Settings& s) {
+  auto& w = r.table(root, "worker");
+  s.report_s = r.number(w, "worker.", "report_s", 1.5, 0.1, 60);
+  s.lease_s = r.number(w, "worker.", "lease_s", 12, 1, 600);
+  s.cancel_s = r.number(w, "worker.", "cancel_s", 42, 1, 600);
+  s.gang_wait_s = s.cancel_s;
+  s.gang_peer_s = s.lease_s / 2;
+  auto& state = r.table(root, "state");
+  StateLimits limits;
+  limits.requests_per_s = r.number(state, "state.", "rps", 150, 1, plenty);
+  limits.writes_per_s = r.number(state, "state.", "write_rps", 50, 1, plenty);
+  limits.value_kb = r.number(state, "state.", "value_kb", 16, 1, 1024);
+  limits.txn_writes = static_cast<int>(r.number(state, "state.", "txn_ops", 12, 3, 1000));
+  s.state_limits = {limits, limits};
+  s.cloud_rps = 5;
+  s.list_lag_s = 10;
+  s.max_sockets = static_cast<int>(r.number(root, "", "controller_sockets", 600, 64, 19000));
+}
+
+void read_teams(Reader& r, const toml::table& t, Settings& s) {
+  const auto count = static_cast<int>(r.number(t, "teams.", "count", 1, 1, 1000));
+  TeamSettings team;
+  team.cpus = r.number(t, "teams.", "cpus", 0, 0, plenty);
+  team.cpus_max = r.number(t, "teams.", "cpus_max", 0, 0, plenty);
+  team.gpus = r.number(t, "teams.", "gpus", 0, 0, plenty);
+  team.gpus_max = r.number(t, "teams.", "gpus_max", 0, 0, plenty);
+  for (int i = 0; i < count; ++i) {
+    team.name = "team-" + std::to_string(i);
+    s.teams.push_back(team);
+  }
+}
+
+void read_machines(Reader& r, const toml::table& root, Experiment& out) {
+  for (auto& [prefix, t] : r.tables(root, "machine")) {
+    MachineType type;
+    type.name = r.text(*t, prefix, "name");
+    type.cpus = r.required(*t, prefix, "cpus", 0, plenty);
+    type.gpus = r.number(*t, prefix, "gpus", 0, 0, plenty);
+    type.memory_gb = r.required(*t, prefix, "memory_gb", 0, plenty);
+    type.cache_gb = r.number(*t, prefix, "cache_gb", 200, 0, plenty);
+    type.fetch_gb_per_s = r.number(*t, prefix, "fetch_gb_per_s", 10, 0.001, plenty);
+    type.price = 1;
+    type.spot_price = 0.25;
+    type.boot_s = r.number(*t, prefix, "boot_s", 30, 0.1, longest_s);
+    out.machines.push_back(type);
+    out.machine_share.push_back(r.number(*t, prefix, "share", 1, 0, plenty));
+  }
+  if (out.machines.empty()) r.fail("machine", "is missing");
+}
+
+void read_loads(Reader& r, const toml::table& root, Experiment& out) {
+  for (auto& [prefix, t] : r.tables(root, "load")) {
+    Load load;
+    load.name = r.text(*t, prefix, "name");
+    load.priority = r.choice(*t, prefix, "priority", priorities);
+    load.run_s = r.number(*t, prefix, "run_s", 0, 0, longest_s);
+    load.service = load.run_s == 0;
+    load.tasks = static_cast<uint32_t>(r.number(*t, prefix, "tasks", 1, 1, 100000));
+    load.tasks_spread = r.number(*t, prefix, "tasks_spread", 0, 0, 0.9);
+    load.cpus = r.required(*t, prefix, "cpus", 0, plenty);
+    load.gpus = r.number(*t, prefix, "gpus", 0, 0, plenty);
+    load.memory_gb = r.number(*t, prefix, "memory_gb", 1, 0, plenty);
+    load.jobs_per_s = r.required(*t, prefix, "jobs_per_s", 0, 10000);
+    load.from_s = r.number(*t, prefix, "from_s", 0, 0, longest_s);
+    load.until_s = r.number(*t, prefix, "until_s", out.seconds, 0, longest_s);
+    load.cancelled_share = r.number(*t, prefix, "cancelled_share", 0, 0, 1);
+    load.regions = r.positions(*t, prefix, "regions", out.regions);
+    load.teams = r.positions(*t, prefix, "teams", out.settings.teams.size());
+    out.loads.push_back(std::move(load));
+  }
+}
+
+void read_faults(Reader& r, const toml::table& root, Experiment& out) {
+  for (auto& [prefix, t] : r.tables(root, "fault")) {
+    Fault fault;
+    fault.kind = r.choice(*t, prefix, "kind", fault_kinds);
+    fault.at_s = r.required(*t, prefix, "at_s", 0, longest_s);
+    fault.for_s = r.number(*t, prefix, "for_s", 5, 0.1, longest_s);
+    const auto last = static_cast<double>(out.regions - 1);
+    fault.region = static_cast<size_t>(r.number(*t, prefix, "region", 0, 0, last));
+    fault.other = static_cast<size_t>(r.number(*t, prefix, "other", 0, 0, last));
+    fault.zone =
+        static_cast<size_t>(r.number(*t, prefix, "zone", 0, 0, static_cast<double>(out.zones - 1)));
+    out.faults.push_back(fault);
+  }
+}
+
+void check_bounds(Reader& r, const Experiment& plan) {
+  if (plan.processes() > plan.max_processes)
+    r.fail("regions.controllers", "the plan takes " + std::to_string(plan.processes()) +
+                                      " processes, of " + std::to_string(plan.max_processes));
+  if (plan.estimated_memory_mb() > plan.max_memory_mb)
+    r.fail("regions.workers",
+           "the plan takes about " + std::to_string(static_cast<int>(plan.estimated_memory_mb())) +
+               " MB of memory, of " + std::to_string(static_cast<int>(plan.max_memory_mb)));
+  if (plan.warmup_s >= plan.seconds) r.fail("warmup_s", "must be less than seconds");
+}
+
+}  // namespace
+
+int Experiment::processes() const {
+  const size_t all = std::accumulate(controllers.begin(), controllers.end(), size_t{0});
+  // This one, one for each region's workers and one for its state service, one for the links.
+  return static_cast<int>(1 + 2 * regions + all + (regions > 1 ? 1 : 0));
+}
+
+double Experiment::estimated_memory_mb() const {
+  const double all = std::accumulate(workers.begin(), workers.end(), 0.0);
+  constexpr double tasks_on_a_worker = 24;
+  return all * (worker_kb + tasks_on_a_worker * task_kb) / 1024 + processes() * process_mb;
+}
+
+Result<Experiment> parse_experiment(const std::string& toml_text) {
+  toml::table root;
+  try {
+    root = toml::parse(toml_text);
+  } catch (const toml::parse_error& e) {
+    std::ostringstream where;
+    where << "line " << e.source().begin.line << ": " << e.description();
+    return Error{where.str()};
+  }
+  Reader r;
+  Experiment out;
+  out.title = r.text(root, "", "title");
+  out.seconds = r.required(root, "", "seconds", 1, longest_s);
+  out.warmup_s = r.number(root, "", "warmup_s", 0, 0, longest_s);
+  out.seed = static_cast<uint64_t>(r.number(root, "", "seed", 1, 0, 1e15));
+  out.polls_per_s = r.number(root, "", "polls_per_s", 0, 0, 100000);
+  const double most_memory = machine_memory_mb() * memory_share;
+  out.max_memory_mb = r.number(root, "", "max_memory_mb", most_memory, 1, most_memory);
+  out.max_processes =
+      static_cast<int>(r.number(root, "", "max_processes", most_processes, 1, most_processes));
+  read_regions(r, r.table(root, "regions"), out);
+  read_settings(r, root, out.settings);
+  read_teams(r, r.table(root, "teams"), out.settings);
+  read_machines(r, root, out);
+  read_loads(r, root, out);
+  read_faults(r, root, out);
+  if (r.problem.empty()) check_bounds(r, out);
+  if (!r.problem.empty()) return Error{r.problem};
+  return out;
+}
+
+Result<Experiment> load_experiment(const std::string& path) {
+  std::ifstream in(path, std::ios::binary);
+  if (!in) return Error{path + ": cannot be read"};
+  const std::string text(std::istreambuf_iterator<char>(in), {});
+  auto plan = parse_experiment(text);
+  if (!plan) return Error{path + ": " + plan.error()};
+  return plan;
+}
+
+}  // namespace damsonport::fleet
--- /dev/null
+++ b/tools/fleet/experiment.hpp
@@ -0,0 +1,75 @@
+// The plan of an experiment, as its file says. See experiments/README.md for the fields.
+#pragma once
+#include <string>
+#include <vector>
+
+#include "protocol/messages.hpp"
+#include "protocol/result.hpp"
+#include "protocol/settings.hpp"
+
+namespace damsonport::fleet {
+
+// Jobs of one kind that come to some regions at a steady rate.
+struct Load {
+  std::string name;
+  Priority priority = Priority::normal;
+  bool service = false;
+  uint32_t tasks = 1;       // of a job on average
+  double tasks_spread = 0;  // a job's number lies within this share of it
+  double cpus = 0, gpus = 0, memory_gb = 0;
+  double run_s = 0;       // of a task, give or take a quarter; 0 for services
+  double jobs_per_s = 0;  // in each region
+  double from_s = 0, until_s = 0;
+  std::vector<size_t> regions;  // empty: all
+  double cancelled_share = 0;   // jobs that their users cancel
+  std::vector<size_t> teams;    // positions; empty: all
+};
+
+enum class FaultKind : uint8_t {
+  kill_holder,   // of a region; started again after `for_s`
+  kill_region,   // all its controllers
+  pause_holder,  // stopped by a signal, and continued
+  cut_regions,   // nothing passes between two regions' controllers
+  hang_zone,     // the workers of one zone stand still
+  state_outage   // of a region's state service
+};
+
+struct Fault {
+  FaultKind kind = FaultKind::kill_holder;
+  double at_s = 0, for_s = 5;
+  size_t region = 0, other = 0, zone = 0;
+};
+
+struct Experiment {
+  std::string title;
+  double seconds = 60;
+  double warmup_s = 20;  // figures are taken after it
+  uint64_t seed = 1;
+  double polls_per_s = 0;  // of random jobs, in each region
+  // Bounds on the tool and all that it starts.
+  double max_memory_mb = 0;
+  int max_processes = 0;
+
+  size_t regions = 1, zones = 1;
+  std::vector<size_t> controllers;  // by region
+  std::vector<int> workers;         // by region
+  double link_delay_s = 0.04;       // one way, between regions
+  bool divide_limits = true;
+
+  // What all controllers are told; addresses and names are filled in for each.
+  Settings settings;
+  std::vector<MachineType> machines;
+  std::vector<double> machine_share;  // of the workers, by type
+  std::vector<Load> loads;
+  std::vector<Fault> faults;
+
+  int processes() const;
+  // A generous estimate, from the sizes measured.
+  double estimated_memory_mb() const;
+};
+
+// Errors name the field.
+Result<Experiment> parse_experiment(const std::string& toml_text);
+Result<Experiment> load_experiment(const std::string& path);
+
+}  // namespace damsonport::fleet
--- /dev/null
+++ b/tools/fleet/link_process.cpp
@@ -0,0 +1,170 @@
+// The network between regions: each stream is passed on with a delay; a cut closes the streams
+// between two regions and takes no new ones.
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+#include <netinet/in.h>
+#include <spdlog/spdlog.h>
+
+#include <deque>
+#include <list>
+#include <memory>
+#include <set>
+
+#include "addresses.hpp"
+#include "emulator.hpp"
+#include "emulator_loop.hpp"
+
+namespace damsonport::fleet {
+
+namespace {
+
+using RegionPair = std::pair<size_t, size_t>;
+
+sockaddr_in socket_address(const std::string& host) {
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(addresses::region_port);
+  evutil_inet_pton(AF_INET, host.c_str(), &address.sin_addr);
+  return address;
+}
+
+class Links {
+ public:
+  Links(const Experiment& plan, ParentChannel& parent)
+      : plan_(plan),
+        parent_(parent),
+        emulator_(parent, [this](const Json& command) { obey(command); }) {
+    for (size_t from = 0; from < plan.regions; ++from)
+      for (size_t to = 0; to < plan.regions; ++to)
+        for (size_t n = 0; from != to && n < plan.controllers[to]; ++n) listen(from, to, n);
+  }
+  void run() {
+    emulator_.run([this] { tell("second"); });
+  }
+
+ private:
+  struct Listener {
+    Links* links;
+    RegionPair pair;
+    std::string target;
+  };
+  // One direction is enough: controllers only send on the streams that they open.
+  struct Stream {
+    Links* links = nullptr;
+    RegionPair pair;
+    bufferevent* in = nullptr;
+    bufferevent* out = nullptr;
+    std::deque<std::pair<double, std::string>> delayed;
+    event* timer = nullptr;
+    ~Stream() {
+      if (in) bufferevent_free(in);
+      if (out) bufferevent_free(out);
+      if (timer) event_free(timer);
+    }
+  };
+
+  void listen(size_t from, size_t to, size_t n) {
+    auto& listener =
+        listeners_.emplace_back(Listener{this, {from, to}, addresses::controller(to, n)});
+    auto address = socket_address(addresses::link(from, to, n));
+    auto* made = evconnlistener_new_bind(
+        emulator_.loop().base(),
+        [](evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* arg) {
+          auto* l = static_cast<Listener*>(arg);
+          l->links->accept(fd, *l);
+        },
+        &listener, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, 16,
+        reinterpret_cast<sockaddr*>(&address), sizeof address);
+    if (!made) spdlog::error("cannot listen on {}", addresses::link(from, to, n));
+  }
+
+  void accept(evutil_socket_t fd, const Listener& listener) {
+    if (cut_.contains(listener.pair)) {
+      evutil_closesocket(fd);
+      return;
+    }
+    auto& stream = streams_.emplace_back();
+    stream.links = this;
+    stream.pair = listener.pair;
+    auto* base = emulator_.loop().base();
+    stream.in = bufferevent_socket_new(base, fd, BEV_OPT_CLOSE_ON_FREE);
+    stream.out = bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+    stream.timer = evtimer_new(
+        base, [](evutil_socket_t, short, void* s) { pass_on(*static_cast<Stream*>(s)); }, &stream);
+    auto ended = [](bufferevent*, short what, void* s) {
+      if (what & BEV_EVENT_CONNECTED) return;
+      auto* gone = static_cast<Stream*>(s);
+      gone->links->streams_.remove_if([gone](auto& other) { return &other == gone; });
+    };
+    bufferevent_setcb(
+        stream.in, [](bufferevent*, void* s) { take(*static_cast<Stream*>(s)); }, nullptr, ended,
+        &stream);
+    bufferevent_setcb(stream.out, nullptr, nullptr, ended, &stream);
+    bufferevent_enable(stream.in, EV_READ);
+    bufferevent_enable(stream.out, EV_READ | EV_WRITE);
+    auto address = socket_address(listener.target);
+    bufferevent_socket_connect(stream.out, reinterpret_cast<sockaddr*>(&address), sizeof address);
+  }
+
+  static void take(Stream& stream) {
+    auto* input = bufferevent_get_input(stream.in);
+    std::string bytes(evbuffer_get_length(input), '\0');
+    evbuffer_remove(input, bytes.data(), bytes.size());
+    auto& links = *stream.links;
+    links.bytes_ += bytes.size();
+    stream.delayed.emplace_back(links.emulator_.loop().now() + links.plan_.link_delay_s,
+                                std::move(bytes));
+    if (stream.delayed.size() == 1) pass_on(stream);
+  }
+
+  static void pass_on(Stream& stream) {
+    const double now = stream.links->emulator_.loop().now();
+    while (!stream.delayed.empty() && stream.delayed.front().first <= now) {
+      auto& bytes = stream.delayed.front().second;
+      bufferevent_write(stream.out, bytes.data(), bytes.size());
+      stream.delayed.pop_front();
+    }
+    if (stream.delayed.empty()) return;
+    const double left = stream.delayed.front().first - now;
+    const timeval wait{0, static_cast<suseconds_t>(left * 1e6) + 1};
+    event_add(stream.timer, &wait);
+  }
+
+  void obey(const Json& command) {
+    const std::string what = command.at("do");
+    if (what == "cut") {
+      const size_t a = command.at("a"), b = command.at("b");
+      for (auto& pair : {RegionPair{a, b}, RegionPair{b, a}}) {
+        if (command.at("on").get<bool>()) {
+          cut_.insert(pair);
+        } else {
+          cut_.erase(pair);
+        }
+      }
+      streams_.remove_if([&](auto& stream) { return cut_.contains(stream.pair); });
+    }
+    if (what != "finish") return;
+    tell("final");
+    emulator_.finish();
+  }
+  void tell(const char* kind) { parent_.tell({{"kind", kind}, {"bytes", bytes_}}); }
+
+  const Experiment& plan_;
+  ParentChannel& parent_;
+  EmulatorLoop emulator_;
+  std::list<Listener> listeners_;
+  std::list<Stream> streams_;
+  std::set<RegionPair> cut_;
+  uint64_t bytes_ = 0;
+};
+
+}  // namespace
+
+void run_links(const Experiment& plan, ParentChannel& parent) {
+  // Never taken apart: the process ends with it.
+  auto* links = new Links(plan, parent);
+  links->run();
+}
+
+}  // namespace damsonport::fleet
--- /dev/null
+++ b/tools/fleet/main.cpp
@@ -0,0 +1,86 @@
+// damsonport-fleet: plays an experiment with real controllers and hollow workers on this machine.
+#include <signal.h>
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+#include <sys/resource.h>
+
+#include <CLI/CLI.hpp>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+
+#include "experiment_run.hpp"
+
+namespace {
+
+constexpr int exit_bad_plan = 2, exit_rule_broken = 3;
+
+volatile bool stop_requested = false;
+
+// The one beside this tool, as CMake builds both.
+std::string default_controller() {
+  std::error_code ignored;
+  const auto self = std::filesystem::read_symlink("/proc/self/exe", ignored);
+  return (self.parent_path() / ".." / ".." / "damsonport").lexically_normal().string();
+}
+
+// A worker is two sockets here.
+void raise_file_limit() {
+  rlimit limit{};
+  getrlimit(RLIMIT_NOFILE, &limit);
+  limit.rlim_cur = limit.rlim_max;
+  setrlimit(RLIMIT_NOFILE, &limit);
+}
+
+std::string make_directory(const std::string& wanted) {
+  if (!wanted.empty()) {
+    std::filesystem::create_directories(wanted);
+    return wanted;
+  }
+  auto pattern = (std::filesystem::temp_directory_path() / "damsonport-fleet.XXXXXX").string();
+  return mkdtemp(pattern.data()) ? pattern : std::string();
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  CLI::App app{"damsonport-fleet: plays an experiment with real controllers and hollow workers"};
+  std::string file, results_file, directory, program = default_controller();
+  bool check = false;
+  app.add_option("experiment", file, "the plan (TOML), see experiments/README.md")->required();
+  app.add_option("--results", results_file, "where the figures go (JSON)");
+  app.add_option("--directory", directory, "for settings and logs; a new one by default");
+  app.add_option("--controller", program, "the controllers' program");
+  app.add_flag("--check", check, "check the plan and end");
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError& e) {
+    return app.exit(e) == 0 ? 0 : exit_bad_plan;
+  }
+  spdlog::set_default_logger(spdlog::stderr_logger_st("fleet"));
+  auto plan = damsonport::fleet::load_experiment(file);
+  if (!plan) {
+    std::cerr << plan.error() << "\n";
+    return exit_bad_plan;
+  }
+  if (check) {
+    std::cout << file << ": ok, " << plan->processes() << " processes, about "
+              << static_cast<int>(plan->estimated_memory_mb()) << " MB\n";
+    return 0;
+  }
+  if (!std::filesystem::exists(program)) {
+    std::cerr << "--controller: there is no " << program << "\n";
+    return exit_bad_plan;
+  }
+  raise_file_limit();
+  directory = make_directory(directory);
+  std::cout << plan->title << ": settings and logs in " << directory << std::endl;
+  signal(SIGPIPE, SIG_IGN);
+  for (int number : {SIGINT, SIGTERM}) signal(number, [](int) { stop_requested = true; });
+  damsonport::fleet::ExperimentRun run(*plan, directory, program, std::cout);
+  const auto results = run.run(stop_requested);
+  damsonport::fleet::print_table(std::cout, *plan, results);
+  if (!results_file.empty())
+    std::ofstream(results_file) << results_json(*plan, results).dump(1) << "\n";
+  return results.broken_rules.empty() ? 0 : exit_rule_broken;
+}
--- /dev/null
+++ b/tools/fleet/results.cpp
@@ -0,0 +1,198 @@
+#include "results.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+
+#include "real_time_world.hpp"
+
+namespace damsonport::fleet {
+
+namespace {
+
+Json quantiles_json(const Quantiles& q) {
+  return {{"count", q.count}, {"p50", q.p50}, {"p90", q.p90}, {"p99", q.p99}, {"max", q.max}};
+}
+
+// Values of all sites, by load.
+std::map<std::string, std::vector<float>> waits_of(const Results& results) {
+  std::map<std::string, std::vector<float>> out;
+  for (auto& site : results.sites)
+    for (auto& [load, values] : site.at("waits").items())
+      for (auto& value : values) out[load].push_back(value.get<float>());
+  return out;
+}
+
+double mean(const std::vector<double>& values) {
+  return values.empty() ? 0
+                        : std::accumulate(values.begin(), values.end(), 0.0) /
+                              static_cast<double>(values.size());
+}
+double most(const std::vector<double>& values) {
+  return values.empty() ? 0 : *std::max_element(values.begin(), values.end());
+}
+
+// The largest mean over so many values in a row.
+double best_mean(const std::vector<double>& values, size_t count) {
+  double best = 0, sum = 0;
+  for (size_t i = 0; i < values.size(); ++i) {
+    sum += values[i];
+    if (i >= count) sum -= values[i - count];
+    if (i + 1 >= count) best = std::max(best, sum / static_cast<double>(count));
+  }
+  return best;
+}
+
+double total_of(const std::vector<Json>& finals, const char* field) {
+  double sum = 0;
+  for (auto& final : finals) sum += final.value(field, 0.0);
+  return sum;
+}
+
+// Bytes a second to and from one worker for control, headers included.
+double worker_bytes_per_s(const Experiment& plan, const Results& results) {
+  double bytes = 0, workers = 0;
+  for (auto& site : results.sites) {
+    for (auto& [group, kind] : {std::pair{"asked", "hello"}, std::pair{"served", "commands"}}) {
+      if (!site.at(group).contains(kind)) continue;
+      auto& t = site.at(group).at(kind);
+      bytes += t[0].get<double>() * static_cast<double>(header_bytes) + t[1].get<double>() +
+               t[2].get<double>();
+    }
+    workers += site.value("workers", 0.0);
+  }
+  return workers > 0 ? bytes / workers / plan.seconds : 0;
+}
+
+// Sum of all regions' parts of each team's limit: all of them where nothing is under way.
+Json budgets_json(const Results& results) {
+  std::map<std::string, std::pair<uint64_t, uint64_t>> parts;
+  uint64_t moved = 0;
+  for (auto& state : results.states)
+    for (auto& [team, value] : state.at("budgets").items()) {
+      const auto record = decode_budget(value);
+      parts[team].first += record.parts().cpus;
+      parts[team].second += record.parts().gpus;
+      for (auto& [region, sent] : record.sent) moved += sent.cpus + sent.gpus > 0 ? 1 : 0;
+    }
+  uint64_t whole = 0, more = 0;
+  for (auto& [team, sum] : parts) {
+    whole +=
+        (sum.first == 0 || sum.first == all_parts) && (sum.second == 0 || sum.second == all_parts);
+    more += sum.first > all_parts || sum.second > all_parts;
+  }
+  return {{"teams", parts.size()},
+          {"teams_whole_at_the_end", whole},
+          {"teams_over_the_limit", more},
+          {"pairs_of_regions_that_moved_some", moved}};
+}
+
+}  // namespace
+
+Quantiles quantiles(std::vector<float> values) {
+  Quantiles out;
+  out.count = values.size();
+  if (values.empty()) return out;
+  std::sort(values.begin(), values.end());
+  auto at = [&](double share) {
+    const auto rank = static_cast<size_t>(std::ceil(share * static_cast<double>(values.size())));
+    return static_cast<double>(values[std::max<size_t>(rank, 1) - 1]);
+  };
+  out.p50 = at(0.5);
+  out.p90 = at(0.9);
+  out.p99 = at(0.99);
+  out.max = values.back();
+  return out;
+}
+
+Json results_json(const Experiment& plan, const Results& results) {
+  Json out = {{"title", plan.title},
+              {"seconds", plan.seconds},
+              {"measured_s", results.measured_s},
+              {"workers", plan.workers},
+              {"controllers", plan.controllers},
+              {"peak_memory_mb", results.peak_memory_mb},
+              {"starts_per_s_mean", mean(results.starts_per_s)},
+              {"starts_per_s_peak", most(results.starts_per_s)},
+              {"starts_per_s_best_10_s", best_mean(results.whole_starts_per_s, 10)},
+              {"tasks_mean", mean(results.tasks)},
+              {"tasks_peak", most(results.tasks)},
+              {"worker_bytes_per_s", worker_bytes_per_s(plan, results)},
+              {"link_bytes_per_s", static_cast<double>(results.link_bytes) / plan.seconds},
+              {"ended_by_themselves", results.ended_by_themselves},
+              {"broken_rules", results.broken_rules},
+              {"state_writes_per_s", total_of(results.states, "writes") / plan.seconds},
+              {"sessions_lost", total_of(results.sites, "sessions_lost")},
+              {"budgets", budgets_json(results)}};
+  for (auto& [role, f] : results.roles)
+    out["roles"][role] = {
+        {"mean_cpu", f.mean_cpu()}, {"peak_cpu", f.peak_cpu}, {"peak_mb", f.peak_mb}};
+  for (size_t r = 0; r < results.holder_cpu_s.size(); ++r)
+    out["holders"].push_back({{"mean_cpu", results.holder_cpu_s[r] / results.measured_s},
+                              {"peak_cpu", results.holder_peak_cpu[r]},
+                              {"peak_mb", results.holder_mb[r]}});
+  for (auto& [load, values] : waits_of(results))
+    out["waits"][load] = quantiles_json(quantiles(values));
+  std::vector<float> accepts;
+  for (auto& site : results.sites)
+    for (auto& value : site.at("accept_times")) accepts.push_back(value.get<float>());
+  out["accept_s"] = quantiles_json(quantiles(std::move(accepts)));
+  for (auto& c : results.holder_changes)
+    out["holder_changes"].push_back({{"region", c.region}, {"node", c.node}, {"at_s", c.at_s}});
+  for (auto& f : results.faults)
+    out["faults"].push_back(
+        {{"what", f.what}, {"at_s", f.at_s}, {"without_holder_s", f.without_holder_s}});
+  for (size_t r = 0; r < results.sites.size(); ++r) {
+    Json site = results.sites[r];
+    for (auto* large : {"waits", "accept_times", "broken_rules"}) site.erase(large);
+    Json state = results.states[r];
+    state.erase("budgets");
+    out["regions"].push_back({{"site", std::move(site)}, {"state", std::move(state)}});
+  }
+  return out;
+}
+
+void print_table(std::ostream& out, const Experiment& plan, const Results& results) {
+  const auto all = results_json(plan, results);
+  out << "\n" << plan.title << "\n";
+  auto line = [&](const std::string& what, const std::string& value) {
+    out << fmt::format("  {:<44} {}\n", what, value);
+  };
+  line("workers, tasks on machines (mean, peak)",
+       fmt::format("{:.0f}, {:.0f}, {:.0f}", total_of(results.sites, "workers"),
+                   all["tasks_mean"].get<double>(), all["tasks_peak"].get<double>()));
+  line("starts a second (mean, peak)",
+       fmt::format("{:.1f}, {:.0f}", all["starts_per_s_mean"].get<double>(),
+                   all["starts_per_s_peak"].get<double>()));
+  line("starts a second, best ten seconds of the whole run",
+       fmt::format("{:.0f}", all["starts_per_s_best_10_s"].get<double>()));
+  line("jobs submitted, accepted",
+       fmt::format("{:.0f}, {:.0f}", total_of(results.sites, "submitted"),
+                   total_of(results.sites, "accepted")));
+  for (auto& [load, values] : waits_of(results)) {
+    const auto q = quantiles(values);
+    line("start of " + load + " (p50, p99, max, count)",
+         fmt::format("{:.2f} s, {:.2f} s, {:.2f} s, {}", q.p50, q.p99, q.max, q.count));
+  }
+  for (auto& [role, f] : results.roles)
+    line(role + ": cores (mean, peak), memory",
+         fmt::format("{:.3f}, {:.2f}, {:.0f} MB", f.mean_cpu(), f.peak_cpu, f.peak_mb));
+  line("worker's control traffic",
+       fmt::format("{:.0f} bytes a second", all["worker_bytes_per_s"].get<double>()));
+  line("state writes a second", fmt::format("{:.1f}", all["state_writes_per_s"].get<double>()));
+  line("workers' leases lost", fmt::format("{:.0f}", total_of(results.sites, "sessions_lost")));
+  for (auto& f : results.faults)
+    line(
+        fmt::format("{} at {:.0f} s", f.what, f.at_s),
+        f.without_holder_s < 0 ? "" : fmt::format("{:.1f} s without a holder", f.without_holder_s));
+  if (plan.regions > 1) line("budgets", all["budgets"].dump());
+  line("memory of all processes, at the most", fmt::format("{:.0f} MB", results.peak_memory_mb));
+  line("controllers that ended by themselves", std::to_string(results.ended_by_themselves));
+  line("rules broken", std::to_string(results.broken_rules.size()));
+  for (size_t i = 0; i < std::min<size_t>(results.broken_rules.size(), 10); ++i)
+    out << "    " << results.broken_rules[i] << "\n";
+}
+
+}  // namespace damsonport::fleet
--- /dev/null
+++ b/tools/fleet/results.hpp
@@ -0,0 +1,60 @@
+// What an experiment has measured, as JSON and as a table.
+#pragma once
+#include <map>
+#include <ostream>
+#include <string>
+#include <vector>
+
+#include "experiment.hpp"
+#include "storage/budget_record.hpp"
+
+namespace damsonport::fleet {
+
+// Exact, from all values; 0 where there are none.
+struct Quantiles {
+  size_t count = 0;
+  double p50 = 0, p90 = 0, p99 = 0, max = 0;
+};
+Quantiles quantiles(std::vector<float> values);
+
+// Over the seconds after the warm-up.
+struct RoleFigures {
+  double seconds = 0;
+  double cpu_s = 0;
+  double peak_cpu = 0;  // of a core, in the busiest second
+  double peak_mb = 0;
+  double mean_cpu() const { return seconds > 0 ? cpu_s / seconds : 0; }
+};
+
+struct HolderChange {
+  size_t region = 0;
+  std::string node;
+  double at_s = 0;
+};
+
+struct FaultRecord {
+  std::string what;
+  double at_s = 0;
+  double without_holder_s = -1;  // until another held; negative: no change was needed
+};
+
+struct Results {
+  double measured_s = 0;
+  std::map<std::string, RoleFigures> roles;
+  double peak_memory_mb = 0;               // of all processes together
+  std::vector<double> starts_per_s;        // in each second, all regions
+  std::vector<double> whole_starts_per_s;  // the same from the beginning on
+  std::vector<double> tasks;               // on machines, in each second
+  std::vector<HolderChange> holder_changes;
+  std::vector<FaultRecord> faults;
+  std::vector<Json> sites, states;                               // final words, by region
+  std::vector<double> holder_cpu_s, holder_peak_cpu, holder_mb;  // by region
+  uint64_t link_bytes = 0;
+  int ended_by_themselves = 0;
+  std::vector<std::string> broken_rules;
+};
+
+Json results_json(const Experiment& plan, const Results& results);
+void print_table(std::ostream& out, const Experiment& plan, const Results& results);
+
+}  // namespace damsonport::fleet
--- /dev/null
+++ b/tools/fleet/users.hpp
@@ -0,0 +1,60 @@
+// The users of one region: they submit jobs by the plan, come back as the protocol says, poll and
+// cancel.
+#pragma once
+#include <map>
+#include <string>
+#include <vector>
+
+#include "experiment.hpp"
+#include "real_time_world.hpp"
+#include "simulation/fleet.hpp"
+
+namespace damsonport::fleet {
+
+// Measured values, kept whole so that quantiles are exact.
+using Values = std::vector<float>;
+
+class Users {
+ public:
+  Users(const Experiment& plan, size_t region, RealTimeWorld& world, simulation::Fleet& fleet);
+  void begin();
+  // Called when a task is on its machine.
+  void started(const TaskName& task);
+
+  uint64_t starts() const { return starts_; }
+  uint64_t submitted() const { return next_job_; }
+  uint64_t accepted() const { return accepted_; }
+  // From the first attempt to submit to the task being on a machine, by load; after the warm-up.
+  const std::map<std::string, Values>& waits() const { return waits_; }
+  const Values& accept_times() const { return accept_times_; }
+  // Answers by status, of submissions and of polls.
+  const std::map<std::string, uint64_t>& answers() const { return answers_; }
+
+ private:
+  struct Submitted {
+    const Load* load;
+    double at;
+    bool accepted = false, cancelled = false;
+    std::vector<bool> started;
+  };
+  void schedule(const Load& load);
+  void submit(const Load& load);
+  void send(const std::string& job, size_t node, double since);
+  void cancel(const std::string& job, size_t node);
+  void poll();
+  bool measured() const { return world_.now() >= plan_.warmup_s; }
+  std::string node_host(size_t node) const;
+
+  const Experiment& plan_;
+  size_t region_;
+  RealTimeWorld& world_;
+  simulation::Fleet& fleet_;
+  std::map<std::string, Submitted> jobs_;
+  std::vector<std::string> known_;  // accepted jobs, to be polled
+  uint64_t next_job_ = 0, starts_ = 0, accepted_ = 0;
+  std::map<std::string, Values> waits_;
+  Values accept_times_;
+  std::map<std::string, uint64_t> answers_;
+};
+
+}  // namespace damsonport::fleet
--- /dev/null
+++ b/tools/make_experiments.py
@@ -0,0 +1,160 @@
+#!/usr/bin/env python3
+"""Writes the plans of experiments/ that differ only in size, so that their figures can be compared.
+
+    tools/make_experiments.py      (from the root of the repository)
+"""
+import pathlib
+
+HEAD = """# Made by tools/make_experiments.py.
+title = "{title}"
+seconds = {seconds}
+warmup_s = {warmup}
+polls_per_s = {polls}
+controller_sockets = 12000
+
+[regions]
+count = {regions}
+zones = 3
+controllers = {controllers}
+workers = {workers}
+link_delay_ms = 40
+
+[worker]
+report_s = {report}
+lease_s = 12
+cancel_s = 42
+
+[state]
+rps = {rps}
+write_rps = {write_rps}
+value_kb = 16
+txn_ops = 48
+
+[teams]
+count = 150
+gpus = {gpus}
+gpus_max = {gpus_max}
+cpus_max = {cpus_max}
+
+[[machine]]
+name = "gpu-8"
+cpus = 96
+gpus = 8
+memory_gb = 768
+share = 5
+
+[[machine]]
+name = "cpu-64"
+cpus = 64
+memory_gb = 256
+share = 11
+"""
+
+LOAD = """
+[[load]]
+name = "{name}"
+priority = "{priority}"
+tasks = {tasks}
+tasks_spread = {spread}
+cpus = {cpus}
+gpus = {gpus}
+memory_gb = 2
+run_s = {run}
+jobs_per_s = {rate:.5f}
+from_s = {start}
+until_s = {until}
+cancelled_share = {cancelled}
+{more}"""
+
+FAULT = """
+[[fault]]
+kind = "{kind}"
+at_s = {at}
+for_s = {lasts}
+region = {region}
+other = {other}
+zone = {zone}
+"""
+
+
+def load(name, priority, tasks, rate, cpus=2, gpus=0, run=0, spread=0.3, start=3, until=10000,
+         cancelled=0, more=""):
+    return LOAD.format(name=name, priority=priority, tasks=tasks, rate=rate, cpus=cpus, gpus=gpus,
+                       run=run, spread=spread, start=start, until=min(until, 7200),
+                       cancelled=cancelled, more=more)
+
+
+def mix(workers, fill_s, starts_per_s, urgent_per_s=1.0):
+    """Loads of one region: standing replicas, batch arrays and urgent work; 24 tasks a worker."""
+    gpu_tasks = workers * 5 / 16 * 8 * 0.9
+    batch_run = 30
+    batch_tasks = starts_per_s * batch_run
+    standing = max(workers * 24 - gpu_tasks - batch_tasks, 0) * 0.97
+    out = load("replicas", "production", 8, gpu_tasks / 8 / fill_s, cpus=4, gpus=1,
+               until=3 + fill_s)
+    out += load("services", "high", 40, standing / 40 / fill_s, until=3 + fill_s)
+    if starts_per_s:
+        out += load("batch", "normal", 100, starts_per_s / 100, run=batch_run, start=3 + fill_s,
+                    cancelled=0.02)
+    out += load("urgent", "production", 2, urgent_per_s, run=20)
+    return out
+
+
+def write(name, text):
+    path = pathlib.Path("experiments") / name
+    path.write_text(text)
+
+
+def plan(name, title, workers, controllers, regions=1, seconds=150, warmup=75, polls=20, report=1.5,
+         rps=1500, write_rps=600, loads="", faults="", teams=(16, 400, 8000)):
+    write(name, HEAD.format(title=title, seconds=seconds, warmup=warmup, polls=polls,
+                            regions=regions, controllers=controllers, workers=workers,
+                            report=report, rps=rps, write_rps=write_rps, gpus=teams[0],
+                            gpus_max=teams[1], cpus_max=teams[2]) + loads + faults)
+
+
+def slopes():
+    for workers in (250, 500, 1000, 2000):
+        plan(f"workers-{workers}.toml", f"one region, {workers} workers, standing work", workers, 2,
+             loads=mix(workers, 50, 0, 1), seconds=120, warmup=75)
+    for starts in (25, 50, 100, 200):
+        plan(f"starts-{starts}.toml", f"1,000 workers, {starts} starts a second", 1000, 2,
+             loads=mix(1000, 50, starts, 1), seconds=150, warmup=95)
+    for polls in (50, 100, 200, 400):
+        plan(f"polls-{polls}.toml", f"1,000 workers, {polls} polls a second", 1000, 2, polls=polls,
+             loads=mix(1000, 50, 0, 1), seconds=110, warmup=75)
+    for controllers in (1, 2, 3, 5):
+        plan(f"controllers-{controllers}.toml", f"1,000 workers, {controllers} controllers", 1000,
+             controllers, loads=mix(1000, 50, 25, 1), seconds=120, warmup=75)
+
+
+def peak():
+    """The target's peak of starts, all in one region of its size."""
+    for rate in (800, 1600, 3200):
+        fill_s = 2500 * 24 / rate
+        plan(f"peak-{rate}.toml", f"one region, 2,500 workers, {rate} starts a second", 2500, 2,
+             seconds=round(fill_s) + 25, warmup=4, rps=4000, write_rps=2000,
+             loads=mix(2500, fill_s, 0, 2))
+
+
+def scale():
+    for workers in (250, 625, 1250, 2500):
+        busy = load("busy-team", "normal", 60, workers / 2500 * 0.8, run=25, start=60,
+                    more="teams = [0]")
+        faults = "".join(
+            FAULT.format(kind=kind, at=at, lasts=lasts, region=region, other=other, zone=zone)
+            for kind, at, lasts, region, other, zone in [
+                ("cut_regions", 110, 120, 0, 1, 0), ("kill_holder", 130, 6, 0, 0, 0),
+                ("kill_region", 170, 8, 1, 0, 0), ("hang_zone", 205, 15, 3, 0, 1)])
+        plan(f"scale-{4 * workers}.toml", f"four regions, {4 * workers} workers", workers,
+             [2, 2, 1, 1], regions=4, seconds=270, warmup=85,
+             loads=mix(workers, 60, workers * 0.08, 1) + busy, faults=faults)
+        plan(f"scale-{4 * workers}-calm.toml", f"four regions, {4 * workers} workers, no faults",
+             workers, [2, 2, 1, 1], regions=4, seconds=130, warmup=80,
+             loads=mix(workers, 60, workers * 0.08, 1) + busy)
+
+
+if __name__ == "__main__":
+    slopes()
+    peak()
+    scale()
