--- a/tools/fleet/experiment.cpp
+++ b/tools/fleet/experiment.cpp
@@ -142,6 +142,9 @@
     out.controllers.push_back(static_cast<size_t>(n));
   for (double n : r.each(t, p, "workers", out.regions, 1, 20000))
     out.workers.push_back(static_cast<int>(n));
+  out.polls_per_s.assign(out.regions, 0);
+  if (t.contains("polls_per_s"))
+    out.polls_per_s = r.each(t, p, "polls_per_s", out.regions, 0, 100000);
   out.link_delay_s = r.number(t, p, "link_delay_ms", 40, 0, 2000) / 1000;
   out.divide_limits = t["divide_limits"].value_or(true);
 }
@@ -273,7 +276,6 @@
   out.seconds = r.required(root, "", "seconds", 1, longest_s);
   out.warmup_s = r.number(root, "", "warmup_s", 0, 0, longest_s);
   out.seed = static_cast<uint64_t>(r.number(root, "", "seed", 1, 0, 1e15));
-  out.polls_per_s = r.number(root, "", "polls_per_s", 0, 0, 100000);
   const double most_memory = machine_memory_mb() * memory_share;
   out.max_memory_mb = r.number(root, "", "max_memory_mb", most_memory, 1, most_memory);
   out.max_processes =
--- a/tools/fleet/experiment.hpp
+++ b/tools/fleet/experiment.hpp
@@ -45,7 +45,6 @@
   double seconds = 60;
   double warmup_s = 20;  // figures are taken after it
   uint64_t seed = 1;
-  double polls_per_s = 0;  // of random jobs, in each region
   // Bounds on the tool and all that it starts.
   double max_memory_mb = 0;
   int max_processes = 0;
@@ -53,6 +52,7 @@
   size_t regions = 1, zones = 1;
   std::vector<size_t> controllers;  // by region
   std::vector<int> workers;         // by region
+  std::vector<double> polls_per_s;  // of jobs drawn at random, by region
   double link_delay_s = 0.04;       // one way, between regions
   bool divide_limits = true;
 
--- a/tools/fleet/experiment_run.cpp
+++ b/tools/fleet/experiment_run.cpp
@@ -33,9 +33,7 @@
   site_seconds_.resize(plan.regions);
   results_.sites.resize(plan.regions);
   results_.states.resize(plan.regions);
-  results_.holder_cpu_s.resize(plan.regions);
-  results_.holder_peak_cpu.resize(plan.regions);
-  results_.holder_mb.resize(plan.regions);
+  results_.region_roles.resize(plan.regions);
 }
 
 double ExperimentRun::elapsed() const { return steady_now() - begun_; }
@@ -175,15 +173,8 @@
   const double used = std::max(total - last.cpu_s, 0.0);
   last.cpu_s = total;
   if (!measured) return;
-  auto& figures = results_.roles[role];
-  figures.cpu_s += used;
-  figures.seconds += 1;
-  figures.peak_cpu = std::max(figures.peak_cpu, used);
-  figures.peak_mb = std::max(figures.peak_mb, now.resident_mb);
-  if (role != "holder") return;
-  results_.holder_cpu_s[region] += used;
-  results_.holder_peak_cpu[region] = std::max(results_.holder_peak_cpu[region], used);
-  results_.holder_mb[region] = std::max(results_.holder_mb[region], now.resident_mb);
+  results_.roles[role].add_second(used, now.resident_mb);
+  results_.region_roles[region][role].add_second(used, now.resident_mb);
 }
 
 // Called once a second.
--- a/tools/fleet/results.cpp
+++ b/tools/fleet/results.cpp
@@ -25,6 +25,21 @@
   return out;
 }
 
+Json roles_json(const std::map<std::string, RoleFigures>& roles) {
+  Json out = Json::object();
+  for (auto& [role, f] : roles)
+    out[role] = {{"mean_cpu", f.mean_cpu()}, {"peak_cpu", f.peak_cpu}, {"peak_mb", f.peak_mb}};
+  return out;
+}
+
+// Of one region, by load.
+Json waits_json(const Json& site) {
+  Json out = Json::object();
+  for (auto& [load, values] : site.at("waits").items())
+    out[load] = quantiles_json(quantiles(values.get<std::vector<float>>()));
+  return out;
+}
+
 double mean(const std::vector<double>& values) {
   return values.empty() ? 0
                         : std::accumulate(values.begin(), values.end(), 0.0) /
@@ -91,6 +106,13 @@
 
 }  // namespace
 
+void RoleFigures::add_second(double cpu, double resident_mb) {
+  cpu_s += cpu;
+  seconds += 1;
+  peak_cpu = std::max(peak_cpu, cpu);
+  peak_mb = std::max(peak_mb, resident_mb);
+}
+
 Quantiles quantiles(std::vector<float> values) {
   Quantiles out;
   out.count = values.size();
@@ -126,13 +148,7 @@
               {"state_writes_per_s", total_of(results.states, "writes") / plan.seconds},
               {"sessions_lost", total_of(results.sites, "sessions_lost")},
               {"budgets", budgets_json(results)}};
-  for (auto& [role, f] : results.roles)
-    out["roles"][role] = {
-        {"mean_cpu", f.mean_cpu()}, {"peak_cpu", f.peak_cpu}, {"peak_mb", f.peak_mb}};
-  for (size_t r = 0; r < results.holder_cpu_s.size(); ++r)
-    out["holders"].push_back({{"mean_cpu", results.holder_cpu_s[r] / results.measured_s},
-                              {"peak_cpu", results.holder_peak_cpu[r]},
-                              {"peak_mb", results.holder_mb[r]}});
+  out["roles"] = roles_json(results.roles);
   for (auto& [load, values] : waits_of(results))
     out["waits"][load] = quantiles_json(quantiles(values));
   std::vector<float> accepts;
@@ -149,7 +165,10 @@
     for (auto* large : {"waits", "accept_times", "broken_rules"}) site.erase(large);
     Json state = results.states[r];
     state.erase("budgets");
-    out["regions"].push_back({{"site", std::move(site)}, {"state", std::move(state)}});
+    out["regions"].push_back({{"site", std::move(site)},
+                              {"state", std::move(state)},
+                              {"roles", roles_json(results.region_roles[r])},
+                              {"waits", waits_json(results.sites[r])}});
   }
   return out;
 }
--- a/tools/fleet/results.hpp
+++ b/tools/fleet/results.hpp
@@ -23,6 +23,7 @@
   double cpu_s = 0;
   double peak_cpu = 0;  // of a core, in the busiest second
   double peak_mb = 0;
+  void add_second(double cpu, double resident_mb);
   double mean_cpu() const { return seconds > 0 ? cpu_s / seconds : 0; }
 };
 
@@ -40,15 +41,15 @@
 
 struct Results {
   double measured_s = 0;
-  std::map<std::string, RoleFigures> roles;
+  std::map<std::string, RoleFigures> roles;  // all regions' processes of a role together
+  std::vector<std::map<std::string, RoleFigures>> region_roles;
   double peak_memory_mb = 0;               // of all processes together
   std::vector<double> starts_per_s;        // in each second, all regions
   std::vector<double> whole_starts_per_s;  // the same from the beginning on
   std::vector<double> tasks;               // on machines, in each second
   std::vector<HolderChange> holder_changes;
   std::vector<FaultRecord> faults;
-  std::vector<Json> sites, states;                               // final words, by region
-  std::vector<double> holder_cpu_s, holder_peak_cpu, holder_mb;  // by region
+  std::vector<Json> sites, states;  // final words, by region
   uint64_t link_bytes = 0;
   int ended_by_themselves = 0;
   std::vector<std::string> broken_rules;
--- a/tools/fleet/users.cpp
+++ b/tools/fleet/users.cpp
@@ -28,7 +28,7 @@
     if (!in.empty() && std::find(in.begin(), in.end(), region_) == in.end()) continue;
     if (load.jobs_per_s > 0) world_.at(load.from_s, [this, &load] { schedule(load); });
   }
-  if (plan_.polls_per_s > 0) world_.in(1, [this] { poll(); });
+  if (plan_.polls_per_s[region_] > 0) world_.in(1, [this] { poll(); });
 }
 
 // Arrivals are independent of one another.
@@ -111,7 +111,7 @@
 }
 
 void Users::poll() {
-  world_.in(1 / plan_.polls_per_s, [this] { poll(); });
+  world_.in(1 / plan_.polls_per_s[region_], [this] { poll(); });
   if (known_.empty()) return;
   const auto id = known_[world_.random64() % known_.size()];
   const size_t node = world_.random64() % plan_.controllers[region_];
--- a/tools/make_experiments.py
+++ b/tools/make_experiments.py
@@ -9,7 +9,6 @@
 title = "{title}"
 seconds = {seconds}
 warmup_s = {warmup}
-polls_per_s = {polls}
 controller_sockets = 12000
 
 [regions]
@@ -17,7 +16,9 @@
 zones = 3
 controllers = {controllers}
 workers = {workers}
+polls_per_s = {polls}
 link_delay_ms = 40
+divide_limits = {divide}
 
 [worker]
 report_s = {report}
@@ -84,19 +85,19 @@
                        cancelled=cancelled, more=more)
 
 
-def mix(workers, fill_s, starts_per_s, urgent_per_s=1.0):
+def mix(workers, fill_s, starts_per_s, urgent_per_s=1.0, more=""):
     """Loads of one region: standing replicas, batch arrays and urgent work; 24 tasks a worker."""
     gpu_tasks = workers * 5 / 16 * 8 * 0.9
     batch_run = 30
     batch_tasks = starts_per_s * batch_run
     standing = max(workers * 24 - gpu_tasks - batch_tasks, 0) * 0.97
     out = load("replicas", "production", 8, gpu_tasks / 8 / fill_s, cpus=4, gpus=1,
-               until=3 + fill_s)
-    out += load("services", "high", 40, standing / 40 / fill_s, until=3 + fill_s)
+               until=3 + fill_s, more=more)
+    out += load("services", "high", 40, standing / 40 / fill_s, until=3 + fill_s, more=more)
     if starts_per_s:
         out += load("batch", "normal", 100, starts_per_s / 100, run=batch_run, start=3 + fill_s,
-                    cancelled=0.02)
-    out += load("urgent", "production", 2, urgent_per_s, run=20)
+                    cancelled=0.02, more=more)
+    out += load("urgent", "production", 2, urgent_per_s, run=20, more=more)
     return out
 
 
@@ -106,26 +107,29 @@
 
 
 def plan(name, title, workers, controllers, regions=1, seconds=150, warmup=75, polls=20, report=1.5,
-         rps=1500, write_rps=600, loads="", faults="", teams=(16, 400, 8000)):
+         rps=1500, write_rps=600, loads="", faults="", teams=(16, 400, 8000), divide="true"):
     write(name, HEAD.format(title=title, seconds=seconds, warmup=warmup, polls=polls,
                             regions=regions, controllers=controllers, workers=workers,
                             report=report, rps=rps, write_rps=write_rps, gpus=teams[0],
-                            gpus_max=teams[1], cpus_max=teams[2]) + loads + faults)
+                            gpus_max=teams[1], cpus_max=teams[2], divide=divide) + loads + faults)
 
 
 def slopes():
-    for workers in (250, 500, 1000, 2000):
-        plan(f"workers-{workers}.toml", f"one region, {workers} workers, standing work", workers, 2,
-             loads=mix(workers, 50, 0, 1), seconds=120, warmup=75)
-    for starts in (25, 50, 100, 200):
-        plan(f"starts-{starts}.toml", f"1,000 workers, {starts} starts a second", 1000, 2,
-             loads=mix(1000, 50, starts, 1), seconds=150, warmup=95)
-    for polls in (50, 100, 200, 400):
-        plan(f"polls-{polls}.toml", f"1,000 workers, {polls} polls a second", 1000, 2, polls=polls,
-             loads=mix(1000, 50, 0, 1), seconds=110, warmup=75)
-    for controllers in (1, 2, 3, 5):
-        plan(f"controllers-{controllers}.toml", f"1,000 workers, {controllers} controllers", 1000,
-             controllers, loads=mix(1000, 50, 25, 1), seconds=120, warmup=75)
+    """Four sizes of one thing side by side: regions that have nothing to do with one another."""
+    def side_by_side(name, title, workers, controllers, polls, starts, fill_s, seconds):
+        loads = "".join(mix(workers[r], fill_s, starts[r], 1, more=f"regions = [{r}]")
+                        for r in range(4))
+        plan(f"slope-{name}.toml", title, workers, controllers, regions=4, polls=polls,
+             seconds=seconds, warmup=fill_s + (50 if any(starts) else 15), loads=loads,
+             divide="false", teams=(16, 4000, 80000))
+    side_by_side("workers", "standing work on 250 to 2,000 workers", [250, 500, 1000, 2000],
+                 [2] * 4, 20, [0] * 4, 50, 125)
+    side_by_side("starts", "1,000 workers, 25 to 200 starts a second", [1000] * 4, [2] * 4, 20,
+                 [25, 50, 100, 200], 40, 150)
+    side_by_side("polls", "1,000 workers, 50 to 400 polls a second", [1000] * 4, [2] * 4,
+                 [50, 100, 200, 400], [0] * 4, 40, 100)
+    side_by_side("controllers", "1,000 workers, 1 to 5 controllers", [1000] * 4, [1, 2, 3, 5], 20,
+                 [25] * 4, 40, 150)
 
 
 def peak():
@@ -135,6 +139,9 @@
         plan(f"peak-{rate}.toml", f"one region, 2,500 workers, {rate} starts a second", 2500, 2,
              seconds=round(fill_s) + 25, warmup=4, rps=4000, write_rps=2000,
              loads=mix(2500, fill_s, 0, 2))
+    # A region that carries a third more, since another one is lost.
+    plan("lost-3334.toml", "one region, 3,334 workers, 1,600 starts a second", 3334, 2, seconds=85,
+         warmup=4, rps=4000, write_rps=2000, loads=mix(3334, 3334 * 24 / 1600, 0, 2))
 
 
 def scale():
