First parts depend on the shares alone; tests for late gifts, older totals and older hints

Cause: the parts that a region begins with were worked out from the limit, too, to give whole units; two regions that write their first records under different limits would have had more than all parts together (found on rereading the proof; a test of three regions is there now). Now they are the regions' shares of all parts. The guards 'blocks', the record's version and the order of hints could be taken out without a test failing: each has one now.

--- a/src/coordination/budgets/team_budgets.cpp
+++ b/src/coordination/budgets/team_budgets.cpp
@@ -27,26 +27,25 @@
                          const Cache& cache)
     : settings_(settings), regions_(regions), cache_(cache) {
   if (!regions_) return;
-  for (auto& team : settings_.teams) {
-    auto& regions = regions_->regions;
-    const size_t own = regions_->own_index;
-    initial_[team.name] = {initial_parts(team.cpus_max, regions)[own],
-                           initial_parts(team.gpus_max, regions)[own]};
-    guarantees_[team.name] = {guarantee_shares(team.cpus, team.cpus_max, regions)[own],
-                              guarantee_shares(team.gpus, team.gpus_max, regions)[own], 0};
-  }
+  auto& all = regions_->regions;
+  const size_t own = regions_->own_index;
+  const uint64_t parts = initial_parts(all)[own];
+  initial_ = {parts, parts};
+  for (auto& team : settings_.teams)
+    guarantees_[team.name] = {guarantee_shares(team.cpus, all)[own],
+                              guarantee_shares(team.gpus, all)[own], 0};
 }
 
-BudgetRecord TeamBudgets::first_record(const TeamSettings& team) const {
+BudgetRecord TeamBudgets::first_record() const {
   BudgetRecord record;
   // Without a file there is no telling what other regions have: nothing, until one is given.
-  if (regions_) record.initial = initial_.at(team.name);
+  if (regions_) record.initial = initial_;
   return record;
 }
 
 BudgetRecord TeamBudgets::record_of(const TeamSettings& team) const {
   auto it = cache_.budgets().find(team.name);
-  return it == cache_.budgets().end() ? first_record(team) : it->second.record;
+  return it == cache_.budgets().end() ? first_record() : it->second.record;
 }
 
 placing::Amounts TeamBudgets::limit(const TeamSettings& team) const {
--- a/src/coordination/budgets/team_budgets.hpp
+++ b/src/coordination/budgets/team_budgets.hpp
@@ -68,7 +68,7 @@
   static const std::vector<Resource> resources;
 
   static bool limited(const TeamSettings& team) { return team.cpus_max > 0 || team.gpus_max > 0; }
-  BudgetRecord first_record(const TeamSettings& team) const;
+  BudgetRecord first_record() const;
   BudgetRecord record_of(const TeamSettings& team) const;
   Standing standing(const TeamSettings& team, const BudgetRecord& record,
                     const Resource& resource) const;
@@ -88,10 +88,9 @@
   const Settings& settings_;
   const RegionSettings* regions_;
   const Cache& cache_;
-  // This region's, by team.
-  std::map<std::string, BudgetParts> initial_;
-  std::map<std::string, placing::Amounts> guarantees_;
-  std::map<std::string, Heard> heard_;  // by region
+  BudgetParts initial_;                                 // this region's, of every limit
+  std::map<std::string, placing::Amounts> guarantees_;  // its shares, by team
+  std::map<std::string, Heard> heard_;                  // by region
   Demands demands_;
   std::map<std::string, std::vector<RecentPeak>> peaks_;  // by team, one a resource
   double measured_at_ = never;
--- a/tests/regions/regions_test.cpp
+++ b/tests/regions/regions_test.cpp
@@ -30,6 +30,22 @@
   expect_no_rule_broken(cluster);
 }
 
+// The limits of two regions' settings differ for a while; first records are written meanwhile.
+TEST(Regions, FirstRecordsUnderDifferentLimitsAreStillAllParts) {
+  RegionCluster cluster({.regions = 3, .team = {"t", 0, 0, 0, 17}});
+  for (auto& controller : cluster.controllers(0)) {
+    controller->settings().teams[0].gpus_max = 16;
+    controller->crash(0.01);
+  }
+  for (size_t region : {0, 1, 2})
+    cluster.at(settled, [&cluster, region] {
+      cluster.submit(region, "run-" + std::to_string(region), 16, 1, 600);
+    });
+  cluster.run_until(60);
+  EXPECT_GE(cluster.used_gpus(), 15);
+  expect_no_rule_broken(cluster);
+}
+
 TEST(Regions, BudgetGoesWhereWorkWaits) {
   RegionCluster cluster({});
   cluster.at(settled, [&] { cluster.submit(0, "run-1", 14, 1, 0); });
@@ -181,6 +197,49 @@
   }
 }
 
+// The gift of a holder that has ended is carried out while its successor uses what was to be given:
+// it has to fail on `blocks`, since the record itself has not changed.
+TEST(Regions, AGiftThatArrivesAfterItsHolderIsReplacedFails) {
+  int kept = 0;  // what the successor used
+  for (uint64_t seed = 1; seed <= 8; ++seed) {
+    RegionCluster cluster({.seed = seed});
+    std::string host;
+    cluster.at(12, [&] {
+      host = cluster.holder(0).host();
+      cluster.state(0).set_fate(StateService::Fate::applied_late, host);
+    });
+    cluster.at(12.1, [&] { cluster.submit(1, "run-1", 14, 1, 0); });
+    cluster.at(14.2, [&] {
+      cluster.holder(0).crash(60);
+      cluster.submit(0, "run-2", 8, 1, 0);
+    });
+    cluster.at(40, [&] { cluster.state(0).set_fate(StateService::Fate::normal, {}); });
+    cluster.run_until(60);
+    // The gift may also have arrived before its holder was replaced.
+    EXPECT_EQ(cluster.running("run-1") + cluster.running("run-2"), 16);
+    kept += cluster.running("run-2") == 8;
+    expect_no_rule_broken(cluster);
+  }
+  EXPECT_GT(kept, 0);
+}
+
+// A copy of a gift comes after the next gift of the same holder: it must not put the total back.
+TEST(Regions, AnOlderTotalIsNotWrittenOverANewerOne) {
+  for (uint64_t seed = 1; seed <= 16; ++seed) {
+    RegionCluster cluster({.seed = seed});
+    // Between two renewals of the grant.
+    cluster.at(15.8, [&] {
+      cluster.state(0).set_fate(StateService::Fate::applied_late, cluster.holder(0).host());
+      cluster.submit(1, "run-1", 10, 1, 0);
+    });
+    cluster.at(17.3, [&] { cluster.state(0).set_fate(StateService::Fate::normal, {}); });
+    cluster.at(17.5, [&] { cluster.submit(1, "run-2", 4, 1, 0, Priority::high); });
+    cluster.run_until(45);
+    EXPECT_EQ(cluster.running("run-1") + cluster.running("run-2"), 14);
+    expect_no_rule_broken(cluster);
+  }
+}
+
 enum class StateTrouble : uint8_t { refuses, outage, applies_late, loses_answers, slow };
 
 class StateServiceInTrouble
@@ -371,6 +430,17 @@
   expect_no_rule_broken(cluster);
 }
 
+// What was wanted some time ago is not wanted now.
+TEST(Regions, AnOlderMessageAsksForNothing) {
+  RegionCluster cluster({});
+  RegionMessage message{cluster.region_name(1), cluster.region_name(0), "r1n0", 1, 1, {}};
+  message.teams.push_back({"t", {}, {}, {}, {}, {0, all_parts}, {0, all_parts}});
+  cluster.at(settled, [&] { cluster.deliver(0, message); });
+  cluster.run_until(settled + 1);
+  EXPECT_DOUBLE_EQ(cluster.budget_gpus(0), 8);
+  expect_no_rule_broken(cluster);
+}
+
 // Drawn troubles in three regions, and afterwards everything that was submitted gets done.
 class DrawnRegions : public testing::TestWithParam<uint64_t> {};
 
