--- a/tests/regions/regions_test.cpp
+++ b/tests/regions/regions_test.cpp
@@ -430,6 +430,16 @@
   expect_no_rule_broken(cluster);
 }
 
+TEST(Regions, AMessageMeantForAnotherRegionIsNotCounted) {
+  RegionCluster cluster({.regions = 3});
+  RegionMessage message{cluster.region_name(2), cluster.region_name(1), "r2n0", 1000000, 1, {}};
+  message.teams.push_back({"t", {all_parts / 16, all_parts / 16}, {}, {}, {}, {}, {}});
+  cluster.at(settled, [&] { cluster.deliver(0, message); });
+  cluster.run_until(settled + 2);
+  EXPECT_TRUE(cluster.budget(0).received_from(cluster.region_name(2)).none());
+  expect_no_rule_broken(cluster);
+}
+
 // What was wanted some time ago is not wanted now.
 TEST(Regions, AnOlderMessageAsksForNothing) {
   RegionCluster cluster({});
