One reader of text files and one of TOML; what the change had written twice or left unused goes

Found on rereading the whole change. load_settings, load_regions and load_experiment each read a file, and two of them each parsed TOML with the line of the error: read_text_file and parse_toml serve them (a directory in place of a regions file or a plan is now named as unreadable, as for settings). The larger of two totals is one function. Unused: a column of TeamBudgets' resources, a count of lives, a map of the test's regions, a result of 'take'. initial_parts multiplies quotient and rest apart: the same values, but without the overflow that many regions with large shares would have had. A comment gave a wrong reason for a bound.

--- a/src/coordination/budgets/budget_policy.cpp
+++ b/src/coordination/budgets/budget_policy.cpp
@@ -14,19 +14,17 @@
 }
 
 // Takes up to `wanted` from what each has, those with most first.
-uint64_t take(std::vector<uint64_t>& left, uint64_t wanted, std::vector<Ask>& asks,
-              uint64_t Ask::*field) {
+void take(const std::vector<uint64_t>& left, uint64_t wanted, std::vector<Ask>& asks,
+          uint64_t Ask::*field) {
   std::vector<size_t> order(left.size());
   std::iota(order.begin(), order.end(), 0);
   std::stable_sort(order.begin(), order.end(),
                    [&](size_t a, size_t b) { return left[a] > left[b]; });
   for (size_t i : order) {
     const uint64_t part = std::min(left[i], wanted);
-    left[i] -= part;
     wanted -= part;
     asks[i].*field += part;
   }
-  return wanted;
 }
 
 }  // namespace
--- a/src/coordination/budgets/initial_parts.cpp
+++ b/src/coordination/budgets/initial_parts.cpp
@@ -9,13 +9,14 @@
 std::vector<uint64_t> initial_parts(const std::vector<Region>& regions) {
   uint64_t shares = 0;
   for (auto& region : regions) shares += region.share;
-  // Differences of rounded sums, so that all of them add up to all parts. The product of the parts
-  // and the largest shares of eight regions fits into 64 bits.
+  // Differences of rounded sums, so that all of them add up to all parts. The quotient and the rest
+  // are multiplied apart, since the product with all parts needn't fit into 64 bits.
+  const uint64_t quotient = all_parts / shares, rest = all_parts % shares;
   std::vector<uint64_t> parts;
   uint64_t sum = 0, before = 0;
   for (auto& region : regions) {
     sum += region.share;
-    const uint64_t upto = all_parts * sum / shares;
+    const uint64_t upto = quotient * sum + rest * sum / shares;
     parts.push_back(upto - before);
     before = upto;
   }
--- a/src/coordination/budgets/team_budgets.cpp
+++ b/src/coordination/budgets/team_budgets.cpp
@@ -20,8 +20,8 @@
 }  // namespace
 
 const std::vector<TeamBudgets::Resource> TeamBudgets::resources = {
-    {&BudgetParts::cpus, &placing::Amounts::cpus, &TeamSettings::cpus_max, &TeamSettings::cpus},
-    {&BudgetParts::gpus, &placing::Amounts::gpus, &TeamSettings::gpus_max, &TeamSettings::gpus}};
+    {&BudgetParts::cpus, &placing::Amounts::cpus, &TeamSettings::cpus_max},
+    {&BudgetParts::gpus, &placing::Amounts::gpus, &TeamSettings::gpus_max}};
 
 TeamBudgets::TeamBudgets(const Settings& settings, const RegionSettings* regions,
                          const Cache& cache)
@@ -130,8 +130,7 @@
     const auto& region = regions_->regions[i].name;
     if (!exchange || !plausible(record, region, exchange->sent)) continue;
     const auto before = record.received_from(region);
-    const BudgetParts total{std::max(before.cpus, exchange->sent.cpus),
-                            std::max(before.gpus, exchange->sent.gpus)};
+    const auto total = larger(before, exchange->sent);
     if (total == before) continue;
     record.received[region] = total;
   }
@@ -251,8 +250,7 @@
     }
     auto& known = heard.teams[exchange.team];
     // Totals only grow: the largest that was ever heard is true, whenever it comes.
-    const BudgetParts sent{std::max(known.sent.cpus, exchange.sent.cpus),
-                           std::max(known.sent.gpus, exchange.sent.gpus)};
+    const auto sent = larger(known.sent, exchange.sent);
     calls_for_change |= !(sent == known.sent);
     if (newer) {
       calls_for_change |= !exchange.ask.none();
--- a/src/coordination/budgets/team_budgets.hpp
+++ b/src/coordination/budgets/team_budgets.hpp
@@ -63,7 +63,6 @@
     uint64_t BudgetParts::*parts;
     double placing::Amounts::*amount;
     double TeamSettings::*limit;
-    double TeamSettings::*guarantee;
   };
   static const std::vector<Resource> resources;
 
--- a/src/coordination/holder_budgets.cpp
+++ b/src/coordination/holder_budgets.cpp
@@ -22,7 +22,7 @@
   budget_news_ = false;
   next_budgets_ = now + settings_.report_s * measure_reports;
   p_.budgets.measure(now);
-  // One place is kept: the limits of a transaction hold for conditions too.
+  // One put fewer than the service takes at once.
   Txn txn = p_.budgets.next_changes(limits().txn_writes - 1);
   if (txn.writes.empty()) {
     tell_of_unmet_need();
--- a/src/protocol/budget_parts.hpp
+++ b/src/protocol/budget_parts.hpp
@@ -26,6 +26,11 @@
 inline BudgetParts operator+(BudgetParts a, const BudgetParts& b) { return a += b; }
 inline BudgetParts operator-(BudgetParts a, const BudgetParts& b) { return a -= b; }
 
+// The larger of both, for each resource.
+inline BudgetParts larger(const BudgetParts& a, const BudgetParts& b) {
+  return {a.cpus > b.cpus ? a.cpus : b.cpus, a.gpus > b.gpus ? a.gpus : b.gpus};
+}
+
 // a - b, and nothing where that would be negative.
 inline uint64_t excess(uint64_t a, uint64_t b) { return a > b ? a - b : 0; }
 
--- a/src/protocol/region_settings.cpp
+++ b/src/protocol/region_settings.cpp
@@ -2,12 +2,11 @@
 
 #include <algorithm>
 #include <charconv>
-#include <fstream>
-#include <iterator>
 #include <numeric>
 #include <set>
 
 #include "protocol/sexp_document.hpp"
+#include "protocol/text_file.hpp"
 
 namespace damsonport {
 
@@ -125,10 +124,9 @@
 }
 
 Result<RegionSettings> load_regions(const std::string& path, const std::string& zone) {
-  std::ifstream in(path, std::ios::binary);
-  if (!in) return Error{path + ": cannot be read"};
-  const std::string text(std::istreambuf_iterator<char>(in), {});
-  auto settings = parse_regions(text, zone);
+  auto text = read_text_file(path);
+  if (!text) return Error{text.error()};
+  auto settings = parse_regions(*text, zone);
   if (!settings) return Error{path + ": " + settings.error()};
   return settings;
 }
--- a/src/protocol/settings.cpp
+++ b/src/protocol/settings.cpp
@@ -1,10 +1,9 @@
 #include "protocol/settings.hpp"
 
-#include <toml++/toml.h>
-
 #include <filesystem>
-#include <fstream>
-#include <sstream>
+
+#include "protocol/text_file.hpp"
+#include "protocol/toml_text.hpp"
 
 namespace damsonport {
 
@@ -115,14 +114,9 @@
 }
 
 Result<Settings> parse_settings(const std::string& toml_text) {
-  toml::table root;
-  try {
-    root = toml::parse(toml_text);
-  } catch (const toml::parse_error& e) {
-    std::ostringstream where;
-    where << "line " << e.source().begin.line << ": " << e.description();
-    return Error{where.str()};
-  }
+  auto parsed = parse_toml(toml_text);
+  if (!parsed) return Error{parsed.error()};
+  const toml::table& root = *parsed;
   Reader r;
   Settings s;
   s.node_name = r.text(root, "node_name");
@@ -174,20 +168,14 @@
 }
 
 Result<Settings> load_settings(const std::string& path) {
-  auto slurp = [](const std::string& p, std::string& out) {
-    std::ifstream in(p, std::ios::binary);
-    if (!in || !std::filesystem::is_regular_file(p)) return false;
-    out.assign(std::istreambuf_iterator<char>(in), {});
-    return true;
-  };
-  std::string text;
-  if (!slurp(path, text)) return Error{path + ": cannot be read"};
-  auto settings = parse_settings(text);
+  auto text = read_text_file(path);
+  if (!text) return Error{text.error()};
+  auto settings = parse_settings(*text);
   if (!settings) return Error{path + ": " + settings.error()};
   // The operators' file lies beside the platform's, with the ending .sexp.
   auto own = std::filesystem::path(path).replace_extension(".sexp").string();
-  if (slurp(own, text)) {
-    auto tuning = parse_tuning(text);
+  if (auto own_text = read_text_file(own)) {
+    auto tuning = parse_tuning(*own_text);
     if (!tuning) return Error{own + ": " + tuning.error()};
     settings->tuning = *tuning;
   }
--- a/tests/regions/region_cluster.hpp
+++ b/tests/regions/region_cluster.hpp
@@ -82,7 +82,6 @@
     std::unique_ptr<StateService> state;
     std::unique_ptr<Fleet> fleet;
     std::vector<std::unique_ptr<VirtualController>> controllers;
-    std::map<std::string, double> run_s;
   };
   void set_up_region(size_t index);
   RegionSettings region_settings(size_t own) const;
--- a/tools/fleet/controllers.cpp
+++ b/tools/fleet/controllers.cpp
@@ -154,7 +154,6 @@
     _exit(127);
   }
   one.pid = pid;
-  ++one.lives;
 }
 
 void Controllers::kill(One& one) {
--- a/tools/fleet/controllers.hpp
+++ b/tools/fleet/controllers.hpp
@@ -32,8 +32,7 @@
     std::string host;
     pid_t pid = 0;
     double ended_cpu_s = 0;  // of its earlier lives
-    int lives = 0;
-    double restart_at = 0;  // ended by itself; 0: no
+    double restart_at = 0;   // ended by itself; 0: no
   };
   void start(One& one);
   void kill(One& one);
--- a/tools/fleet/experiment.cpp
+++ b/tools/fleet/experiment.cpp
@@ -1,15 +1,15 @@
 #include "experiment.hpp"
 
 #include <sys/sysinfo.h>
-#include <toml++/toml.h>
 
 #include <algorithm>
-#include <fstream>
-#include <iterator>
 #include <map>
 #include <numeric>
 #include <sstream>
 
+#include "protocol/text_file.hpp"
+#include "protocol/toml_text.hpp"
+
 namespace damsonport::fleet {
 
 namespace {
@@ -262,14 +262,9 @@
 }
 
 Result<Experiment> parse_experiment(const std::string& toml_text) {
-  toml::table root;
-  try {
-    root = toml::parse(toml_text);
-  } catch (const toml::parse_error& e) {
-    std::ostringstream where;
-    where << "line " << e.source().begin.line << ": " << e.description();
-    return Error{where.str()};
-  }
+  auto parsed = parse_toml(toml_text);
+  if (!parsed) return Error{parsed.error()};
+  const toml::table& root = *parsed;
   Reader r;
   Experiment out;
   out.title = r.text(root, "", "title");
@@ -292,10 +287,9 @@
 }
 
 Result<Experiment> load_experiment(const std::string& path) {
-  std::ifstream in(path, std::ios::binary);
-  if (!in) return Error{path + ": cannot be read"};
-  const std::string text(std::istreambuf_iterator<char>(in), {});
-  auto plan = parse_experiment(text);
+  auto text = read_text_file(path);
+  if (!text) return Error{text.error()};
+  auto plan = parse_experiment(*text);
   if (!plan) return Error{path + ": " + plan.error()};
   return plan;
 }
