Limits below a large fleet: the machine list, open files, connections, long messages

A process kept the system's 1,024 open files whatever max_sockets says. A fleet with more machines than connections left the others without an answer. A message between regions of more than 32 KiB (some 400 teams) was dropped without a word.

Change: one reader of the list for both, paced to half of the cloud's rate, that asks again for a page that failed, in a duty of its own; the soft limit of open files raised to max_sockets; connections shared in turn where the fleet exceeds them; a message alone on its stream is taken whatever its length. The stand-in cloud refuses calls over its rate, and may show few machines a page.

--- a/simulation/fleet.cpp
+++ b/simulation/fleet.cpp
@@ -423,8 +423,21 @@
   return {{"vessels", std::move(shown)}, {"more", more}};
 }
 
+bool Fleet::over_rate() {
+  constexpr double burst_s = 2;
+  const double passed = world_.now() - std::exchange(filled_at_, world_.now());
+  calls_ = std::min(settings.cloud_rps * burst_s, calls_ + passed * settings.cloud_rps);
+  if (calls_ < 1) {
+    ++over_rate_;
+    return true;
+  }
+  calls_ -= 1;
+  return false;
+}
+
 void Fleet::serve_cloud(Method method, const std::string& target, const std::string& body,
                         const World::Answer& answer) {
+  if (over_rate()) return answer({429, {}});
   if (target == "/catalog") {
     Json hulls = Json::array();
     for (auto& t : types)
@@ -446,10 +459,9 @@
       auto it = query.find(name);
       return it == query.end() ? std::string() : it->second;
     };
-    constexpr size_t most_in_a_list = 500;
     const auto limit = get("limit");
-    return answer(
-        {200, encode(list(get("since"), limit.empty() ? most_in_a_list : std::stoul(limit)))});
+    const size_t most = limit.empty() ? page_ : std::min<size_t>(page_, std::stoul(limit));
+    return answer({200, encode(list(get("since"), most))});
   }
   auto m = decode_map(body);
   if (target == "/hosts/return") {
--- a/simulation/fleet.hpp
+++ b/simulation/fleet.hpp
@@ -149,6 +149,9 @@
   GangRuns& gangs() { return gangs_; }
   const GangRuns& gangs() const { return gangs_; }
   void set_capacity(int machines) { capacity_ = machines; }
+  // Machines in one page of the list, at the most.
+  void set_page(size_t machines) { page_ = machines; }
+  size_t refused_for_rate() const { return over_rate_; }
   static constexpr double never_boots = -1;
   void set_boot(double seconds) { boot_s_ = seconds; }
   void set_broken(std::set<std::string> jobs) { broken_jobs_ = std::move(jobs); }
@@ -168,6 +171,8 @@
   Worker& add(const std::string& type, const std::string& zone, bool spot);
   void serve_cloud(Method method, const std::string& target, const std::string& body,
                    const World::Answer& answer);
+  // Bursts worth two seconds are allowed.
+  bool over_rate();
   // As it was a lag ago, the machines behind `since`.
   Json list(const std::string& since, size_t limit);
   Json list_now() const;
@@ -189,6 +194,9 @@
   std::deque<std::pair<double, Json>> lists_;  // by time, from the newest that may be shown on
   int next_id_ = 1, capacity_ = 0;
   double boot_s_ = 0;  // 0: as the catalogue says
+  size_t page_ = 500;
+  double calls_ = 0, filled_at_ = -1e9;
+  size_t over_rate_ = 0;
   std::set<std::string> broken_jobs_;
   std::map<std::string, int> starts_;
 };
--- a/simulation/world.cpp
+++ b/simulation/world.cpp
@@ -131,7 +131,6 @@
   uint16_t port() const override { return 0; }
   void tidy() override {}
   size_t open() const override { return 0; }
-  bool crowded() const override { return false; }
 
  private:
   Task<void> handle(HttpRequest request, World::Answer answer, std::shared_ptr<bool> alive) {
--- a/src/coordination/holder.cpp
+++ b/src/coordination/holder.cpp
@@ -10,7 +10,8 @@
       settings_(parts.settings),
       tuning_(parts.settings.tuning),
       cache_(parts.cache),
-      rentals_(loop_, settings_, parts.state, cache_, parts.http, parts.incarnation) {
+      rentals_(loop_, settings_, parts.state, cache_, parts.http, parts.incarnation),
+      machine_list_(loop_, settings_, parts.http) {
   rentals_.on_rented = [this](auto& machines, const MachineKind& kind) {
     for (auto& id : machines)
       if (!machines_.contains(id) && !cache_.leaving(id))
@@ -234,10 +235,6 @@
     if (waiting_tasks_ > 0 || !held_back_.empty()) place_again_ = true;
     if (p_.election.leading()) {
       co_await return_machines(false, token);
-      if (holding() && now >= next_list_) {
-        next_list_ = now + settings_.list_lag_s / 2;
-        co_await read_list(token);
-      }
       if (holding() && loop_.now() >= next_sizing_) {
         next_sizing_ = loop_.now() + settings_.report_s / 2;
         rent(token);
--- a/src/coordination/holder.hpp
+++ b/src/coordination/holder.hpp
@@ -15,6 +15,7 @@
 #include "coordination/failure_evidence.hpp"
 #include "coordination/fleet.hpp"
 #include "coordination/gangs.hpp"
+#include "coordination/machine_list.hpp"
 #include "coordination/mesh.hpp"
 #include "coordination/placement.hpp"
 #include "coordination/reconcile.hpp"
@@ -50,8 +51,10 @@
 
   // Grants, commits, placement.
   Task<void> run(std::stop_token token);
-  // Silence, drains, returns, rentals and the machine list.
+  // Silence, drains, returns and rentals.
   Task<void> run_maintenance(std::stop_token token);
+  // What the cloud says is there.
+  Task<void> follow_machine_list(std::stop_token token);
 
   HttpResponse on_report(const Report& r);
   bool holding() const;
@@ -60,6 +63,8 @@
   // Messages to workers that may be under way at once.
   static int direct_sockets(const Settings& s) { return std::max(8, s.max_sockets / 16); }
   uint64_t waiting_tasks() const { return waiting_tasks_; }
+  // Machines that report, or are named by the records.
+  size_t fleet_size() const { return holding() ? machines_.size() : cache_.assignments().size(); }
   // Records that it would write at once if it could.
   uint64_t waiting_writes() const;
   // Machines that keep coming here although another node holds them.
@@ -248,7 +253,10 @@
   Task<void> probe(std::string id);
 
   // --- cloud (holder_cloud.cpp)
-  Task<void> read_list(std::stop_token token);
+  // Leader and holder, so that the cloud is this controller's to deal with.
+  bool leads_as_holder() const;
+  void note_listed(const ListedMachine& listed);
+  void note_starting(const ListedMachine& listed);
   void watch_silence();
   void watch_cancelled();
   void watch_drains();
@@ -308,6 +316,7 @@
   std::set<std::string> returning_;
   std::map<std::string, Booting> booting_;
   Rentals rentals_;
+  MachineListReader machine_list_;
   std::deque<std::string> send_queue_;  // machines with orders
   std::set<std::string> probing_;
   int sends_ = 0;
--- a/src/coordination/holder_cloud.cpp
+++ b/src/coordination/holder_cloud.cpp
@@ -17,49 +17,58 @@
 constexpr double never_boots = 4.0;  // times boot_s: returned
 }  // namespace
 
-Task<void> Holder::read_list(std::stop_token token) {
-  std::string after;
-  const double now = loop_.now();
+// A duty of its own: a long list takes seconds, in which silence must be watched all the same.
+Task<void> Holder::follow_machine_list(std::stop_token token) {
+  const double tick_s = settings_.report_s / 4;
   while (!token.stop_requested()) {
-    std::string target = "/hosts?limit=500";
-    if (!after.empty()) target += "&since=" + after;
-    auto reply = co_await p_.http.request(settings_.cloud, Method::get, target, {}, 3.0);
-    if (!holding() || reply.status != 200) co_return;
-    auto list = decode_machine_list(decode_map(reply.body));
-    if (!list) co_return;
-    for (auto& l : list->machines) {
-      after = l.id;
-      if (returned_.contains(l.id)) continue;  // the list lags
-      if (cache_.leaving(l.id)) {
-        // The list lags, so a machine that is gone may still stand in it; asking twice is harmless.
-        to_return_.try_emplace(l.id, "listed though marked");
-        continue;
-      }
-      auto* type = p_.catalog.type(l.type);
-      double boot = type ? type->boot_s : 60;
-      if (l.state == "failed") {
-        want_return(l.id, "it failed");
-      } else if (l.state == "starting") {
-        auto [b, fresh] =
-            booting_.try_emplace(l.id, Booting{l.type, l.zone, l.spot, now - l.age_s});
-        // Older than it can be: up and not yet listed as such, or never coming.
-        if (machines_.contains(l.id) && machines_.at(l.id).session != 0) {
-          booting_.erase(b);
-        } else if (now - b->second.since > boot * never_boots) {
-          want_return(l.id, "it does not boot");
-        }
-      } else if (l.state == "running") {
-        Machine& m = machine(l.id);
-        if (m.session == 0) {
-          m.address = l.address;
-          m.type = l.type;
-          m.zone = l.zone;
-          m.spot = l.spot;
-          dirty_machines_.insert(l.id);
-        }
-      }
-    }
-    if (!list->more || list->machines.empty()) co_return;
+    if (!co_await Sleep(loop_, tick_s, token)) co_return;
+    const bool due = loop_.now() >= next_list_;
+    if (!due || !leads_as_holder() || !records_current() || !p_.catalog.known()) continue;
+    next_list_ = loop_.now() + settings_.list_lag_s / 2;
+    MachineListReader::Take take = [this](auto& listed) { note_listed(listed); };
+    MachineListReader::KeepGoing keep_going = [this, term = term_] {
+      return term == term_ && leads_as_holder();
+    };
+    co_await machine_list_.read(std::move(take), std::move(keep_going), token);
+  }
+}
+
+bool Holder::leads_as_holder() const { return holding() && !superseded() && p_.election.leading(); }
+
+void Holder::note_listed(const ListedMachine& listed) {
+  if (returned_.contains(listed.id)) return;  // the list lags
+  if (cache_.leaving(listed.id)) {
+    // The list lags, so a machine that is gone may still stand in it; asking twice is harmless.
+    to_return_.try_emplace(listed.id, "listed though marked");
+    return;
+  }
+  if (listed.state == "failed") {
+    want_return(listed.id, "it failed");
+  } else if (listed.state == "starting") {
+    note_starting(listed);
+  } else if (listed.state == "running") {
+    Machine& m = machine(listed.id);
+    if (m.session != 0) return;
+    m.address = listed.address;
+    m.type = listed.type;
+    m.zone = listed.zone;
+    m.spot = listed.spot;
+    dirty_machines_.insert(listed.id);
+  }
+}
+
+void Holder::note_starting(const ListedMachine& listed) {
+  constexpr double unknown_boot_s = 60;
+  const double now = loop_.now();
+  auto* type = p_.catalog.type(listed.type);
+  const double boot_s = type ? type->boot_s : unknown_boot_s;
+  auto [b, fresh] = booting_.try_emplace(
+      listed.id, Booting{listed.type, listed.zone, listed.spot, now - listed.age_s});
+  // Older than it can be: up and not yet listed as such, or never coming.
+  if (machines_.contains(listed.id) && machines_.at(listed.id).session != 0) {
+    booting_.erase(b);
+  } else if (now - b->second.since > boot_s * never_boots) {
+    want_return(listed.id, "it does not boot");
   }
 }
 
--- a/src/coordination/node.cpp
+++ b/src/coordination/node.cpp
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "coordination/connection_policy.hpp"
+
 namespace damsonport {
 
 namespace {
@@ -13,7 +15,13 @@
 constexpr int kept_sockets = 64;
 constexpr double idle_connection_s = 45;
 
-constexpr std::string_view jobs_path = "/api/jobs";
+constexpr std::string_view jobs_path = "/api/jobs", reports_path = "/hello";
+
+// Of users and workers.
+size_t max_connections(const Settings& s) {
+  const int left = s.max_sockets - kept_sockets - Holder::direct_sockets(s);
+  return static_cast<size_t>(std::max(left, s.max_sockets / 2));
+}
 
 // Integers that JSON numbers of any reader can hold.
 uint64_t new_incarnation(Loop& loop) { return loop.random64() >> 12; }
@@ -58,11 +66,7 @@
       holder_({loop, settings, state_, cache_, *http_, catalog_, mesh_, cancellations_, election_,
                versions_, exit_relay_, budgets_, regions_, changed_, incarnation_}),
       api_(loop, settings, state_, cache_, catalog_, versions_),
-      server_(network.server(max_body,
-                             static_cast<size_t>(std::max(settings.max_sockets - kept_sockets -
-                                                              Holder::direct_sockets(settings),
-                                                          settings.max_sockets / 2)),
-                             idle_connection_s,
+      server_(network.server(max_body, max_connections(settings), idle_connection_s,
                              [this](HttpRequest r) { return route(std::move(r)); })) {
   // Idle connections to workers take what the workers, users and orders under way leave.
   http_->bound_idle([this] {
@@ -113,6 +117,7 @@
   loop_.spawn("election", election_.run(token));
   loop_.spawn("holder", holder_.run(token));
   loop_.spawn("machines", holder_.run_maintenance(token));
+  loop_.spawn("machine list", holder_.follow_machine_list(token));
   loop_.spawn("accepting", api_.accept_duty(token));
   loop_.spawn("confirming", api_.confirm_duty(token));
   loop_.spawn("housekeeping", housekeeping(token));
@@ -174,18 +179,20 @@
   return {200, {}, 0};
 }
 
-// Where a whole fleet reports, users' connections don't stay open between their requests.
 Task<HttpResponse> Node::route(HttpRequest r) {
-  const bool of_user = r.path.starts_with(jobs_path);
+  const auto requester = r.path.starts_with(jobs_path) ? Requester::user
+                         : r.path == reports_path      ? Requester::worker
+                                                       : Requester::other;
   auto response = co_await dispatch(std::move(r));
-  response.close = of_user && server_->crowded();
+  response.close = closes_after_answer(
+      requester, {server_->open(), max_connections(settings_), holder_.fleet_size()});
   co_return response;
 }
 
 Task<HttpResponse> Node::dispatch(HttpRequest r) {
   const HttpResponse wrong_method{405, {}, 0};
   std::string_view path = r.path;
-  if (path == "/hello") {
+  if (path == reports_path) {
     if (r.method != Method::post) co_return wrong_method;
     auto report = decode_report(decode_map(r.body));
     if (!report) co_return HttpResponse{400, encode({{"error", report.error()}}), 0};
--- a/src/coordination/orphan_cleanup.cpp
+++ b/src/coordination/orphan_cleanup.cpp
@@ -50,16 +50,9 @@
   uint64_t term = 0;
   for (auto& g : cache_.blocks().grants) term = std::max(term, g.term);
   std::map<std::string, std::string> addresses;
-  std::string after;
-  for (bool more = true; more;) {
-    std::string target = "/hosts?limit=500";
-    if (!after.empty()) target += "&since=" + after;
-    auto reply = co_await p_.http.request(settings_.cloud, Method::get, target, {}, 3.0);
-    auto list = decode_machine_list(decode_map(reply.body));
-    if (reply.status != 200 || !list) co_return;
-    for (auto& l : list->machines) addresses[after = l.id] = l.address;
-    more = list->more && !list->machines.empty();
-  }
+  MachineListReader::Take take = [&](auto& machine) { addresses[machine.id] = machine.address; };
+  MachineListReader::KeepGoing keep_going = [this] { return no_holder_reachable(); };
+  if (!co_await machine_list_.read(std::move(take), std::move(keep_going), token)) co_return;
   std::vector<std::string> back;
   for (size_t done = 0; done < machines.size() && !token.stop_requested();) {
     const size_t count =
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -11,6 +11,7 @@
 #include "coordination/budgets/initial_parts.hpp"
 #include "coordination/node.hpp"
 #include "transport/event_network.hpp"
+#include "transport/file_limit.hpp"
 
 namespace {
 
@@ -34,6 +35,16 @@
   return true;
 }
 
+// The default of many systems, 1,024, is less than a large fleet's connections.
+void ensure_sockets(int max_sockets) {
+  constexpr size_t other_files = 32;  // the log, the event loop's own, and the like
+  const size_t wanted = static_cast<size_t>(max_sockets) + other_files;
+  const size_t limit = damsonport::ensure_open_files(wanted);
+  if (limit != 0 && limit < wanted)
+    spdlog::warn("only {} files may be open, and the settings' max_sockets needs {}", limit,
+                 wanted);
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -72,6 +83,7 @@
     std::cout << config << ": ok\n";
     return 0;
   }
+  ensure_sockets(settings->max_sockets);
   damsonport::EventLoop loop;
   damsonport::EventNetwork network(loop);
   damsonport::Node node(loop, network, *settings, regions ? &*regions : nullptr);
--- a/src/transport/event_http.hpp
+++ b/src/transport/event_http.hpp
@@ -26,13 +26,9 @@
   uint16_t port() const override;
   void tidy() override { bound_connections(); }
   size_t open() const override { return open_.size() + silent_since_.size(); }
-  bool crowded() const override {
-    return static_cast<double>(open()) > crowded_share * static_cast<double>(max_connections_);
-  }
 
  private:
   struct Exchange;
-  static constexpr double crowded_share = 0.75;
   void on_request(evhttp_request* req);
   void accepted();
   void note_connection(evhttp_connection* connection);
--- a/src/transport/event_stream.cpp
+++ b/src/transport/event_stream.cpp
@@ -8,7 +8,8 @@
 namespace damsonport {
 
 namespace {
-constexpr size_t max_unsent = size_t{32} * 1024;
+// Of messages that queue up behind others; one alone may be as long as its receiver takes.
+constexpr size_t max_queued = size_t{32} * 1024;
 constexpr timeval idle{10, 0};
 
 sockaddr_in address_of(const Endpoint& e) {
@@ -52,8 +53,9 @@
     }
   }
   auto* out = bufferevent_get_output(stream_);
-  if (!up_ && evbuffer_get_length(out) > 0) return;
-  if (evbuffer_get_length(out) + bytes.size() > max_unsent) return;
+  const size_t unsent = evbuffer_get_length(out);
+  if (!up_ && unsent > 0) return;
+  if (unsent > 0 && unsent + bytes.size() > max_queued) return;
   bufferevent_write(stream_, bytes.data(), bytes.size());
 }
 
--- /dev/null
+++ b/src/transport/file_limit.cpp
@@ -0,0 +1,18 @@
+#include "transport/file_limit.hpp"
+
+#include <sys/resource.h>
+
+#include <algorithm>
+
+namespace damsonport {
+
+size_t ensure_open_files(size_t wanted) {
+  rlimit limit{};
+  if (getrlimit(RLIMIT_NOFILE, &limit) != 0) return 0;
+  if (limit.rlim_cur >= wanted) return limit.rlim_cur;
+  rlimit raised = limit;
+  raised.rlim_cur = std::min<rlim_t>(wanted, limit.rlim_max);
+  return setrlimit(RLIMIT_NOFILE, &raised) == 0 ? raised.rlim_cur : limit.rlim_cur;
+}
+
+}  // namespace damsonport
--- a/src/transport/http.hpp
+++ b/src/transport/http.hpp
@@ -42,8 +42,6 @@
   // Takes connections again when enough have gone; to be called now and then.
   virtual void tidy() = 0;
   virtual size_t open() const = 0;
-  // So many are open that those of less use should not stay.
-  virtual bool crowded() const = 0;
 };
 
 // status 0: no answer came; whether the request was carried out is unknown.
--- a/src/transport/stream.hpp
+++ b/src/transport/stream.hpp
@@ -10,7 +10,8 @@
 class StreamLink {
  public:
   virtual ~StreamLink() = default;
-  // Dropped when the link is not up or too much is unsent; hints need no queue.
+  // Dropped when the link is not up or too much is unsent; hints need no queue. A message is taken
+  // whatever its length when nothing else is unsent.
   virtual void send(const std::string& bytes) = 0;
 };
 
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -1,7 +1,12 @@
 // The server and the client over real loopback sockets on a free port.
 #include <gtest/gtest.h>
 
+#include <limits>
+
+#include "coordination/connection_policy.hpp"
 #include "transport/event_http.hpp"
+#include "transport/event_stream.hpp"
+#include "transport/file_limit.hpp"
 
 namespace damsonport {
 namespace {
@@ -84,6 +89,81 @@
   EXPECT_FALSE(f.ask(Method::post, "/x", "hello").answered());
 }
 
+// More workers than connections: each is closed after its report, so all are answered.
+TEST(Http, AFleetLargerThanTheConnectionsSharesThem) {
+  constexpr size_t connections = 4, workers = 24;
+  EventLoop loop;
+  EventHttpServer* running = nullptr;
+  EventHttpServer server(loop, 1000, connections, 60, [&](HttpRequest) -> Task<HttpResponse> {
+    HttpResponse out;
+    out.close = closes_after_answer(Requester::worker, {running->open(), connections, workers});
+    co_return out;
+  });
+  running = &server;
+  ASSERT_TRUE(server.bind({"127.0.0.1", 0}));
+  const Endpoint at{"127.0.0.1", server.port()};
+  // A worker of its own each, which keeps its connection open when it may.
+  std::vector<std::unique_ptr<EventHttpClient>> clients;
+  size_t answered = 0, ended = 0;
+  auto report = [&](EventHttpClient& client) -> Task<void> {
+    answered += (co_await client.request(at, Method::post, "/hello", "x", 4.0)).status == 200;
+    if (++ended == workers) loop.stop();
+  };
+  for (size_t i = 0; i < workers; ++i) {
+    clients.push_back(std::make_unique<EventHttpClient>(loop));
+    loop.spawn("report", report(*clients.back()));
+  }
+  loop.run();
+  EXPECT_EQ(answered, workers);
+}
+
+TEST(ConnectionPolicy, KeepsWorkersWhereTheFleetHasRoom) {
+  EXPECT_FALSE(closes_after_answer(Requester::worker, {600, 600, 64}));
+  EXPECT_TRUE(closes_after_answer(Requester::worker, {600, 600, 4000}));
+  EXPECT_FALSE(closes_after_answer(Requester::worker, {100, 600, 4000}));
+  EXPECT_TRUE(closes_after_answer(Requester::user, {500, 600, 64}));
+  EXPECT_FALSE(closes_after_answer(Requester::user, {400, 600, 64}));
+}
+
+// Longer than what may queue up: the teams of all regions in one message.
+TEST(Streams, AMessageIsTakenWhateverItsLength) {
+  EventLoop loop;
+  constexpr size_t length = 200000;
+  size_t seen = 0;
+  auto take = [&](std::string_view bytes) -> long {
+    if (bytes.size() < length) return 0;
+    seen = bytes.size();
+    loop.stop();
+    return static_cast<long>(bytes.size());
+  };
+  // The first port that is free.
+  Endpoint at{"127.0.0.1", 47391};
+  std::unique_ptr<EventStreamListener> listener;
+  for (int tries = 0; tries < 100 && (!listener || !listener->listening()); ++tries) {
+    ++at.port;
+    listener = std::make_unique<EventStreamListener>(loop, at, 2, take);
+  }
+  ASSERT_TRUE(listener->listening());
+  EventStreamLink link(loop, at);
+  auto give_up = [&]() -> Task<void> {
+    co_await Sleep(loop, 20, loop.stop_token());
+    loop.stop();
+  };
+  loop.spawn("give up", give_up());
+  link.send(std::string(length, 'x'));
+  loop.run();
+  EXPECT_EQ(seen, length);
+}
+
+TEST(OpenFiles, AreRaisedAsFarAsTheHardLimitAllows) {
+  const size_t before = ensure_open_files(0);
+  ASSERT_GT(before, 0u);
+  EXPECT_GE(ensure_open_files(before), before);
+  const size_t most = ensure_open_files(std::numeric_limits<int>::max());
+  EXPECT_GE(most, before);
+  EXPECT_EQ(ensure_open_files(0), most);
+}
+
 TEST(Endpoints, AreIpv4InNumbers) {
   Endpoint e;
   EXPECT_TRUE(parse_endpoint("10.0.0.1:80", e));
--- a/tests/world/meeting.cpp
+++ b/tests/world/meeting.cpp
@@ -100,9 +100,11 @@
     auto w = words(in);
     for (int i = 0; i < n; ++i)
       at_start_.push_back({str(w, "type"), str(w, "zone", "a"), w.contains("spot")});
-  } else if (verb == "cloud") {  // cloud capacity=N [boot=S]
+  } else if (verb == "cloud") {  // cloud capacity=N [boot=S] [rps=N] [page=MACHINES]
     auto w = words(in);
     capacity_ = static_cast<int>(num(w, "capacity"));
+    settings_.cloud_rps = num(w, "rps", settings_.cloud_rps);
+    page_ = static_cast<size_t>(num(w, "page", static_cast<double>(page_)));
     boot_s_ = num(w, "boot");
   } else if (verb == "jobs") {  // jobs NAMES tasks=N cpus=N run=S ...
     in >> name;
@@ -169,7 +171,7 @@
     settings_.report_s = 1.5, settings_.lease_s = 12, settings_.cancel_s = 42;
   if (settings_.gang_wait_s == 0) settings_.gang_wait_s = 40, settings_.gang_peer_s = 6;
   settings_.state_limits = {limits_, announced_limits_};
-  settings_.cloud_rps = 5, settings_.list_lag_s = 4, settings_.max_sockets = 600;
+  settings_.list_lag_s = 4, settings_.max_sockets = 600;
   if (settings_.zones.empty()) settings_.zones = {"a"};
   settings_.nodes = node_count_;
   settings_.state = {state_host, 2379};
@@ -183,6 +185,7 @@
   fleet_ = std::make_unique<Fleet>(world_, settings_, types_, nodes);
   fleet_->set_capacity(capacity_);
   fleet_->set_boot(boot_s_);
+  fleet_->set_page(page_);
   fleet_->set_broken(broken_jobs_);
   for (auto& [job, seconds] : run_s_) fleet_->set_run_time(job, seconds);
   for (auto& s : at_start_) {
--- a/tests/world/meeting.hpp
+++ b/tests/world/meeting.hpp
@@ -11,7 +11,7 @@
 
 class Meeting {
  public:
-  explicit Meeting(uint64_t seed = 1) : world_(seed) {}
+  explicit Meeting(uint64_t seed = 1) : world_(seed) { settings_.cloud_rps = 5; }
   // Where the files with stored records are.
   std::string fixtures_dir;
   // One line of a trace; yields a complaint, or nothing.
@@ -69,6 +69,7 @@
   std::vector<Happening> happenings_;
   double until_ = 100, boot_s_ = 0, drift_ = 0.0005;
   int capacity_ = 0;
+  size_t page_ = 500;  // machines in one of the cloud's lists
   bool quiet_users_ = false, close_looks_ = false;
   std::string stored_;  // a file with records of an earlier version
   std::set<std::string> polled_;
--- a/tools/fleet/main.cpp
+++ b/tools/fleet/main.cpp
@@ -2,14 +2,15 @@
 #include <signal.h>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
-#include <sys/resource.h>
 
 #include <CLI/CLI.hpp>
 #include <filesystem>
 #include <fstream>
 #include <iostream>
+#include <limits>
 
 #include "experiment_run.hpp"
+#include "transport/file_limit.hpp"
 
 namespace {
 
@@ -24,14 +25,6 @@
   return (self.parent_path() / ".." / ".." / "damsonport").lexically_normal().string();
 }
 
-// A worker is two sockets here.
-void raise_file_limit() {
-  rlimit limit{};
-  getrlimit(RLIMIT_NOFILE, &limit);
-  limit.rlim_cur = limit.rlim_max;
-  setrlimit(RLIMIT_NOFILE, &limit);
-}
-
 std::string make_directory(const std::string& wanted) {
   if (!wanted.empty()) {
     std::filesystem::create_directories(wanted);
@@ -72,7 +65,7 @@
     std::cerr << "--controller: there is no " << program << "\n";
     return exit_bad_plan;
   }
-  raise_file_limit();
+  damsonport::ensure_open_files(std::numeric_limits<int>::max());
   directory = make_directory(directory);
   std::cout << plan->title << ": settings and logs in " << directory << std::endl;
   signal(SIGPIPE, SIG_IGN);
