Cancellations are told by the kilobyte, and a long list without waiting for the next period

Cause: 128 in a heartbeat and a heartbeat a period: 2,000 cancellations in an outage took 16 periods (8 to 16 s by the settings), in which every controller must count as not knowing all. Change: as many as fit in 12 KiB, and whoever takes part of a longer list answers at once. Tests: AHeartbeatStaysWithinWhatItsReceiverTakes, ALongListIsToldWithinAHeartbeatPeriod; the test of an incomplete list has 2,100 entries instead of 300, since 300 fit in one heartbeat now.

--- a/src/coordination/cancellations.cpp
+++ b/src/coordination/cancellations.cpp
@@ -5,8 +5,11 @@
 namespace damsonport {
 
 namespace {
-// In one heartbeat; with the longest names some 9 KB.
-constexpr size_t most_in_a_heartbeat = 128;
+// Bounds on the part of one heartbeat that lists cancellations. Every version reads at least this
+// much; what doesn't fit follows in the next heartbeat.
+constexpr size_t max_entries = 1000, max_bytes = size_t{12} * 1024;
+// Of one entry, beside the job's name: the name's length and the age.
+constexpr size_t entry_overhead_bytes = 8;
 
 uint64_t to_ms(double seconds) { return static_cast<uint64_t>(std::max(seconds, 0.0) * 1000); }
 }  // namespace
@@ -46,8 +49,10 @@
   heartbeat.echo_ms = p.stamp;
   heartbeat.have = p.have;
   heartbeat.from = p.has;
+  size_t bytes = 0;
   for (auto k = known_.upper_bound(p.has); k != known_.end(); ++k) {
-    if (heartbeat.cancelled.size() == most_in_a_heartbeat) {
+    bytes += k->second.first.size() + entry_overhead_bytes;
+    if (heartbeat.cancelled.size() == max_entries || bytes > max_bytes) {
       heartbeat.upto = k->first - 1;
       break;
     }
@@ -57,18 +62,19 @@
   }
 }
 
-std::vector<std::string> Cancellations::merge(const Heartbeat& heartbeat, double now) {
-  std::vector<std::string> fresh;
+Cancellations::Merged Cancellations::merge(const Heartbeat& heartbeat, double now) {
+  Merged merged;
   auto it = peers_.find(heartbeat.node);
-  if (it == peers_.end()) return fresh;
+  if (it == peers_.end()) return merged;
   Peer& p = it->second;
+  const uint64_t had = p.has, have_before = p.have;
   // The echo says that it was sent after we had sent that. Whatever is held up on the way is older
   // than it looks, and by the echo it is never taken for newer than it is.
   const bool echoed = heartbeat.echo_incarnation == incarnation_;
   const double sent_after = echoed ? static_cast<double>(heartbeat.echo_ms) / 1000 : 0;
   if (heartbeat.incarnation != p.incarnation) {
     // A copy of an earlier life's heartbeat is passed over: its numbers mean nothing in this one's.
-    if (p.ever && echoed && sent_after < p.covered) return fresh;
+    if (p.ever && echoed && sent_after < p.covered) return merged;
     p.incarnation = heartbeat.incarnation;
     p.have = 0;
     p.has = 0;
@@ -86,14 +92,17 @@
     auto [h, first] = heard_.try_emplace(c.job, Heard{since, now});
     h->second.since = std::min(h->second.since, since);
     h->second.at = now;
-    if (first) fresh.push_back(c.job);
+    if (first) merged.fresh.push_back(c.job);
   }
   if (p.have >= heartbeat.from) p.have = std::max(p.have, heartbeat.upto);
   // Not loaded, it knows nothing of what its earlier lives told; loaded, it has read all of that,
   // since they told only what stood in the records.
   if (echoed && heartbeat.loaded && p.have >= heartbeat.last)
     p.covered = std::max(p.covered, sent_after);
-  return fresh;
+  const bool peer_waits_for_more = p.has > had && p.has < last_;
+  const bool more_is_to_come = p.have > have_before && p.have < heartbeat.last;
+  merged.answer_at_once = peer_waits_for_more || more_is_to_come;
+  return merged;
 }
 
 std::optional<double> Cancellations::heard(const std::string& job) const {
--- a/src/coordination/mesh.cpp
+++ b/src/coordination/mesh.cpp
@@ -29,7 +29,9 @@
     // Only the nodes named in the settings: nothing grows with what strangers send.
     auto it = seen_.find(heartbeat.node);
     if (it == seen_.end()) continue;
-    for (auto& job : cancellations_.merge(heartbeat, loop_.now()))
+    const auto merged = cancellations_.merge(heartbeat, loop_.now());
+    if (merged.answer_at_once) wake_.notify();
+    for (auto& job : merged.fresh)
       if (on_cancelled) on_cancelled(job);
     heartbeat.cancelled.clear();
     it->second = {std::move(heartbeat), loop_.now()};
--- a/tests/cancellations_test.cpp
+++ b/tests/cancellations_test.cpp
@@ -3,7 +3,9 @@
 
 #include <gtest/gtest.h>
 
+#include "coordination/mesh.hpp"
 #include "coordination/renewal_policy.hpp"
+#include "simulation/world.hpp"
 
 namespace damsonport {
 namespace {
@@ -25,7 +27,7 @@
     return b;
   }
   std::vector<std::string> merge(const Heartbeat& b, double time) {
-    return said.merge(b, clock(time));
+    return said.merge(b, clock(time)).fresh;
   }
   // How old a cancellation that is unknown here can be.
   double unheard(double time) const { return clock(time) - said.covered(clock(time)); }
@@ -72,15 +74,84 @@
   Pair p;
   p.exchange(1);
   p.exchange(2);
-  for (int i = 0; i < 300; ++i) p.b.said.record("run-" + std::to_string(i), p.b.clock(2.5));
+  // More than two heartbeats hold.
+  for (int i = 0; i < 2100; ++i) p.b.said.record("run-" + std::to_string(i), p.b.clock(2.5));
   p.exchange(3);
-  EXPECT_FALSE(p.a.said.cancelled("run-299"));
+  EXPECT_FALSE(p.a.said.cancelled("run-2099"));
   EXPECT_NEAR(p.a.unheard(3), 1, 0.1);  // as before
   for (double t = 4; t < 8; ++t) p.exchange(t);
-  EXPECT_TRUE(p.a.said.cancelled("run-299"));
+  EXPECT_TRUE(p.a.said.cancelled("run-2099"));
   EXPECT_LT(p.a.unheard(8), 2.1);
 }
 
+// Longest names: what a heartbeat lists is bounded by what every version reads.
+TEST(Cancellations, AHeartbeatStaysWithinWhatItsReceiverTakes) {
+  Pair p;
+  constexpr size_t longest_name = 64;
+  for (int i = 0; i < 5000; ++i) {
+    auto id = "run-" + std::to_string(i);
+    if (i % 2 == 0) id.resize(longest_name, 'x');
+    p.b.said.record(id, p.b.clock(1));
+  }
+  for (int i = 0; i < 100 && !p.a.said.cancelled("run-4999"); ++i) {
+    const double time = 2 + i;
+    const auto bytes = encode_heartbeat(p.b.heartbeat("a", time));
+    Heartbeat read;
+    size_t used = 0;
+    ASSERT_EQ(decode_heartbeat(bytes, read, used), Framed::whole);
+    p.a.merge(read, time);
+    p.b.merge(p.a.heartbeat("b", time), time);
+  }
+  EXPECT_TRUE(p.a.said.cancelled("run-4999"));
+}
+
+// A burst in an outage: with one part of the list a heartbeat period it would take seconds, in
+// which a controller must assume that it doesn't know all.
+TEST(Cancellations, ALongListIsToldWithinAHeartbeatPeriod) {
+  simulation::World world(1);
+  simulation::VirtualNetwork::Streams streams;
+  struct Controller {
+    Settings settings;
+    simulation::VirtualLoop loop;
+    simulation::VirtualNetwork network;
+    Cancellations said;
+    Mesh mesh;
+    Controller(simulation::World& world, simulation::VirtualNetwork::Streams& streams,
+               const std::string& name, const std::string& host, const std::string& peer,
+               const std::string& peer_host, uint64_t life)
+        : settings(make_settings(host, peer, peer_host)),
+          loop(world, name, {static_cast<unsigned>(life)}, 1, 0),
+          network(loop, host, streams),
+          said(life, {peer}),
+          mesh(loop, network, settings, said) {
+      auto beat = [name, life] {
+        Heartbeat b;
+        b.node = name, b.incarnation = life, b.loaded = true;
+        return b;
+      };
+      loop.spawn("mesh", mesh.send_heartbeats(beat, loop.stop_token()));
+    }
+    static Settings make_settings(const std::string& host, const std::string& peer,
+                                  const std::string& peer_host) {
+      Settings s;
+      s.report_s = 3;
+      s.mesh_listen = {host, 8081};
+      s.peers.push_back({peer, "a", {peer_host, 8081}});
+      return s;
+    }
+  };
+  Controller a(world, streams, "a", "10.0.0.1", "b", "10.0.0.2", 11);
+  Controller b(world, streams, "b", "10.0.0.2", "a", "10.0.0.1", 22);
+  world.run_until(4);
+  for (int i = 0; i < 6000; ++i) b.said.record("run-" + std::to_string(i), b.loop.now());
+  b.mesh.wake();
+  world.run_until(5);
+  EXPECT_TRUE(a.said.cancelled("run-5999"));
+  a.loop.stop();
+  b.loop.stop();
+  world.run_until(6);
+}
+
 TEST(Cancellations, ABeginnerCoversOnlyOnceItHasReadTheRecords) {
   Pair p;
   for (double t = 1; t < 4; ++t) p.exchange(t);
