Work that grew with the square of the fleet is divided or done once

Change: like tasks are sized at once; sizes are summed; once a commit; newcomers listed once; remembered for five seconds of the rate of the settings. What is decided is the same. damsonport-fleet knows cancel_jobs, a burst of cancellations; plans for one region of 4,000 and 6,000.

--- a/src/coordination/exit_relay.cpp
+++ b/src/coordination/exit_relay.cpp
@@ -27,12 +27,13 @@
 // As many as fit into one value; the others follow when these are committed.
 RelayedExits ExitRelay::next_record() const {
   const double most = settings_.state_limits.always().value_bytes();
+  constexpr size_t comma = 1;
   RelayedExits record{term_, {}};
+  size_t bytes = stored_size(encode_relayed_exits(record));
   for (auto& exit : seen_) {
+    bytes += stored_size(encode_relayed_exit(exit)) + comma;
+    if (static_cast<double>(bytes) > most) break;
     record.exits.push_back(exit);
-    if (static_cast<double>(stored_size(encode_relayed_exits(record))) <= most) continue;
-    record.exits.pop_back();
-    break;
   }
   return record;
 }
--- a/src/coordination/holder_cloud.cpp
+++ b/src/coordination/holder_cloud.cpp
@@ -162,15 +162,25 @@
 // what makes room for one, so it is drained at once; and one that does not come is not waited for.
 void Holder::watch_stragglers() {
   const double now = loop_.now();
+  std::vector<Machine*> waiting, newcomers;
+  double first_flagged = std::numeric_limits<double>::infinity();
   for (auto& [id, m] : machines_) {
     if (m.replacing_since == 0 || m.draining) continue;
+    waiting.push_back(&m);
+    first_flagged = std::min(first_flagged, m.replacing_since);
+  }
+  if (waiting.empty()) return;
+  for (auto& [id, m] : machines_)
+    if (!m.replaces && m.first_heard > first_flagged) newcomers.push_back(&m);
+  for (Machine* straggler : waiting) {
+    Machine& m = *straggler;
     auto* type = p_.catalog.type(m.type);
-    for (auto& [other, o] : machines_) {
-      if (!o.replaces && o.type == m.type && o.first_heard > m.replacing_since) {
-        o.replaces = true;
-        drain(m, "straggler, replaced by " + other);
-        break;
-      }
+    for (Machine* other : newcomers) {
+      if (other->replaces || other->type != m.type || other->first_heard <= m.replacing_since)
+        continue;
+      other->replaces = true;
+      drain(m, "straggler, replaced by " + other->id);
+      break;
     }
     if (!m.draining && (rentals_.refused({m.type, m.zone, m.spot}) ||
                         now - m.replacing_since > slow_boot * (type ? type->boot_s : 0)))
--- a/src/coordination/holder_commit.cpp
+++ b/src/coordination/holder_commit.cpp
@@ -97,12 +97,16 @@
   }
   if (edits.empty()) co_return false;
   if (co_await commit_and_apply(edits.finish(), token)) {
+    bool any_failed = false;
     for (auto& name : taken) {
       auto it = exits_.find(name);
       if (it == exits_.end()) continue;
+      any_failed |= it->second.cause == ExitCause::error;
       finish_exit(it->second, name);
       exits_.erase(it);
     }
+    // Once for all of them: it looks through the whole fleet.
+    if (any_failed) review_failures();
     place_again_ = true;
   }
   co_return true;
--- a/src/coordination/holder_machines.cpp
+++ b/src/coordination/holder_machines.cpp
@@ -272,7 +272,6 @@
     }
     case ExitCause::error:
       note_error(m, job->spec);
-      review_failures();
       break;
     case ExitCause::no_room:
     case ExitCause::busy:
--- a/src/coordination/sizing.cpp
+++ b/src/coordination/sizing.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <map>
 
 namespace damsonport::sizing {
 
@@ -25,8 +26,11 @@
       : in_(in),
         max_new_(std::max(new_at_least,
                           static_cast<int>(new_share * static_cast<double>(in.machines.size())))) {
-    for (auto& m : in.machines)
+    out_.examined += in.machines.size();
+    for (auto& m : in.machines) {
+      if (m.open || m.booting) ++machines_in_[{m.zone, m.type}];
       if (auto* t = type(m.type); t && m.booting) rooms_.push_back({t, m.zone, m.spot, m.total});
+    }
   }
 
   Plan run() {
@@ -58,9 +62,10 @@
     return best;
   }
 
+  // Those to be rented included.
   int machines_in(const std::string& zone, const std::string& type) const {
-    int n = 0;
-    for (auto& m : in_.machines) n += m.zone == zone && m.type == type && (m.open || m.booting);
+    auto it = machines_in_.find({zone, type});
+    int n = it == machines_in_.end() ? 0 : it->second;
     for (auto& r : out_.rent) n += r.zone == zone && r.type == type ? r.count : 0;
     return n;
   }
@@ -108,13 +113,41 @@
            (d.types.empty() || std::find(d.types.begin(), d.types.end(), type) != d.types.end());
   }
 
-  bool take_room(const Demand& d) {
+  // Takes room for up to so many tasks of the like, from the first room on; yields how many found
+  // some. A room that is passed over here has none left for a later task of them either.
+  uint32_t take_rooms(const Demand& d, uint32_t count) {
+    uint32_t left = count;
     for (auto& r : rooms_) {
-      if (!suits(d, r.type->name, r.zone, r.spot) || !d.need.fits(r.free)) continue;
-      r.free -= d.need;
-      return true;
+      if (left == 0) break;
+      ++out_.examined;
+      if (!suits(d, r.type->name, r.zone, r.spot)) continue;
+      for (; left > 0 && d.need.fits(r.free); --left) r.free -= d.need;
     }
-    return false;
+    return count - left;
+  }
+
+  // As above, in the room added last.
+  uint32_t take_last_room(const Demand& d, uint32_t count) {
+    ++out_.examined;
+    Room& r = rooms_.back();
+    uint32_t left = suits(d, r.type->name, r.zone, r.spot) ? count : 0;
+    const uint32_t tried = left;
+    for (; left > 0 && d.need.fits(r.free); --left) r.free -= d.need;
+    return tried - left;
+  }
+
+  // Room for all of the like, renting where there is none; yields how many are left without.
+  uint32_t serve(const Demand& d) {
+    uint32_t left = d.count - take_rooms(d, d.count);
+    while (left > 0 && added_ < max_new_) {
+      const Offer* offer = best_for(d);
+      if (!offer) break;
+      add(offer);
+      const uint32_t taken = take_last_room(d, left);
+      if (taken == 0) break;
+      left -= taken;
+    }
+    return left;
   }
 
   // Machines for all of a gang in one of its zones, or none.
@@ -131,36 +164,19 @@
       const auto rooms = rooms_;
       const auto rent = out_.rent;
       const int added = added_;
-      if (serve_all(in_zone)) return;
+      if (serve(in_zone) == 0) return;
       rooms_ = rooms;
       out_.rent = rent;
       added_ = added;
     }
   }
 
-  bool serve_all(const Demand& d) {
-    for (uint32_t left = d.count; left > 0; --left) {
-      if (take_room(d)) continue;
-      if (added_ >= max_new_) return false;
-      add(best_for(d));
-      if (!take_room(d)) return false;
-    }
-    return true;
-  }
-
   void serve_demand() {
     for (auto& d : in_.demand) {
       if (d.gang) {
         serve_gang(d);
-        continue;
-      }
-      for (uint32_t left = d.count; left > 0; --left) {
-        if (take_room(d)) continue;
-        if (added_ >= max_new_) return;
-        auto* offer = best_for(d);
-        if (!offer) break;
-        add(offer);
-        if (!take_room(d)) break;
+      } else {
+        serve(d);
       }
     }
   }
@@ -253,6 +269,8 @@
   const int max_new_;
   std::vector<Room> rooms_;
   int added_ = 0;
+  // By zone and type; without those that this plan rents.
+  std::map<std::pair<std::string, std::string>, int> machines_in_;
   double spare_gpus_ = 0, spare_cpus_ = 0;
   Plan out_;
 };
--- a/src/coordination/sizing.hpp
+++ b/src/coordination/sizing.hpp
@@ -59,6 +59,7 @@
 struct Plan {
   std::vector<Rent> rent;
   std::vector<std::string> give_back;
+  size_t examined = 0;  // rooms and machines looked at: the work of this plan
 };
 
 Plan plan(const Input& in);
--- a/src/storage/cache.cpp
+++ b/src/storage/cache.cpp
@@ -5,8 +5,11 @@
 namespace damsonport {
 
 namespace {
-constexpr size_t max_finals = 8192;   // the rest is read back on demand
-constexpr size_t max_removed = 4096;  // removals remembered against late copies of our own reads
+constexpr size_t max_finals = 8192;  // the rest is read back on demand
+// Removals remembered against late copies of our own reads: at least so many, and all of so many
+// seconds, which is longer than a read waits for its answer.
+constexpr size_t least_removals_kept = 4096;
+constexpr double removals_kept_s = 5;
 const std::map<Assignment, uint64_t> no_assignments;
 }  // namespace
 
@@ -26,8 +29,14 @@
   return out;
 }
 
-Cache::Cache(Loop& loop, StateClient& state, double min_watch_gap_s, double clock_off_s)
-    : loop_(loop), state_(state), min_watch_gap_s_(min_watch_gap_s), clock_off_s_(clock_off_s) {}
+Cache::Cache(Loop& loop, StateClient& state, double min_watch_gap_s, double clock_off_s,
+             double writes_per_s)
+    : loop_(loop),
+      state_(state),
+      min_watch_gap_s_(min_watch_gap_s),
+      clock_off_s_(clock_off_s),
+      max_removed_(
+          std::max(least_removals_kept, static_cast<size_t>(writes_per_s * removals_kept_s))) {}
 
 Job* Cache::job(const std::string& id) {
   auto it = jobs_.find(id);
@@ -125,7 +134,7 @@
   }
   if (item.value.is_null() && item.version) {
     // Never all at once: a read under way just now may bring what was removed a moment ago.
-    if (removed_.size() >= max_removed) removed_before_ = std::exchange(removed_, {});
+    if (removed_.size() >= max_removed_) removed_before_ = std::exchange(removed_, {});
     removed_[key] = item.version;
   }
 }
--- a/src/storage/cache.hpp
+++ b/src/storage/cache.hpp
@@ -63,7 +63,9 @@
 
 class Cache {
  public:
-  Cache(Loop& loop, StateClient& state, double min_watch_gap_s, double clock_off_s);
+  // `writes_per_s`: the most that the state service takes.
+  Cache(Loop& loop, StateClient& state, double min_watch_gap_s, double clock_off_s,
+        double writes_per_s);
 
   // The long-lived duty: loads everything, then follows the watch.
   Task<void> follow(std::stop_token token);
@@ -148,6 +150,7 @@
   Loop& loop_;
   StateClient& state_;
   double min_watch_gap_s_, clock_off_s_;
+  size_t max_removed_;
   bool loaded_ = false;
   uint64_t revision_ = 0;
   double as_of_ = -1e9;
--- a/src/storage/records.cpp
+++ b/src/storage/records.cpp
@@ -168,10 +168,13 @@
   return b;
 }
 
+Json encode_relayed_exit(const RelayedExit& e) {
+  return {e.machine, e.task.job, e.task.index, e.attempt, static_cast<int>(e.cause)};
+}
+
 Json encode_relayed_exits(const RelayedExits& r) {
   Json list = Json::array();
-  for (auto& e : r.exits)
-    list.push_back({e.machine, e.task.job, e.task.index, e.attempt, static_cast<int>(e.cause)});
+  for (auto& e : r.exits) list.push_back(encode_relayed_exit(e));
   return {{"term", r.term}, {"exits", std::move(list)}};
 }
 
--- a/src/storage/records.hpp
+++ b/src/storage/records.hpp
@@ -122,6 +122,7 @@
   uint64_t term = 0;  // that the machines had learned
   std::vector<RelayedExit> exits;
 };
+Json encode_relayed_exit(const RelayedExit& e);
 Json encode_relayed_exits(const RelayedExits& r);
 RelayedExits decode_relayed_exits(const Json& m);
 
--- a/tests/fleet_tool_test.cpp
+++ b/tests/fleet_tool_test.cpp
@@ -76,6 +76,14 @@
   }
 }
 
+TEST(Experiment, AFaultMayNameANumberOfJobs) {
+  const auto plan =
+      parse_experiment(replaced("kind = \"cut_regions\"", "kind = \"cancel_jobs\"\ncount = 2000"));
+  ASSERT_TRUE(plan) << plan.error();
+  EXPECT_EQ(plan->faults[0].kind, FaultKind::cancel_jobs);
+  EXPECT_EQ(plan->faults[0].count, 2000u);
+}
+
 TEST(Experiment, APlanThatTakesTooMuchIsRefused) {
   auto plan = parse_experiment("max_memory_mb = 100\n" + whole);
   ASSERT_FALSE(plan);
--- a/tests/placing_work_test.cpp
+++ b/tests/placing_work_test.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include "coordination/placement.hpp"
+#include "coordination/sizing.hpp"
 
 namespace damsonport::placing {
 namespace {
@@ -87,5 +88,33 @@
   EXPECT_EQ(out.starts[0].machine, 7u);
 }
 
+// What the cloud is asked for is worked out for the like at once: an array of as many tasks as a
+// job may have, in a fleet of the largest size, of whose machines a quarter may be rented anew.
+TEST(SizingWork, GrowsWithTheRoomsAndNotWithTheTasksTimesRooms) {
+  constexpr size_t fleet = 6000, tasks = 100000, kinds = 8;
+  sizing::Input in;
+  for (size_t k = 0; k < kinds; ++k) {
+    MachineType type;
+    type.name = "g" + std::to_string(k), type.cpus = 96, type.gpus = 8, type.memory_gb = 768;
+    type.price = 1 + static_cast<double>(k), type.zones = {"a"};
+    in.types.push_back(type);
+    in.offers.push_back({type.name, "a", false, false});
+  }
+  for (size_t i = 0; i < fleet; ++i) {
+    sizing::MachineState m;
+    m.id = "i-" + std::to_string(i), m.type = "g0", m.zone = "a", m.open = true;
+    m.total = {96, 8, 768};
+    in.machines.push_back(m);
+  }
+  for (int i = 0; i < 3; ++i)
+    in.demand.push_back({{1, 0, 1}, static_cast<uint32_t>(tasks), {}, "", false});
+  const auto plan = sizing::plan(in);
+  int rented = 0;
+  for (auto& r : plan.rent) rented += r.count;
+  EXPECT_EQ(rented, static_cast<int>(fleet / 4));
+  // Each of the rented is looked at for each demand, and each machine of the fleet once.
+  EXPECT_LT(plan.examined, fleet * 3);
+}
+
 }  // namespace
 }  // namespace damsonport::placing
--- a/tests/records_test.cpp
+++ b/tests/records_test.cpp
@@ -168,7 +168,7 @@
   EventLoop loop;
   EventHttpClient http(loop);
   StateClient state(loop, http, {"127.0.0.1", 1}, limits);
-  Cache cache(loop, state, 1, 0);
+  Cache cache(loop, state, 1, 0, 50);
   Settings settings;
   settings.node_name = "n0";
   settings.peers = {{"n1", "a", {}}, {"n2", "a", {}}};
@@ -188,7 +188,7 @@
   EventLoop loop;
   EventHttpClient http(loop);
   StateClient state(loop, http, {"127.0.0.1", 1}, limits);
-  Cache cache(loop, state, 1, 0);
+  Cache cache(loop, state, 1, 0, 50);
   cache.apply({keys::leaving("a"), {{"machines", {"i-1", "i-2"}}}, 5, 0});
   cache.apply({keys::leaving("b"), {{"machines", {"i-3"}}}, 6, 0});
   EXPECT_TRUE(cache.leaving("i-1") && cache.leaving("i-2") && cache.leaving("i-3"));
@@ -206,7 +206,7 @@
   EventLoop loop;
   EventHttpClient http(loop);
   StateClient state(loop, http, {"127.0.0.1", 1}, limits);
-  Cache cache(loop, state, 1, 0);
+  Cache cache(loop, state, 1, 0, 50);
   const Item copy{keys::job("run-1"), encode_job(two_tasks()), 1, 0};
   cache.apply(copy);
   ASSERT_NE(cache.job("run-1"), nullptr);
@@ -223,7 +223,7 @@
   EventLoop loop;
   EventHttpClient http(loop);
   StateClient state(loop, http, {"127.0.0.1", 1}, limits);
-  Cache cache(loop, state, 1, 0);
+  Cache cache(loop, state, 1, 0, 50);
   std::string told;
   cache.on_assignment = [&](const std::string& machine, const Job&, bool added) {
     told += (added ? "+" : "-") + machine + " ";
--- a/tools/fleet/experiment.cpp
+++ b/tools/fleet/experiment.cpp
@@ -130,7 +130,8 @@
 const std::map<std::string, FaultKind> fault_kinds = {
     {"kill_holder", FaultKind::kill_holder},   {"kill_region", FaultKind::kill_region},
     {"pause_holder", FaultKind::pause_holder}, {"cut_regions", FaultKind::cut_regions},
-    {"hang_zone", FaultKind::hang_zone},       {"state_outage", FaultKind::state_outage}};
+    {"hang_zone", FaultKind::hang_zone},       {"state_outage", FaultKind::state_outage},
+    {"cancel_jobs", FaultKind::cancel_jobs}};
 
 constexpr double plenty = 1e9, longest_s = 7200;
 
@@ -232,6 +233,7 @@
     fault.other = static_cast<size_t>(r.number(*t, prefix, "other", 0, 0, last));
     fault.zone =
         static_cast<size_t>(r.number(*t, prefix, "zone", 0, 0, static_cast<double>(out.zones - 1)));
+    fault.count = static_cast<size_t>(r.number(*t, prefix, "count", 1, 1, plenty));
     out.faults.push_back(fault);
   }
 }
--- a/tools/fleet/experiment.hpp
+++ b/tools/fleet/experiment.hpp
@@ -31,13 +31,15 @@
   pause_holder,  // stopped by a signal, and continued
   cut_regions,   // nothing passes between two regions' controllers
   hang_zone,     // the workers of one zone stand still
-  state_outage   // of a region's state service
+  state_outage,  // of a region's state service
+  cancel_jobs    // users call off so many running services within a second
 };
 
 struct Fault {
   FaultKind kind = FaultKind::kill_holder;
   double at_s = 0, for_s = 5;
   size_t region = 0, other = 0, zone = 0;
+  size_t count = 0;  // jobs
 };
 
 struct Experiment {
--- a/tools/fleet/site_process.cpp
+++ b/tools/fleet/site_process.cpp
@@ -92,6 +92,7 @@
           if (!worker->gone && worker->zone == zone) worker->hang(command.at("for").get<double>());
       });
     }
+    if (what == "cancel") users_->cancel_services(command.at("count").get<size_t>());
     if (what != "finish") return;
     Json waits = Json::object();
     for (auto& [load, values] : users_->waits()) waits[load] = values;
--- a/tools/fleet/users.cpp
+++ b/tools/fleet/users.cpp
@@ -110,6 +110,17 @@
              });
 }
 
+void Users::cancel_services(size_t count) {
+  constexpr double within_s = 1;
+  for (auto& id : known_) {
+    if (count == 0) return;
+    const Submitted& job = jobs_.at(id);
+    if (job.cancelled || !job.load->service) continue;
+    --count;
+    world_.in(world_.uniform(0, within_s), [this, id] { cancel(id, 0); });
+  }
+}
+
 void Users::poll() {
   world_.in(1 / plan_.polls_per_s[region_], [this] { poll(); });
   if (known_.empty()) return;
--- a/tools/fleet/users.hpp
+++ b/tools/fleet/users.hpp
@@ -18,6 +18,8 @@
  public:
   Users(const Experiment& plan, size_t region, RealTimeWorld& world, simulation::Fleet& fleet);
   void begin();
+  // Calls off so many services that run, the oldest first, within a second.
+  void cancel_services(size_t count);
   // Called when a task is on its machine.
   void started(const TaskName& task);
 
--- a/tools/make_experiments.py
+++ b/tools/make_experiments.py
@@ -77,6 +77,14 @@
 zone = {zone}
 """
 
+CANCEL = """
+[[fault]]
+kind = "cancel_jobs"
+at_s = {at}
+region = 0
+count = {count}
+"""
+
 
 def load(name, priority, tasks, rate, cpus=2, gpus=0, run=0, spread=0.3, start=3, until=10000,
          cancelled=0, more=""):
@@ -144,6 +152,23 @@
          warmup=4, rps=4000, write_rps=2000, loads=mix(3334, 3334 * 24 / 1600, 0, 2))
 
 
+def region():
+    """One region of the size that the operators run, and half as large again."""
+    for workers in (4000, 6000):
+        loads = mix(workers, 60, workers * 0.08, 1)
+        faults = "".join(
+            FAULT.format(kind=kind, at=at, lasts=lasts, region=0, other=0, zone=zone)
+            for kind, at, lasts, zone in [("kill_holder", 95, 6, 0), ("kill_region", 115, 8, 0),
+                                          ("hang_zone", 140, 15, 1), ("state_outage", 215, 15, 0)])
+        faults += CANCEL.format(at=190, count=2000)
+        common = dict(workers=workers, controllers=2, rps=4000, write_rps=2000, loads=loads,
+                      teams=(16, 4000, 80000))
+        plan(f"region-{workers}.toml", f"one region, {workers} workers", seconds=250, warmup=85,
+             faults=faults, **common)
+        plan(f"region-{workers}-calm.toml", f"one region, {workers} workers, no faults",
+             seconds=110, warmup=70, **common)
+
+
 def scale():
     for workers in (250, 625, 1250, 2500):
         busy = load("busy-team", "normal", 60, workers / 2500 * 0.8, run=25, start=60,
@@ -164,4 +189,5 @@
 if __name__ == "__main__":
     slopes()
     peak()
+    region()
     scale()
