Settings name all their problems with their lines; refusals are CBOR throughout; warnings don't repeat

Change: one reader of TOML serves settings and plans (it stood twice) and collects every problem; so do the files in S-expressions. 400 with the reason in CBOR up to four times the longest body. A warning comes at once when its words change and then at intervals that double, with its count. Tests: Settings.ProblemsAreNamed, Tuning, BadRequests, WarningLimiter.

--- a/src/coordination/catalog.cpp
+++ b/src/coordination/catalog.cpp
@@ -21,7 +21,9 @@
       if (!known()) spdlog::info("catalogue read: {} machine types", types->size());
       types_ = std::move(*types);
     } else if (!known()) {
-      spdlog::warn("the catalogue can't be read yet: {}", types ? "it is empty" : types.error());
+      const std::string words = types ? "it is empty" : types.error();
+      if (auto times = warning_.note(words, loop_.now()))
+        spdlog::warn("the catalogue can't be read yet: {} ({} times)", words, *times);
     }
     double pause = known() ? refresh_s : 1.0 / settings_.cloud_rps + 0.2;
     if (!co_await Sleep(loop_, pause * loop_.uniform(0.8, 1.2), token)) co_return;
--- a/src/coordination/catalog.hpp
+++ b/src/coordination/catalog.hpp
@@ -2,6 +2,7 @@
 #pragma once
 #include "protocol/messages.hpp"
 #include "protocol/settings.hpp"
+#include "transport/warning_limiter.hpp"
 
 namespace damsonport {
 
@@ -19,13 +20,14 @@
   HttpClient& http_;
   const Settings& settings_;
   std::vector<MachineType> types_;
+  WarningLimiter warning_;
 };
 
-enum class Verdict : uint8_t { ok, unknown_team, fits_no_type, over_limit };
-// Whether the job could ever run.
 // Leaves out of the job's list those machine types that the cloud doesn't have.
 void keep_known_types(JobSpec& job, const std::vector<MachineType>& types);
 
+enum class Verdict : uint8_t { ok, unknown_team, fits_no_type, over_limit };
+// Whether the job could ever run.
 Verdict judge_job(const JobSpec& job, const Settings& settings,
                   const std::vector<MachineType>& types);
 
--- a/src/coordination/node.cpp
+++ b/src/coordination/node.cpp
@@ -10,7 +10,9 @@
 namespace damsonport {
 
 namespace {
-constexpr size_t max_body = size_t{64} * 1024;
+constexpr size_t max_body = size_t{64} * 1024;  // by the protocol
+// What the HTTP library takes: beyond it the answer is the library's own, which is no CBOR.
+constexpr size_t max_read = 4 * max_body;
 // Sockets kept free of users and workers for state service, cloud, peers and health probes.
 constexpr int kept_sockets = 64;
 constexpr double idle_connection_s = 45;
@@ -67,7 +69,7 @@
       holder_({loop, settings, state_, cache_, *http_, catalog_, mesh_, cancellations_, election_,
                versions_, exit_relay_, budgets_, regions_, changed_, incarnation_}),
       api_(loop, settings, state_, cache_, catalog_, versions_),
-      server_(network.server(max_body, max_connections(settings), idle_connection_s,
+      server_(network.server(max_read, max_connections(settings), idle_connection_s,
                              [this](HttpRequest r) { return route(std::move(r)); })) {
   // Idle connections to workers take what the workers, users and orders under way leave.
   http_->bound_idle([this] {
@@ -192,6 +194,8 @@
 
 Task<HttpResponse> Node::dispatch(HttpRequest r) {
   const HttpResponse wrong_method{405, {}, 0};
+  if (r.body.size() > max_body)
+    co_return bad_request("the body is longer than " + std::to_string(max_body) + " bytes");
   std::string_view path = r.path;
   if (path == reports_path) {
     if (r.method != Method::post) co_return wrong_method;
--- a/src/coordination/user_api.cpp
+++ b/src/coordination/user_api.cpp
@@ -15,6 +15,8 @@
 constexpr double arrival_headroom = 2;
 }  // namespace
 
+HttpResponse bad_request(const std::string& why) { return {400, encode({{"error", why}}), 0}; }
+
 template <class T>
 struct UserApi::Queued {
   std::deque<T*>& queue;
@@ -166,9 +168,11 @@
 }
 
 Task<HttpResponse> UserApi::submit(std::string body) {
-  auto spec = decode_submission(decode_map(body));
+  const auto message = decode_map(body);
   body.clear();
-  if (!spec) co_return HttpResponse{400, encode({{"error", spec.error()}}), 0};
+  if (!message.is_object()) co_return bad_request("the body is not a CBOR map");
+  auto spec = decode_submission(message);
+  if (!spec) co_return bad_request(spec.error());
   const std::string id = spec->id;
   if (!cache_.loaded() || !catalog_.known()) co_return busy();
   if (cache_.job(id) || cache_.final_state(id)) co_return co_await state_of(id);
@@ -196,7 +200,7 @@
   spec->accepted_at = loop_.wall();
   keep_known_types(*spec, catalog_.types());
   if (!job_record_fits(*spec, settings_.state_limits.always().value_kb))
-    co_return HttpResponse{400, encode({{"error", "the job's names are too long"}}), 0};
+    co_return bad_request("the job's names are too long");
   Submission s;
   s.spec = std::move(*spec);
   co_await Queued<Submission>{submissions_, s, submitted_};
--- a/src/coordination/user_api.hpp
+++ b/src/coordination/user_api.hpp
@@ -11,6 +11,9 @@
 
 namespace damsonport {
 
+// 400, which is not asked again.
+HttpResponse bad_request(const std::string& why);
+
 class UserApi {
  public:
   UserApi(Loop& loop, const Settings& settings, StateClient& state, Cache& cache, Catalog& catalog,
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -7,6 +7,7 @@
 #include <cstdlib>
 #include <iostream>
 #include <optional>
+#include <sstream>
 
 #include "coordination/budgets/initial_parts.hpp"
 #include "coordination/node.hpp"
@@ -35,6 +36,12 @@
   return true;
 }
 
+// One a line.
+void log_problems(const std::string& problems) {
+  std::istringstream lines(problems);
+  for (std::string line; std::getline(lines, line);) spdlog::error("{}", line);
+}
+
 // The default of many systems, 1,024, is less than a large fleet's connections.
 void ensure_sockets(int max_sockets) {
   constexpr size_t other_files = 32;  // the log, the event loop's own, and the like
@@ -65,14 +72,14 @@
   if (!set_up_logging()) return exit_bad_settings;
   auto settings = damsonport::load_settings(config);
   if (!settings) {
-    spdlog::error("{}", settings.error());
+    log_problems(settings.error());
     return exit_bad_settings;
   }
   std::optional<damsonport::RegionSettings> regions;
   if (!regions_file.empty()) {
     auto loaded = damsonport::load_regions(regions_file, settings->zone);
     if (!loaded) {
-      spdlog::error("{}", loaded.error());
+      log_problems(loaded.error());
       return exit_bad_settings;
     }
     regions = std::move(*loaded);
--- a/src/protocol/region_settings.cpp
+++ b/src/protocol/region_settings.cpp
@@ -14,7 +14,7 @@
 
 constexpr uint64_t most_share = 1000000;
 
-// Reads one region; the first problem is kept.
+// Reads one region; all its problems are kept, one a line.
 class RegionReader {
  public:
   explicit RegionReader(const SexpDocument& document) : document_(document) {}
@@ -38,17 +38,16 @@
       } else {
         fail(what, "unknown entry '" + what + "'");
       }
-      if (!problem_.empty()) return Error{problem_};
     }
     if (!has_share) fail(region_.name, "region " + region_.name + ": share is missing");
     if (region_.zones.empty()) fail(region_.name, "region " + region_.name + ": zones is missing");
-    if (!problem_.empty()) return Error{problem_};
+    if (!problems_.empty()) return Error{problems_};
     return region_;
   }
 
  private:
   void fail(const std::string& word, const std::string& what) {
-    if (problem_.empty()) problem_ = document_.at_line(word) + what;
+    problems_ += (problems_.empty() ? "" : "\n") + document_.at_line(word) + what;
   }
   bool read_share(const sexp_t* value) {
     const std::string word = SexpDocument::atom(value);
@@ -74,7 +73,7 @@
 
   const SexpDocument& document_;
   Region region_;
-  std::string problem_;
+  std::string problems_;
 };
 
 // What the regions have to be together.
@@ -108,11 +107,16 @@
   auto document = SexpDocument::parse(text, "regions");
   if (!document) return Error{document.error()};
   RegionSettings settings;
+  std::string problems;
   for (const sexp_t* entry = document->entries(); entry; entry = entry->next) {
     auto region = RegionReader(*document).read(entry);
-    if (!region) return Error{region.error()};
-    settings.regions.push_back(std::move(*region));
+    if (region) {
+      settings.regions.push_back(std::move(*region));
+    } else {
+      problems += (problems.empty() ? "" : "\n") + region.error();
+    }
   }
+  if (!problems.empty()) return Error{problems};
   if (auto problem = inconsistency(settings); !problem.empty()) return Error{problem};
   for (size_t i = 0; i < settings.regions.size(); ++i) {
     auto& zones = settings.regions[i].zones;
@@ -127,7 +131,7 @@
   auto text = read_text_file(path);
   if (!text) return Error{text.error()};
   auto settings = parse_regions(*text, zone);
-  if (!settings) return Error{path + ": " + settings.error()};
+  if (!settings) return settings.error_in(path);
   return settings;
 }
 
--- a/src/protocol/result.hpp
+++ b/src/protocol/result.hpp
@@ -6,8 +6,19 @@
 
 namespace damsonport {
 
+// One problem a line.
 struct Error {
   std::string text;
+  // With the file that each problem was found in before it.
+  Error in(const std::string& file) const {
+    Error out;
+    size_t from = 0;
+    for (size_t end = 0; end != std::string::npos; from = end + 1) {
+      end = text.find('\n', from);
+      out.text += (from == 0 ? "" : "\n") + file + ": " + text.substr(from, end - from);
+    }
+    return out;
+  }
 };
 
 template <class T>
@@ -21,6 +32,7 @@
   T* operator->() { return &std::get<T>(state_); }
   const T* operator->() const { return &std::get<T>(state_); }
   const std::string& error() const { return std::get<Error>(state_).text; }
+  Error error_in(const std::string& file) const { return std::get<Error>(state_).in(file); }
 
  private:
   std::variant<T, Error> state_;
--- a/src/protocol/settings.cpp
+++ b/src/protocol/settings.cpp
@@ -3,100 +3,89 @@
 #include <filesystem>
 
 #include "protocol/text_file.hpp"
-#include "protocol/toml_text.hpp"
+#include "protocol/toml_reader.hpp"
 
 namespace damsonport {
 
 namespace {
 
-// Collects the first problem by the name of its field.
-struct Reader {
-  std::string problem;
-  void fail(const std::string& field, const std::string& what) {
-    if (problem.empty()) problem = field + ": " + what;
-  }
-  std::string text(const toml::table& t, const char* key, const std::string& prefix = {}) {
-    auto v = t[key].value<std::string>();
-    if (!v || v->empty()) fail(prefix + key, t.contains(key) ? "must be a text" : "is missing");
-    return v.value_or("");
-  }
-  double number(const toml::table& t, const char* key, const std::string& prefix, double low) {
-    auto v = t[key].value<double>();
-    if (!v) {
-      fail(prefix + key, t.contains(key) ? "must be a number" : "is missing");
-      return low;
-    }
-    if (!(*v >= low) || *v > 1e12) fail(prefix + key, "is out of range");
-    return *v;
-  }
-  // As number(), but a field that is missing has a default.
-  double number_or(const toml::table& t, const char* key, const std::string& prefix, double low,
-                   double otherwise) {
-    return t.contains(key) ? number(t, key, prefix, low) : otherwise;
-  }
-  Endpoint endpoint(const toml::table& t, const char* key, const std::string& prefix = {}) {
-    Endpoint out;
-    auto value = text(t, key, prefix);
-    if (!value.empty() && !parse_endpoint(value, out)) fail(prefix + key, "must be IPV4:PORT");
-    return out;
-  }
-  const toml::table& table(const toml::table& t, const char* key, const std::string& prefix = {}) {
-    static const toml::table empty;
-    auto* found = t[key].as_table();
-    if (!found) fail(prefix + key, "is missing");
-    return found ? *found : empty;
-  }
-};
-
-template <class F>
-void each(const toml::table& t, const char* key, Reader& r, const std::string& name, F f) {
-  if (!t.contains(key)) return;
-  auto* list = t[key].as_array();
-  if (!list) return r.fail(name, "must be a list of tables");
-  int i = 0;
-  for (auto& item : *list) {
-    auto prefix = name + "[" + std::to_string(i++) + "].";
-    if (auto* entry = item.as_table()) {
-      f(*entry, prefix);
-    } else {
-      r.fail(prefix, "must be a table");
-    }
-  }
-}
-
 // The least that the service must offer for the records to be written at all.
 constexpr double least_rate = 1, least_value_kb = 1, least_txn_writes = 3;
+// Beyond any system in sight, and what an int holds.
+constexpr double most_txn_writes = 1e9, most_nodes = 1e6, least_sockets = 32, most_sockets = 1e9;
 
-StateLimits read_present_limits(Reader& r, const toml::table& t, const std::string& prefix) {
+StateLimits read_present_limits(TomlReader& r, const TomlTable& t) {
   StateLimits out;
-  out.requests_per_s = r.number(t, "rps", prefix, least_rate);
-  out.writes_per_s = r.number(t, "write_rps", prefix, least_rate);
-  out.value_kb = r.number(t, "value_kb", prefix, least_value_kb);
-  out.txn_writes = static_cast<int>(r.number(t, "txn_ops", prefix, least_txn_writes));
+  out.requests_per_s = r.required(t, "rps", least_rate);
+  out.writes_per_s = r.required(t, "write_rps", least_rate);
+  out.value_kb = r.required(t, "value_kb", least_value_kb);
+  out.txn_writes = static_cast<int>(r.required(t, "txn_ops", least_txn_writes, most_txn_writes));
   return out;
 }
 
 // What `next` does not name stays as it is.
-StateLimits read_announced_limits(Reader& r, const toml::table& t, const std::string& prefix,
-                                  const StateLimits& present) {
+StateLimits read_announced_limits(TomlReader& r, const TomlTable& t, const StateLimits& present) {
   StateLimits out;
-  out.requests_per_s = r.number_or(t, "rps", prefix, least_rate, present.requests_per_s);
-  out.writes_per_s = r.number_or(t, "write_rps", prefix, least_rate, present.writes_per_s);
-  out.value_kb = r.number_or(t, "value_kb", prefix, least_value_kb, present.value_kb);
-  out.txn_writes =
-      static_cast<int>(r.number_or(t, "txn_ops", prefix, least_txn_writes, present.txn_writes));
+  out.requests_per_s = r.number(t, "rps", present.requests_per_s, least_rate);
+  out.writes_per_s = r.number(t, "write_rps", present.writes_per_s, least_rate);
+  out.value_kb = r.number(t, "value_kb", present.value_kb, least_value_kb);
+  out.txn_writes = static_cast<int>(
+      r.number(t, "txn_ops", present.txn_writes, least_txn_writes, most_txn_writes));
   return out;
 }
 
-StateLimitSettings read_state_limits(Reader& r, const toml::table& state) {
-  const StateLimits present = read_present_limits(r, state, "deployment.state.");
-  if (!state.contains("next")) return {present, present};
-  auto* next = state["next"].as_table();
-  if (!next) {
-    r.fail("deployment.state.next", "must be a table");
-    return {present, present};
-  }
-  return {present, read_announced_limits(r, *next, "deployment.state.next.", present)};
+StateLimitSettings read_state_limits(TomlReader& r, const TomlTable& state) {
+  const StateLimits present = read_present_limits(r, state);
+  return {present, read_announced_limits(r, r.table(state, "next"), present)};
+}
+
+Endpoint read_endpoint(TomlReader& r, const TomlTable& t, const char* key) {
+  Endpoint out;
+  const auto value = r.text(t, key);
+  if (!value.empty() && !parse_endpoint(value, out)) r.fail(t, key, "must be IPV4:PORT");
+  return out;
+}
+
+TeamSettings read_team(TomlReader& r, const TomlTable& t) {
+  TeamSettings team;
+  team.name = r.text(t, "name");
+  team.cpus = r.required(t, "cpus", 0);
+  team.cpus_max = r.required(t, "cpus_max", 0);
+  team.gpus = r.required(t, "gpus", 0);
+  team.gpus_max = r.required(t, "gpus_max", 0);
+  return team;
+}
+
+void read_workers(TomlReader& r, const TomlTable& t, Settings& s) {
+  constexpr double least_s = 0.01;
+  s.report_s = r.required(t, "report_s", least_s);
+  s.lease_s = r.required(t, "lease_s", least_s);
+  s.cancel_s = r.required(t, "cancel_s", least_s);
+  // Known to every platform that has gangs; elsewhere they only bound how long a gang is held.
+  s.gang_wait_s = r.number(t, "gang_wait_s", s.cancel_s, least_s);
+  s.gang_peer_s = r.number(t, "gang_peer_s", s.lease_s / 2, least_s);
+}
+
+void read_deployment(TomlReader& r, const TomlTable& d, Settings& s) {
+  s.nodes = static_cast<int>(r.required(d, "initial_size", 1, most_nodes));
+  s.clock_off_s = r.required(d, "clock_off_ms", 0) / 1000;
+  if (auto* zones = (*d.values)["zones"].as_array())
+    for (auto& z : *zones)
+      if (auto name = z.value<std::string>()) s.zones.push_back(*name);
+  if (s.zones.empty()) r.fail(d, "zones", "must be a list of names");
+  for (auto& t : r.tables(d, "teams")) s.teams.push_back(read_team(r, t));
+  for (auto& t : r.tables(d, "objectives"))
+    s.objectives.push_back({(*t.values)["kind"].value_or(std::string()),
+                            (*t.values)["class"].value_or(std::string()),
+                            (*t.values)["within_s"].value_or(0.0)});
+  read_workers(r, r.required_table(d, "workers"), s);
+  s.state_limits = read_state_limits(r, r.required_table(d, "state"));
+  const auto cloud = r.required_table(d, "cloud");
+  s.cloud_rps = r.required(cloud, "rps", 0.01);
+  s.list_lag_s = r.required(cloud, "list_lag_s", 0);
+  const auto resources = r.required_table(d, "resources");
+  s.max_sockets =
+      static_cast<int>(r.required(resources, "max_sockets", least_sockets, most_sockets));
 }
 
 }  // namespace
@@ -116,54 +105,21 @@
 Result<Settings> parse_settings(const std::string& toml_text) {
   auto parsed = parse_toml(toml_text);
   if (!parsed) return Error{parsed.error()};
-  const toml::table& root = *parsed;
-  Reader r;
+  TomlReader r(*parsed);
+  const TomlTable& root = r.root();
   Settings s;
   s.node_name = r.text(root, "node_name");
   s.zone = r.text(root, "location");
-  s.listen = r.endpoint(root, "listen");
-  s.mesh_listen = r.endpoint(root, "mesh_addr");
-  each(root, "known", r, "known", [&](const toml::table& t, const std::string& p) {
+  s.listen = read_endpoint(r, root, "listen");
+  s.mesh_listen = read_endpoint(r, root, "mesh_addr");
+  for (auto& t : r.tables(root, "known"))
     s.peers.push_back(
-        {r.text(t, "node_name", p), r.text(t, "location", p), r.endpoint(t, "endpoint", p)});
-  });
-  auto& endpoints = r.table(root, "endpoints");
-  s.cloud = r.endpoint(endpoints, "cloud", "endpoints.");
-  s.state = r.endpoint(endpoints, "state", "endpoints.");
-  auto& d = r.table(root, "deployment");
-  s.nodes = static_cast<int>(r.number(d, "initial_size", "deployment.", 1));
-  s.clock_off_s = r.number(d, "clock_off_ms", "deployment.", 0) / 1000;
-  if (auto* zones = d["zones"].as_array())
-    for (auto& z : *zones)
-      if (auto name = z.value<std::string>()) s.zones.push_back(*name);
-  if (s.zones.empty()) r.fail("deployment.zones", "must be a list of names");
-  each(d, "teams", r, "deployment.teams", [&](const toml::table& t, const std::string& p) {
-    TeamSettings team;
-    team.name = r.text(t, "name", p);
-    team.cpus = r.number(t, "cpus", p, 0);
-    team.cpus_max = r.number(t, "cpus_max", p, 0);
-    team.gpus = r.number(t, "gpus", p, 0);
-    team.gpus_max = r.number(t, "gpus_max", p, 0);
-    s.teams.push_back(std::move(team));
-  });
-  each(d, "objectives", r, "deployment.objectives", [&](const toml::table& t, const std::string&) {
-    s.objectives.push_back({t["kind"].value_or(std::string()), t["class"].value_or(std::string()),
-                            t["within_s"].value_or(0.0)});
-  });
-  auto& workers = r.table(d, "workers", "deployment.");
-  s.report_s = r.number(workers, "report_s", "deployment.workers.", 0.01);
-  s.lease_s = r.number(workers, "lease_s", "deployment.workers.", 0.01);
-  s.cancel_s = r.number(workers, "cancel_s", "deployment.workers.", 0.01);
-  // Known to every platform that has gangs; elsewhere they only bound how long a gang is held.
-  s.gang_wait_s = r.number_or(workers, "gang_wait_s", "deployment.workers.", 0.01, s.cancel_s);
-  s.gang_peer_s = r.number_or(workers, "gang_peer_s", "deployment.workers.", 0.01, s.lease_s / 2);
-  s.state_limits = read_state_limits(r, r.table(d, "state", "deployment."));
-  auto& cloud = r.table(d, "cloud", "deployment.");
-  s.cloud_rps = r.number(cloud, "rps", "deployment.cloud.", 0.01);
-  s.list_lag_s = r.number(cloud, "list_lag_s", "deployment.cloud.", 0);
-  auto& resources = r.table(d, "resources", "deployment.");
-  s.max_sockets = static_cast<int>(r.number(resources, "max_sockets", "deployment.resources.", 32));
-  if (!r.problem.empty()) return Error{r.problem};
+        {r.text(t, "node_name"), r.text(t, "location"), read_endpoint(r, t, "endpoint")});
+  const auto endpoints = r.required_table(root, "endpoints");
+  s.cloud = read_endpoint(r, endpoints, "cloud");
+  s.state = read_endpoint(r, endpoints, "state");
+  read_deployment(r, r.required_table(root, "deployment"), s);
+  if (!r.ok()) return r.error();
   return s;
 }
 
@@ -171,12 +127,12 @@
   auto text = read_text_file(path);
   if (!text) return Error{text.error()};
   auto settings = parse_settings(*text);
-  if (!settings) return Error{path + ": " + settings.error()};
+  if (!settings) return settings.error_in(path);
   // The operators' file lies beside the platform's, with the ending .sexp.
   auto own = std::filesystem::path(path).replace_extension(".sexp").string();
   if (auto own_text = read_text_file(own)) {
     auto tuning = parse_tuning(*own_text);
-    if (!tuning) return Error{own + ": " + tuning.error()};
+    if (!tuning) return tuning.error_in(own);
     settings->tuning = *tuning;
   }
   return settings;
--- a/src/storage/cache.cpp
+++ b/src/storage/cache.cpp
@@ -293,6 +293,8 @@
     if (!first) begun = loop_.now();
     auto page = co_await state_.list(keys::cached, after, Importance::placing);
     if (!page.ok) {
+      if (auto times = warning_.note("unreadable", loop_.now()))
+        spdlog::warn("the state service can't be read yet ({} times)", *times);
       if (!co_await Sleep(loop_, loop_.uniform(0.1, 0.4), token)) co_return false;
       continue;
     }
@@ -318,6 +320,7 @@
     if (!seen.contains(keys::relayed_exits(node))) gone.push_back(keys::relayed_exits(node));
   for (auto& key : gone) apply({key, Json(), first, 0});
   if (!seen.contains(keys::leader)) apply({keys::leader, Json(), first, 0});
+  warning_.clear();
   revision_ = first;
   as_of_ = begun;
   co_return true;
--- a/src/storage/cache.hpp
+++ b/src/storage/cache.hpp
@@ -11,6 +11,7 @@
 #include "storage/budget_record.hpp"
 #include "storage/records.hpp"
 #include "storage/state_client.hpp"
+#include "transport/warning_limiter.hpp"
 
 namespace damsonport {
 
@@ -151,6 +152,7 @@
   StateClient& state_;
   double min_watch_gap_s_, clock_off_s_;
   size_t max_removed_;
+  WarningLimiter warning_;
   bool loaded_ = false;
   uint64_t revision_ = 0;
   double as_of_ = -1e9;
--- /dev/null
+++ b/tests/bad_requests_test.cpp
@@ -0,0 +1,73 @@
+// What users are told who send what is no submission, and what the log says when nothing answers.
+#include <gtest/gtest.h>
+
+#include "simulation/virtual_controller.hpp"
+#include "transport/warning_limiter.hpp"
+
+namespace damsonport::simulation {
+namespace {
+
+Settings lone_controller() {
+  Settings s;
+  s.node_name = "n0", s.zone = "a", s.zones = {"a"}, s.nodes = 1;
+  s.listen = {"10.0.0.1", 8080}, s.mesh_listen = {"10.0.0.1", 8081};
+  s.cloud = {"10.2.0.2", 8443}, s.state = {"10.2.0.1", 2379};
+  s.report_s = 1.5, s.lease_s = 12, s.cancel_s = 42, s.gang_wait_s = 40, s.gang_peer_s = 6;
+  const StateLimits limits{150, 50, 16, 12};
+  s.state_limits = {limits, limits};
+  s.cloud_rps = 5, s.list_lag_s = 4, s.max_sockets = 600;
+  return s;
+}
+
+HttpReply submit(const std::string& body) {
+  World world(1);
+  VirtualNetwork::Streams streams;
+  VirtualController controller(world, streams, lone_controller(), std::nullopt, 1);
+  controller.start();
+  HttpReply out;
+  world.at(0.5, [&] {
+    world.ask("10.9.0.1", controller.host(), Method::post, "/api/jobs", body,
+              [&](const HttpReply& reply) { out = reply; });
+  });
+  world.run_until(2);
+  return out;
+}
+
+std::string complaint(const HttpReply& reply) {
+  const auto m = decode_map(reply.body);
+  return m.is_object() ? m.value("error", std::string()) : "no CBOR map";
+}
+
+TEST(BadRequests, WhatIsNoMapIsToldSo) {
+  for (auto& body : {encode("a text"), encode(7), encode(Json::array({1})), std::string("\xff")}) {
+    const auto reply = submit(body);
+    EXPECT_EQ(reply.status, 400);
+    EXPECT_EQ(complaint(reply), "the body is not a CBOR map");
+  }
+  EXPECT_EQ(complaint(submit(encode(Json::object()))), "accelerators is missing or invalid");
+}
+
+TEST(BadRequests, ATooLongBodyIsToldSo) {
+  const auto reply = submit(encode({{"ref", std::string(70000, 'x')}}));
+  EXPECT_EQ(reply.status, 400);
+  EXPECT_EQ(complaint(reply), "the body is longer than 65536 bytes");
+}
+
+TEST(WarningLimiter, SaysItAtOnceWhenItChangesAndThenLessAndLess) {
+  WarningLimiter limiter;
+  std::vector<std::pair<double, uint64_t>> said;
+  auto warn = [&](const char* words, double from, double until) {
+    for (double t = from; t < until; t += 0.5)
+      if (auto times = limiter.note(words, t)) said.emplace_back(t, *times);
+  };
+  warn("status 0", 0, 40);
+  warn("status 503", 40, 41);
+  const std::vector<std::pair<double, uint64_t>> expected = {
+      {0, 1}, {5, 10}, {15, 20}, {35, 40}, {40, 1}};
+  EXPECT_EQ(said, expected);
+  limiter.clear();
+  EXPECT_EQ(limiter.note("status 503", 41), 1u);
+}
+
+}  // namespace
+}  // namespace damsonport::simulation
--- a/tests/protocol_test.cpp
+++ b/tests/protocol_test.cpp
@@ -137,15 +137,6 @@
   EXPECT_EQ(back.cancelled.size(), 2u);
 }
 
-TEST(Settings, ProblemsAreNamed) {
-  auto r = parse_settings("node_name = \"a\"\n");
-  ASSERT_FALSE(r);
-  EXPECT_NE(r.error().find("location"), std::string::npos);
-  auto broken = parse_settings("node_name = \n");
-  ASSERT_FALSE(broken);
-  EXPECT_NE(broken.error().find("line 1"), std::string::npos);
-}
-
 std::string settings_with(const std::string& announced) {
   return R"(node_name = "quay-0"
 location = "a"
@@ -177,6 +168,26 @@
 )" + announced;
 }
 
+TEST(Settings, ProblemsAreNamed) {
+  auto r = parse_settings("node_name = \"a\"\n");
+  ASSERT_FALSE(r);
+  EXPECT_NE(r.error().find("location"), std::string::npos);
+  // All of them, each on a line of its own with where it is.
+  auto many = parse_settings(settings_with(
+      "[deployment.state.next]\nrps = 0\nvalue_kb = \"4\"\n[[known]]\nlocation = 3\n"));
+  ASSERT_FALSE(many);
+  EXPECT_EQ(many.error(),
+            "line 31: known[0].node_name: is missing\n"
+            "line 32: known[0].location: must be a text\n"
+            "line 31: known[0].endpoint: is missing\n"
+            "line 29: deployment.state.next.rps: must be a number from 1 to 1e+12\n"
+            "line 30: deployment.state.next.value_kb: must be a number from 1 to 1e+12");
+  EXPECT_EQ(Error{"a\nb"}.in("file").text, "file: a\nfile: b");
+  auto broken = parse_settings("node_name = \n");
+  ASSERT_FALSE(broken);
+  EXPECT_NE(broken.error().find("line 1"), std::string::npos);
+}
+
 TEST(Settings, AnnouncedLimitsBoundWhatIsWritten) {
   auto s = parse_settings(
       settings_with("[deployment.state.next]\nvalue_kb = 2.0\ntxn_ops = 4\nfuture = 1\n"));
@@ -243,6 +254,9 @@
     ASSERT_FALSE(bad) << text;
     EXPECT_NE(bad.error().find("line 2"), std::string::npos) << bad.error();
   }
+  auto both = parse_tuning("(damsonport (nonsense 1)\n (grant-s x))");
+  ASSERT_FALSE(both);
+  EXPECT_EQ(both.error(), "line 1: unknown entry 'nonsense'\nline 2: grant-s: expected one number");
 }
 
 }  // namespace
--- a/tools/fleet/experiment.cpp
+++ b/tools/fleet/experiment.cpp
@@ -5,10 +5,9 @@
 #include <algorithm>
 #include <map>
 #include <numeric>
-#include <sstream>
 
 #include "protocol/text_file.hpp"
-#include "protocol/toml_text.hpp"
+#include "protocol/toml_reader.hpp"
 
 namespace damsonport::fleet {
 
@@ -25,62 +24,35 @@
   return static_cast<double>(info.totalram) * info.mem_unit / (1024 * 1024);
 }
 
-// Reads fields; the first problem is kept.
-class Reader {
+// What plans have beside the fields of settings.
+class PlanReader : public TomlReader {
  public:
-  std::string problem;
+  using TomlReader::TomlReader;
 
-  void fail(const std::string& field, const std::string& what) {
-    if (problem.empty()) problem = field + ": " + what;
-  }
-  double number(const toml::table& t, const std::string& prefix, const char* key, double otherwise,
-                double low, double high) {
-    if (!t.contains(key)) return otherwise;
-    const auto value = t[key].value<double>();
-    if (!value || !(*value >= low && *value <= high)) {
-      std::ostringstream range;
-      range << "must be a number from " << low << " to " << high;
-      fail(prefix + key, range.str());
-      return otherwise;
-    }
-    return *value;
-  }
-  double required(const toml::table& t, const std::string& prefix, const char* key, double low,
-                  double high) {
-    if (!t.contains(key)) fail(prefix + key, "is missing");
-    return number(t, prefix, key, low, low, high);
-  }
-  std::string text(const toml::table& t, const std::string& prefix, const char* key) {
-    const auto value = t[key].value<std::string>();
-    if (!value) fail(prefix + key, t.contains(key) ? "must be a text" : "is missing");
-    return value.value_or("");
-  }
   // One number for all, or a list with one for each.
-  std::vector<double> each(const toml::table& t, const std::string& prefix, const char* key,
-                           size_t count, double low, double high) {
-    if (auto* list = t[key].as_array()) {
-      std::vector<double> out;
-      for (auto& item : *list) out.push_back(item.value_or(low - 1));
-      const bool fits = out.size() == count && std::all_of(out.begin(), out.end(), [&](double v) {
-                          return v >= low && v <= high;
-                        });
-      if (!fits) fail(prefix + key, "must have a number in range for each region");
-      out.resize(count, low);
-      return out;
-    }
-    return std::vector<double>(count, required(t, prefix, key, low, high));
+  std::vector<double> each(const TomlTable& t, const char* key, size_t count, double low,
+                           double high) {
+    auto* list = (*t.values)[key].as_array();
+    if (!list) return std::vector<double>(count, required(t, key, low, high));
+    std::vector<double> out;
+    for (auto& item : *list) out.push_back(item.value_or(low - 1));
+    const bool fits = out.size() == count && std::all_of(out.begin(), out.end(), [&](double v) {
+                        return v >= low && v <= high;
+                      });
+    if (!fits) fail(t, key, "must have a number in range for each region");
+    out.resize(count, low);
+    return out;
   }
-  std::vector<size_t> positions(const toml::table& t, const std::string& prefix, const char* key,
-                                size_t count) {
+  std::vector<size_t> positions(const TomlTable& t, const char* key, size_t count) {
     std::vector<size_t> out;
     if (!t.contains(key)) return out;
-    auto* list = t[key].as_array();
-    if (!list) fail(prefix + key, "must be a list of numbers");
+    auto* list = (*t.values)[key].as_array();
+    if (!list) fail(t, key, "must be a list of numbers");
     if (!list) return out;
     for (auto& item : *list) {
       const auto value = item.value<int64_t>();
       if (!value || *value < 0 || static_cast<size_t>(*value) >= count) {
-        fail(prefix + key, "must have numbers from 0 to " + std::to_string(count - 1));
+        fail(t, key, "must have numbers from 0 to " + std::to_string(count - 1));
         return {};
       }
       out.push_back(static_cast<size_t>(*value));
@@ -89,38 +61,14 @@
   }
   // A word of a list.
   template <class T>
-  T choice(const toml::table& t, const std::string& prefix, const char* key,
-           const std::map<std::string, T>& words) {
-    const auto word = text(t, prefix, key);
-    auto it = words.find(word);
+  T choice(const TomlTable& t, const char* key, const std::map<std::string, T>& words) {
+    auto it = words.find(text(t, key));
     if (it != words.end()) return it->second;
     std::string all;
     for (auto& [name, value] : words) all += (all.empty() ? "" : ", ") + name;
-    fail(prefix + key, "must be one of " + all);
+    fail(t, key, "must be one of " + all);
     return words.begin()->second;
   }
-  const toml::table& table(const toml::table& t, const char* key) {
-    static const toml::table empty;
-    auto* found = t[key].as_table();
-    if (!found && t.contains(key)) fail(key, "must be a table");
-    return found ? *found : empty;
-  }
-  std::vector<std::pair<std::string, const toml::table*>> tables(const toml::table& t,
-                                                                 const char* key) {
-    std::vector<std::pair<std::string, const toml::table*>> out;
-    if (!t.contains(key)) return out;
-    auto* list = t[key].as_array();
-    if (!list) fail(key, "must be a list of tables");
-    for (size_t i = 0; list && i < list->size(); ++i) {
-      const auto prefix = std::string(key) + "[" + std::to_string(i) + "].";
-      if (auto* entry = (*list)[i].as_table()) {
-        out.emplace_back(prefix, entry);
-      } else {
-        fail(prefix, "must be a table");
-      }
-    }
-    return out;
-  }
 };
 
 const std::map<std::string, Priority> priorities = {{"idle", Priority::idle},
@@ -135,118 +83,116 @@
 
 constexpr double plenty = 1e9, longest_s = 7200;
 
-void read_regions(Reader& r, const toml::table& t, Experiment& out) {
-  const std::string p = "regions.";
-  out.regions = static_cast<size_t>(r.number(t, p, "count", 1, 1, 8));
-  out.zones = static_cast<size_t>(r.number(t, p, "zones", 1, 1, 8));
-  for (double n : r.each(t, p, "controllers", out.regions, 1, 9))
+void read_regions(PlanReader& r, const TomlTable& t, Experiment& out) {
+  out.regions = static_cast<size_t>(r.number(t, "count", 1, 1, 8));
+  out.zones = static_cast<size_t>(r.number(t, "zones", 1, 1, 8));
+  for (double n : r.each(t, "controllers", out.regions, 1, 9))
     out.controllers.push_back(static_cast<size_t>(n));
-  for (double n : r.each(t, p, "workers", out.regions, 1, 20000))
+  for (double n : r.each(t, "workers", out.regions, 1, 20000))
     out.workers.push_back(static_cast<int>(n));
   out.polls_per_s.assign(out.regions, 0);
-  if (t.contains("polls_per_s"))
-    out.polls_per_s = r.each(t, p, "polls_per_s", out.regions, 0, 100000);
-  out.link_delay_s = r.number(t, p, "link_delay_ms", 40, 0, 2000) / 1000;
-  out.divide_limits = t["divide_limits"].value_or(true);
+  if (t.contains("polls_per_s")) out.polls_per_s = r.each(t, "polls_per_s", out.regions, 0, 100000);
+  out.link_delay_s = r.number(t, "link_delay_ms", 40, 0, 2000) / 1000;
+  out.divide_limits = (*t.values)["divide_limits"].value_or(true);
 }
 
-void read_settings(Reader& r, const toml::table& root, Settings& s) {
-  auto& w = r.table(root, "worker");
-  s.report_s = r.number(w, "worker.", "report_s", 1.5, 0.1, 60);
-  s.lease_s = r.number(w, "worker.", "lease_s", 12, 1, 600);
-  s.cancel_s = r.number(w, "worker.", "cancel_s", 42, 1, 600);
+void read_settings(PlanReader& r, const TomlTable& root, Settings& s) {
+  const auto w = r.table(root, "worker");
+  s.report_s = r.number(w, "report_s", 1.5, 0.1, 60);
+  s.lease_s = r.number(w, "lease_s", 12, 1, 600);
+  s.cancel_s = r.number(w, "cancel_s", 42, 1, 600);
   s.gang_wait_s = s.cancel_s;
   s.gang_peer_s = s.lease_s / 2;
-  auto& state = r.table(root, "state");
+  const auto state = r.table(root, "state");
   StateLimits limits;
-  limits.requests_per_s = r.number(state, "state.", "rps", 150, 1, plenty);
-  limits.writes_per_s = r.number(state, "state.", "write_rps", 50, 1, plenty);
-  limits.value_kb = r.number(state, "state.", "value_kb", 16, 1, 1024);
-  limits.txn_writes = static_cast<int>(r.number(state, "state.", "txn_ops", 12, 3, 1000));
+  limits.requests_per_s = r.number(state, "rps", 150, 1, plenty);
+  limits.writes_per_s = r.number(state, "write_rps", 50, 1, plenty);
+  limits.value_kb = r.number(state, "value_kb", 16, 1, 1024);
+  limits.txn_writes = static_cast<int>(r.number(state, "txn_ops", 12, 3, 1000));
   s.state_limits = {limits, limits};
   s.cloud_rps = 5;
   s.list_lag_s = 10;
-  s.max_sockets = static_cast<int>(r.number(root, "", "controller_sockets", 600, 64, 19000));
+  s.max_sockets = static_cast<int>(r.number(root, "controller_sockets", 600, 64, 19000));
 }
 
-void read_teams(Reader& r, const toml::table& t, Settings& s) {
-  const auto count = static_cast<int>(r.number(t, "teams.", "count", 1, 1, 1000));
+void read_teams(PlanReader& r, const TomlTable& t, Settings& s) {
+  const auto count = static_cast<int>(r.number(t, "count", 1, 1, 1000));
   TeamSettings team;
-  team.cpus = r.number(t, "teams.", "cpus", 0, 0, plenty);
-  team.cpus_max = r.number(t, "teams.", "cpus_max", 0, 0, plenty);
-  team.gpus = r.number(t, "teams.", "gpus", 0, 0, plenty);
-  team.gpus_max = r.number(t, "teams.", "gpus_max", 0, 0, plenty);
+  team.cpus = r.number(t, "cpus", 0, 0, plenty);
+  team.cpus_max = r.number(t, "cpus_max", 0, 0, plenty);
+  team.gpus = r.number(t, "gpus", 0, 0, plenty);
+  team.gpus_max = r.number(t, "gpus_max", 0, 0, plenty);
   for (int i = 0; i < count; ++i) {
     team.name = "team-" + std::to_string(i);
     s.teams.push_back(team);
   }
 }
 
-void read_machines(Reader& r, const toml::table& root, Experiment& out) {
-  for (auto& [prefix, t] : r.tables(root, "machine")) {
+void read_machines(PlanReader& r, const TomlTable& root, Experiment& out) {
+  for (auto& t : r.tables(root, "machine")) {
     MachineType type;
-    type.name = r.text(*t, prefix, "name");
-    type.cpus = r.required(*t, prefix, "cpus", 0, plenty);
-    type.gpus = r.number(*t, prefix, "gpus", 0, 0, plenty);
-    type.memory_gb = r.required(*t, prefix, "memory_gb", 0, plenty);
-    type.cache_gb = r.number(*t, prefix, "cache_gb", 200, 0, plenty);
-    type.fetch_gb_per_s = r.number(*t, prefix, "fetch_gb_per_s", 10, 0.001, plenty);
+    type.name = r.text(t, "name");
+    type.cpus = r.required(t, "cpus", 0, plenty);
+    type.gpus = r.number(t, "gpus", 0, 0, plenty);
+    type.memory_gb = r.required(t, "memory_gb", 0, plenty);
+    type.cache_gb = r.number(t, "cache_gb", 200, 0, plenty);
+    type.fetch_gb_per_s = r.number(t, "fetch_gb_per_s", 10, 0.001, plenty);
     type.price = 1;
     type.spot_price = 0.25;
-    type.boot_s = r.number(*t, prefix, "boot_s", 30, 0.1, longest_s);
+    type.boot_s = r.number(t, "boot_s", 30, 0.1, longest_s);
     out.machines.push_back(type);
-    out.machine_share.push_back(r.number(*t, prefix, "share", 1, 0, plenty));
+    out.machine_share.push_back(r.number(t, "share", 1, 0, plenty));
   }
-  if (out.machines.empty()) r.fail("machine", "is missing");
+  if (out.machines.empty()) r.fail(root, "machine", "is missing");
 }
 
-void read_loads(Reader& r, const toml::table& root, Experiment& out) {
-  for (auto& [prefix, t] : r.tables(root, "load")) {
+void read_loads(PlanReader& r, const TomlTable& root, Experiment& out) {
+  for (auto& t : r.tables(root, "load")) {
     Load load;
-    load.name = r.text(*t, prefix, "name");
-    load.priority = r.choice(*t, prefix, "priority", priorities);
-    load.run_s = r.number(*t, prefix, "run_s", 0, 0, longest_s);
+    load.name = r.text(t, "name");
+    load.priority = r.choice(t, "priority", priorities);
+    load.run_s = r.number(t, "run_s", 0, 0, longest_s);
     load.service = load.run_s == 0;
-    load.tasks = static_cast<uint32_t>(r.number(*t, prefix, "tasks", 1, 1, 100000));
-    load.tasks_spread = r.number(*t, prefix, "tasks_spread", 0, 0, 0.9);
-    load.cpus = r.required(*t, prefix, "cpus", 0, plenty);
-    load.gpus = r.number(*t, prefix, "gpus", 0, 0, plenty);
-    load.memory_gb = r.number(*t, prefix, "memory_gb", 1, 0, plenty);
-    load.jobs_per_s = r.required(*t, prefix, "jobs_per_s", 0, 10000);
-    load.from_s = r.number(*t, prefix, "from_s", 0, 0, longest_s);
-    load.until_s = r.number(*t, prefix, "until_s", out.seconds, 0, longest_s);
-    load.cancelled_share = r.number(*t, prefix, "cancelled_share", 0, 0, 1);
-    load.regions = r.positions(*t, prefix, "regions", out.regions);
-    load.teams = r.positions(*t, prefix, "teams", out.settings.teams.size());
+    load.tasks = static_cast<uint32_t>(r.number(t, "tasks", 1, 1, 100000));
+    load.tasks_spread = r.number(t, "tasks_spread", 0, 0, 0.9);
+    load.cpus = r.required(t, "cpus", 0, plenty);
+    load.gpus = r.number(t, "gpus", 0, 0, plenty);
+    load.memory_gb = r.number(t, "memory_gb", 1, 0, plenty);
+    load.jobs_per_s = r.required(t, "jobs_per_s", 0, 10000);
+    load.from_s = r.number(t, "from_s", 0, 0, longest_s);
+    load.until_s = r.number(t, "until_s", out.seconds, 0, longest_s);
+    load.cancelled_share = r.number(t, "cancelled_share", 0, 0, 1);
+    load.regions = r.positions(t, "regions", out.regions);
+    load.teams = r.positions(t, "teams", out.settings.teams.size());
     out.loads.push_back(std::move(load));
   }
 }
 
-void read_faults(Reader& r, const toml::table& root, Experiment& out) {
-  for (auto& [prefix, t] : r.tables(root, "fault")) {
+void read_faults(PlanReader& r, const TomlTable& root, Experiment& out) {
+  for (auto& t : r.tables(root, "fault")) {
     Fault fault;
-    fault.kind = r.choice(*t, prefix, "kind", fault_kinds);
-    fault.at_s = r.required(*t, prefix, "at_s", 0, longest_s);
-    fault.for_s = r.number(*t, prefix, "for_s", 5, 0.1, longest_s);
+    fault.kind = r.choice(t, "kind", fault_kinds);
+    fault.at_s = r.required(t, "at_s", 0, longest_s);
+    fault.for_s = r.number(t, "for_s", 5, 0.1, longest_s);
     const auto last = static_cast<double>(out.regions - 1);
-    fault.region = static_cast<size_t>(r.number(*t, prefix, "region", 0, 0, last));
-    fault.other = static_cast<size_t>(r.number(*t, prefix, "other", 0, 0, last));
-    fault.zone =
-        static_cast<size_t>(r.number(*t, prefix, "zone", 0, 0, static_cast<double>(out.zones - 1)));
-    fault.count = static_cast<size_t>(r.number(*t, prefix, "count", 1, 1, plenty));
+    fault.region = static_cast<size_t>(r.number(t, "region", 0, 0, last));
+    fault.other = static_cast<size_t>(r.number(t, "other", 0, 0, last));
+    fault.zone = static_cast<size_t>(r.number(t, "zone", 0, 0, static_cast<double>(out.zones - 1)));
+    fault.count = static_cast<size_t>(r.number(t, "count", 1, 1, plenty));
     out.faults.push_back(fault);
   }
 }
 
-void check_bounds(Reader& r, const Experiment& plan) {
+void check_bounds(PlanReader& r, const Experiment& plan) {
   if (plan.processes() > plan.max_processes)
-    r.fail("regions.controllers", "the plan takes " + std::to_string(plan.processes()) +
-                                      " processes, of " + std::to_string(plan.max_processes));
+    r.fail(r.root(), "regions.controllers",
+           "the plan takes " + std::to_string(plan.processes()) + " processes, of " +
+               std::to_string(plan.max_processes));
   if (plan.estimated_memory_mb() > plan.max_memory_mb)
-    r.fail("regions.workers",
+    r.fail(r.root(), "regions.workers",
            "the plan takes about " + std::to_string(static_cast<int>(plan.estimated_memory_mb())) +
                " MB of memory, of " + std::to_string(static_cast<int>(plan.max_memory_mb)));
-  if (plan.warmup_s >= plan.seconds) r.fail("warmup_s", "must be less than seconds");
+  if (plan.warmup_s >= plan.seconds) r.fail(r.root(), "warmup_s", "must be less than seconds");
 }
 
 }  // namespace
@@ -266,25 +212,25 @@
 Result<Experiment> parse_experiment(const std::string& toml_text) {
   auto parsed = parse_toml(toml_text);
   if (!parsed) return Error{parsed.error()};
-  const toml::table& root = *parsed;
-  Reader r;
+  PlanReader r(*parsed);
+  const TomlTable& root = r.root();
   Experiment out;
-  out.title = r.text(root, "", "title");
-  out.seconds = r.required(root, "", "seconds", 1, longest_s);
-  out.warmup_s = r.number(root, "", "warmup_s", 0, 0, longest_s);
-  out.seed = static_cast<uint64_t>(r.number(root, "", "seed", 1, 0, 1e15));
+  out.title = r.text(root, "title");
+  out.seconds = r.required(root, "seconds", 1, longest_s);
+  out.warmup_s = r.number(root, "warmup_s", 0, 0, longest_s);
+  out.seed = static_cast<uint64_t>(r.number(root, "seed", 1, 0, 1e15));
   const double most_memory = machine_memory_mb() * memory_share;
-  out.max_memory_mb = r.number(root, "", "max_memory_mb", most_memory, 1, most_memory);
+  out.max_memory_mb = r.number(root, "max_memory_mb", most_memory, 1, most_memory);
   out.max_processes =
-      static_cast<int>(r.number(root, "", "max_processes", most_processes, 1, most_processes));
+      static_cast<int>(r.number(root, "max_processes", most_processes, 1, most_processes));
   read_regions(r, r.table(root, "regions"), out);
   read_settings(r, root, out.settings);
   read_teams(r, r.table(root, "teams"), out.settings);
   read_machines(r, root, out);
   read_loads(r, root, out);
   read_faults(r, root, out);
-  if (r.problem.empty()) check_bounds(r, out);
-  if (!r.problem.empty()) return Error{r.problem};
+  if (r.ok()) check_bounds(r, out);
+  if (!r.ok()) return r.error();
   return out;
 }
 
@@ -292,7 +238,7 @@
   auto text = read_text_file(path);
   if (!text) return Error{text.error()};
   auto plan = parse_experiment(*text);
-  if (!plan) return Error{path + ": " + plan.error()};
+  if (!plan) return plan.error_in(path);
   return plan;
 }
 
