A job of one record ends with its last exit: five writes for a job of one task instead of six

Change: the exit that is the last of a job of one record takes the job's records with it and leaves its final state, conditional on the job's record as ends are. Gangs, cancelled jobs and jobs of several records end as before.

--- a/src/coordination/chunk_edits.cpp
+++ b/src/coordination/chunk_edits.cpp
@@ -11,7 +11,7 @@
 ChunkRecord* ChunkEdits::edit(const Job& job, uint32_t chunk) {
   const auto key = job.chunk_key(chunk);
   if (auto it = edits_.find(key); it != edits_.end()) return &it->second;
-  if (static_cast<int>(edits_.size()) >= limits_.txn_writes) return nullptr;
+  if (writes() >= limits_.txn_writes) return nullptr;
   ChunkRecord record;
   if (auto c = job.chunks.find(chunk); c != job.chunks.end()) record = c->second.record;
   const size_t entries = record.live.size() + record.waiting.size() + entries_to_come;
@@ -26,9 +26,21 @@
   txn_.conditions[keys::job(job.spec.id)] = job.version;
 }
 
+bool ChunkEdits::end_with_edit(const Job& job) {
+  constexpr int records = 2;  // the job's own, and its final state
+  if (writes() + records > limits_.txn_writes) return false;
+  const auto& id = job.spec.id;
+  require_unchanged(job);
+  ended_.insert(job.chunk_key(0));
+  txn_.writes.push_back({keys::job(id), Json(), 0});
+  txn_.writes.push_back({keys::final_state(id), encode_final_state(false, job.spec.tasks), 0});
+  return true;
+}
+
 Txn ChunkEdits::finish() {
   txn_.conditions[keys::blocks] = cache_.blocks_version();
-  for (auto& [key, record] : edits_) txn_.writes.push_back({key, encode_chunk(record), 0});
+  for (auto& [key, record] : edits_)
+    txn_.writes.push_back({key, ended_.contains(key) ? Json() : encode_chunk(record), 0});
   return std::move(txn_);
 }
 
--- a/src/coordination/holder.hpp
+++ b/src/coordination/holder.hpp
@@ -176,7 +176,13 @@
   Task<bool> commit_gang_start(const std::vector<DecidedStart>& gang, std::stop_token token);
   Task<bool> commit_single_starts(std::vector<DecidedStart> decided, std::stop_token token);
   void order_starts(const std::vector<CommittedStart>& starts);
-  Task<bool> commit_and_apply(Txn txn, std::stop_token token, bool starts = false);
+  // `committed` is called between the commit and its taking effect here.
+  Task<bool> commit_and_apply(Txn txn, std::stop_token token, bool starts = false,
+                              std::function<void()> committed = {});
+  // An exit that is the last of its job, in a transaction that may end the job with it.
+  bool ends_with(const Job& job, const ChunkRecord& record, const PendingExit& exit) const;
+  // What the exits that were committed teach, and their end here.
+  void finish_exits(const std::vector<TaskName>& tasks);
   Task<void> reread(std::vector<std::string> failed);
   bool records_current() const;
   static constexpr double pause_after_refusal_s = 0.2;
--- a/src/coordination/holder_commit.cpp
+++ b/src/coordination/holder_commit.cpp
@@ -27,10 +27,12 @@
 
 // Commits surely. Nothing else of this holder is written meanwhile, so whatever is in doubt keeps
 // its room and its team's quota until the outcome is known.
-Task<bool> Holder::commit_and_apply(Txn txn, std::stop_token token, bool starts) {
+Task<bool> Holder::commit_and_apply(Txn txn, std::stop_token token, bool starts,
+                                    std::function<void()> committed) {
   auto writes = txn.writes;
   auto reply = co_await p_.state.commit_surely(std::move(txn), Importance::placing, token);
   if (reply.outcome == Outcome::committed) {
+    if (committed) committed();
     const bool again = place_again_;
     cache_.apply_writes(writes, reply.revision);
     // The pass that decided the starts has counted them: they are no reason for another one.
@@ -69,10 +71,32 @@
   return records + uncommitted_starts_;
 }
 
+// Jobs of several records, gangs and cancelled ones are ended by commit_finals().
+bool Holder::ends_with(const Job& job, const ChunkRecord& record, const PendingExit& exit) const {
+  if (exit.cause != ExitCause::done || job.spec.kind == Kind::gang || is_cancelled(job))
+    return false;
+  // Complete up to the job's last change: no start before a cancellation is unknown to us.
+  if (cache_.revision() < job.version) return false;
+  return job.chunk_count() == 1 && record.finished(job.spec.tasks);
+}
+
+void Holder::finish_exits(const std::vector<TaskName>& tasks) {
+  bool any_failed = false;
+  for (auto& name : tasks) {
+    auto it = exits_.find(name);
+    if (it == exits_.end()) continue;
+    any_failed |= it->second.cause == ExitCause::error;
+    finish_exit(it->second, name);
+    exits_.erase(it);
+  }
+  // Once for all of them: it looks through the whole fleet.
+  if (any_failed) review_failures();
+}
+
 Task<bool> Holder::commit_exits(std::stop_token token) {
   if (exits_.empty() || !records_current()) co_return false;
   ChunkEdits edits(cache_, limits());
-  std::vector<TaskName> taken;
+  std::vector<TaskName> taken, last;  // `last`: those that end their jobs
   for (auto it = exits_.begin(); it != exits_.end();) {
     auto& [name, exit] = *it;
     Job* job = cache_.job(name.job);
@@ -92,21 +116,19 @@
     auto* record = edits.edit(*job, chunk);
     if (!record) break;
     record->end(name.index % job->chunk_size, exit.cause == ExitCause::done);
-    taken.push_back(name);
+    const bool ends = ends_with(*job, *record, exit) && edits.end_with_edit(*job);
+    (ends ? last : taken).push_back(name);
     ++it;
   }
   if (edits.empty()) co_return false;
-  if (co_await commit_and_apply(edits.finish(), token)) {
-    bool any_failed = false;
-    for (auto& name : taken) {
-      auto it = exits_.find(name);
-      if (it == exits_.end()) continue;
-      any_failed |= it->second.cause == ExitCause::error;
-      finish_exit(it->second, name);
-      exits_.erase(it);
+  // While the job is still known here: its records go with the commit.
+  std::function<void()> committed = [&] { finish_exits(last); };
+  if (co_await commit_and_apply(edits.finish(), token, false, std::move(committed))) {
+    for (auto& name : last) {
+      cache_.remember_final(name.job, FinalState::done);
+      spdlog::info("job {} is done", name.job);
     }
-    // Once for all of them: it looks through the whole fleet.
-    if (any_failed) review_failures();
+    finish_exits(taken);
     place_again_ = true;
   }
   co_return true;
@@ -135,8 +157,7 @@
     room -= 2 + with;
     txn.conditions[keys::job(id)] = job->version;
     txn.writes.push_back({keys::job(id), Json(), 0});
-    txn.writes.push_back(
-        {keys::final_state(id), {{"s", job->cancelled ? "aborted" : "done"}, {"n", job->done}}, 0});
+    txn.writes.push_back({keys::final_state(id), encode_final_state(job->cancelled, job->done), 0});
     for (auto& [n, chunk] : job->chunks) {
       if (with-- <= 0) break;
       txn.writes.push_back({job->chunk_key(n), Json(), 0});
--- a/src/storage/records.cpp
+++ b/src/storage/records.cpp
@@ -141,6 +141,10 @@
   return static_cast<size_t>(std::clamp(fits, 1.0, most));
 }
 
+Json encode_final_state(bool cancelled, uint64_t done) {
+  return {{"s", cancelled ? "aborted" : "done"}, {"n", done}};
+}
+
 Json encode_blocks(const Blocks& b) {
   Json grants = Json::array();
   for (auto& g : b.grants) {
--- a/src/storage/records.hpp
+++ b/src/storage/records.hpp
@@ -75,6 +75,8 @@
   bool finished(uint32_t size) const { return next == size && live.empty() && waiting.empty(); }
   uint32_t done_count() const { return next - static_cast<uint32_t>(live.size() + waiting.size()); }
 };
+// What stays of a job that is over.
+Json encode_final_state(bool cancelled, uint64_t done);
 Json encode_chunk(const ChunkRecord& c);
 ChunkRecord decode_chunk(const Json& m);
 // The job, layout and number that a chunk's key names after its prefix.
--- a/tests/world/meeting.cpp
+++ b/tests/world/meeting.cpp
@@ -182,6 +182,7 @@
   for (int i = 0; i < node_count_; ++i)
     nodes.emplace_back("n" + std::to_string(i), "10.0.0." + std::to_string(i + 1));
   state_ = std::make_unique<StateService>(world_, state_host, limits_);
+  state_->on_change = [this](const std::string& key, const Json&) { ++writes_[key]; };
   fleet_ = std::make_unique<Fleet>(world_, settings_, types_, nodes);
   fleet_->set_capacity(capacity_);
   fleet_->set_boot(boot_s_);
@@ -426,6 +427,15 @@
     for (auto& id : jobs(h.name))
       if (const int starts = fleet_->starts(id); starts > static_cast<int>(num(h.words, "most")))
         complain(id + ", but it was started " + std::to_string(starts) + " times");
+  } else if (what == "writes") {  // expect writes run-1 most=N: of all its records
+    for (auto& id : jobs(h.name)) {
+      int writes = 0;
+      for (auto& [key, count] : writes_)
+        if (key.ends_with("/" + id) || key.find("/" + id + "/") != std::string::npos)
+          writes += count;
+      if (writes == 0 || writes > static_cast<int>(num(h.words, "most")))
+        complain("of " + id + ": " + std::to_string(writes));
+    }
   } else if (what == "rented") {  // expect rented FROM..TO
     const auto [least, most] = range(h.name);
     if (fleet_->rented < least || fleet_->rented > most)
--- a/tests/world/meeting.hpp
+++ b/tests/world/meeting.hpp
@@ -71,7 +71,8 @@
   int capacity_ = 0;
   size_t page_ = 500;  // machines in one of the cloud's lists
   bool quiet_users_ = false, close_looks_ = false;
-  std::string stored_;  // a file with records of an earlier version
+  std::string stored_;                 // a file with records of an earlier version
+  std::map<std::string, int> writes_;  // changes of the state service, by key
   std::set<std::string> polled_;
   std::map<std::string, std::string> looked_;  // what close looks were last taken at
 
