damsonport-fleet tells apart the starts that waited while nothing could start; sockets of the region plans

4,000 workers' process ran out of files (20,000 here) as the controllers kept 8,000 idle connections to them: plans for one region have half as many sockets again as workers.

--- a/tests/fleet_tool_test.cpp
+++ b/tests/fleet_tool_test.cpp
@@ -106,6 +106,21 @@
   EXPECT_EQ(quantiles({}).count, 0u);
 }
 
+TEST(Waits, OfSpellsInWhichNothingCanStartAreToldApart) {
+  Results results;
+  const Json waits = {
+      {"urgent", {{10.0, 0.5}, {19.5, 0.25}, {19.5, 3.0}, {21.0, 1.0}, {30.0, 0.5}}}};
+  results.sites = {{{"waits", waits}}, {{"waits", waits}}};
+  FaultRecord killed, outage, cut;
+  killed.at_s = 20, killed.without_holder_s = 2;
+  outage.at_s = 29, outage.outage_s = 5, outage.region = 1;
+  cut.at_s = 10;
+  results.faults = {killed, outage, cut};
+  EXPECT_EQ(waits_of(results, WaitsOf::all)["urgent"].size(), 10u);
+  EXPECT_EQ(waits_of(results, WaitsOf::outside_spells)["urgent"],
+            (std::vector<float>{0.5, 0.25, 0.5, 0.5, 0.25, 3.0, 1.0}));
+}
+
 TEST(TeamUse, SumsAndRemembersThePeak) {
   TeamUse use(2);
   use.add(1, 2, 1.5);
--- a/tools/fleet/experiment_run.cpp
+++ b/tools/fleet/experiment_run.cpp
@@ -81,8 +81,9 @@
 void ExperimentRun::kill_controllers(std::vector<Controllers::One*> victims,
                                      const std::string& what, double for_s) {
   for (auto* one : victims) controllers_->kill(*one);
-  if (!victims.empty()) open_fault_[victims.front()->region] = results_.faults.size();
-  results_.faults.push_back({what, elapsed(), -1});
+  const size_t region = victims.empty() ? 0 : victims.front()->region;
+  if (!victims.empty()) open_fault_[region] = results_.faults.size();
+  results_.faults.push_back({what, elapsed(), -1, region, 0});
   faults_.push_back({elapsed() + for_s, [this, victims] {
                        for (auto* one : victims) controllers_->start(*one);
                      }});
@@ -90,7 +91,10 @@
 
 void ExperimentRun::plan_fault(const Fault& fault) {
   const auto what = describe(fault);
-  auto note = [this, what] { results_.faults.push_back({what, elapsed(), -1}); };
+  auto note = [this, &fault, what] {
+    const double outage_s = fault.kind == FaultKind::state_outage ? fault.for_s : 0;
+    results_.faults.push_back({what, elapsed(), -1, fault.region, outage_s});
+  };
   auto later = [this, fault](std::function<void()> act) {
     faults_.push_back({elapsed() + fault.for_s, std::move(act)});
   };
--- a/tools/fleet/results.cpp
+++ b/tools/fleet/results.cpp
@@ -16,15 +16,6 @@
   return {{"count", q.count}, {"p50", q.p50}, {"p90", q.p90}, {"p99", q.p99}, {"max", q.max}};
 }
 
-// Values of all sites, by load.
-std::map<std::string, std::vector<float>> waits_of(const Results& results) {
-  std::map<std::string, std::vector<float>> out;
-  for (auto& site : results.sites)
-    for (auto& [load, values] : site.at("waits").items())
-      for (auto& value : values) out[load].push_back(value.get<float>());
-  return out;
-}
-
 Json roles_json(const std::map<std::string, RoleFigures>& roles) {
   Json out = Json::object();
   for (auto& [role, f] : roles)
@@ -35,8 +26,11 @@
 // Of one region, by load.
 Json waits_json(const Json& site) {
   Json out = Json::object();
-  for (auto& [load, values] : site.at("waits").items())
-    out[load] = quantiles_json(quantiles(values.get<std::vector<float>>()));
+  for (auto& [load, values] : site.at("waits").items()) {
+    std::vector<float> seconds;
+    for (auto& wait : values) seconds.push_back(wait.at(1).get<float>());
+    out[load] = quantiles_json(quantiles(std::move(seconds)));
+  }
   return out;
 }
 
@@ -113,6 +107,26 @@
   peak_mb = std::max(peak_mb, resident_mb);
 }
 
+bool FaultRecord::stops_starts(double from_s, double until_s) const {
+  const double lasts = std::max(without_holder_s, outage_s);
+  return lasts > 0 && from_s <= at_s + lasts && until_s >= at_s;
+}
+
+std::map<std::string, std::vector<float>> waits_of(const Results& results, WaitsOf which) {
+  std::map<std::string, std::vector<float>> out;
+  for (size_t region = 0; region < results.sites.size(); ++region)
+    for (auto& [load, values] : results.sites[region].at("waits").items())
+      for (auto& wait : values) {
+        const double from = wait.at(0).get<double>(), seconds = wait.at(1).get<double>();
+        const bool in_spell =
+            std::any_of(results.faults.begin(), results.faults.end(), [&](const FaultRecord& f) {
+              return f.region == region && f.stops_starts(from, from + seconds);
+            });
+        if (which == WaitsOf::all || !in_spell) out[load].push_back(static_cast<float>(seconds));
+      }
+  return out;
+}
+
 Quantiles quantiles(std::vector<float> values) {
   Quantiles out;
   out.count = values.size();
@@ -149,8 +163,10 @@
               {"sessions_lost", total_of(results.sites, "sessions_lost")},
               {"budgets", budgets_json(results)}};
   out["roles"] = roles_json(results.roles);
-  for (auto& [load, values] : waits_of(results))
+  for (auto& [load, values] : waits_of(results, WaitsOf::all))
     out["waits"][load] = quantiles_json(quantiles(values));
+  for (auto& [load, values] : waits_of(results, WaitsOf::outside_spells))
+    out["waits_outside_spells"][load] = quantiles_json(quantiles(values));
   std::vector<float> accepts;
   for (auto& site : results.sites)
     for (auto& value : site.at("accept_times")) accepts.push_back(value.get<float>());
@@ -190,11 +206,16 @@
   line("jobs submitted, accepted",
        fmt::format("{:.0f}, {:.0f}", total_of(results.sites, "submitted"),
                    total_of(results.sites, "accepted")));
-  for (auto& [load, values] : waits_of(results)) {
-    const auto q = quantiles(values);
-    line("start of " + load + " (p50, p99, max, count)",
-         fmt::format("{:.2f} s, {:.2f} s, {:.2f} s, {}", q.p50, q.p99, q.max, q.count));
-  }
+  auto show_waits = [&](WaitsOf which, const std::string& words) {
+    for (auto& [load, values] : waits_of(results, which)) {
+      const auto q = quantiles(values);
+      line("start of " + load + words + " (p50, p99, max, count)",
+           fmt::format("{:.2f} s, {:.2f} s, {:.2f} s, {}", q.p50, q.p99, q.max, q.count));
+    }
+  };
+  show_waits(WaitsOf::all, "");
+  if (!results.faults.empty())
+    show_waits(WaitsOf::outside_spells, " while holder and state service are there");
   for (auto& [role, f] : results.roles)
     line(role + ": cores (mean, peak), memory",
          fmt::format("{:.3f}, {:.2f}, {:.0f} MB", f.mean_cpu(), f.peak_cpu, f.peak_mb));
--- a/tools/fleet/results.hpp
+++ b/tools/fleet/results.hpp
@@ -37,6 +37,10 @@
   std::string what;
   double at_s = 0;
   double without_holder_s = -1;  // until another held; negative: no change was needed
+  size_t region = 0;
+  double outage_s = 0;  // of the state service
+  // Nothing can be started in the region while it has no holder or no state service.
+  bool stops_starts(double from_s, double until_s) const;
 };
 
 struct Results {
@@ -55,6 +59,10 @@
   std::vector<std::string> broken_rules;
 };
 
+enum class WaitsOf : uint8_t { all, outside_spells };
+// Seconds until tasks ran, by load; all, or without those that waited while nothing could start.
+std::map<std::string, std::vector<float>> waits_of(const Results& results, WaitsOf which);
+
 Json results_json(const Experiment& plan, const Results& results);
 void print_table(std::ostream& out, const Experiment& plan, const Results& results);
 
--- a/tools/fleet/site_process.cpp
+++ b/tools/fleet/site_process.cpp
@@ -95,7 +95,11 @@
     if (what == "cancel") users_->cancel_services(command.at("count").get<size_t>());
     if (what != "finish") return;
     Json waits = Json::object();
-    for (auto& [load, values] : users_->waits()) waits[load] = values;
+    for (auto& [load, values] : users_->waits()) {
+      Json list = Json::array();
+      for (auto& wait : values) list.push_back({wait.submitted_at, wait.seconds});
+      waits[load] = std::move(list);
+    }
     auto message = progress("final");
     message["waits"] = std::move(waits);
     message["accept_times"] = users_->accept_times();
--- a/tools/fleet/users.cpp
+++ b/tools/fleet/users.cpp
@@ -143,7 +143,8 @@
   if (it == jobs_.end() || it->second.started[task.index]) return;
   it->second.started[task.index] = true;
   if (it->second.at >= plan_.warmup_s)
-    waits_[it->second.load->name].push_back(static_cast<float>(world_.now() - it->second.at));
+    waits_[it->second.load->name].push_back(
+        {static_cast<float>(it->second.at), static_cast<float>(world_.now() - it->second.at)});
 }
 
 }  // namespace damsonport::fleet
--- a/tools/fleet/users.hpp
+++ b/tools/fleet/users.hpp
@@ -26,8 +26,12 @@
   uint64_t starts() const { return starts_; }
   uint64_t submitted() const { return next_job_; }
   uint64_t accepted() const { return accepted_; }
-  // From the first attempt to submit to the task being on a machine, by load; after the warm-up.
-  const std::map<std::string, Values>& waits() const { return waits_; }
+  // From the first attempt to submit to the task being on a machine.
+  struct Wait {
+    float submitted_at, seconds;
+  };
+  // By load; after the warm-up.
+  const std::map<std::string, std::vector<Wait>>& waits() const { return waits_; }
   const Values& accept_times() const { return accept_times_; }
   // Answers by status, of submissions and of polls.
   const std::map<std::string, uint64_t>& answers() const { return answers_; }
@@ -54,7 +58,7 @@
   std::map<std::string, Submitted> jobs_;
   std::vector<std::string> known_;  // accepted jobs, to be polled
   uint64_t next_job_ = 0, starts_ = 0, accepted_ = 0;
-  std::map<std::string, Values> waits_;
+  std::map<std::string, std::vector<Wait>> waits_;
   Values accept_times_;
   std::map<std::string, uint64_t> answers_;
 };
--- a/tools/make_experiments.py
+++ b/tools/make_experiments.py
@@ -9,7 +9,7 @@
 title = "{title}"
 seconds = {seconds}
 warmup_s = {warmup}
-controller_sockets = 12000
+controller_sockets = {sockets}
 
 [regions]
 count = {regions}
@@ -115,11 +115,12 @@
 
 
 def plan(name, title, workers, controllers, regions=1, seconds=150, warmup=75, polls=20, report=1.5,
-         rps=1500, write_rps=600, loads="", faults="", teams=(16, 400, 8000), divide="true"):
+         rps=1500, write_rps=600, loads="", faults="", teams=(16, 400, 8000), divide="true", sockets=12000):
     write(name, HEAD.format(title=title, seconds=seconds, warmup=warmup, polls=polls,
                             regions=regions, controllers=controllers, workers=workers,
                             report=report, rps=rps, write_rps=write_rps, gpus=teams[0],
-                            gpus_max=teams[1], cpus_max=teams[2], divide=divide) + loads + faults)
+                            gpus_max=teams[1], cpus_max=teams[2], divide=divide,
+                            sockets=sockets) + loads + faults)
 
 
 def slopes():
@@ -162,7 +163,7 @@
                                           ("hang_zone", 140, 15, 1), ("state_outage", 215, 15, 0)])
         faults += CANCEL.format(at=190, count=2000)
         common = dict(workers=workers, controllers=2, rps=4000, write_rps=2000, loads=loads,
-                      teams=(16, 4000, 80000))
+                      teams=(16, 4000, 80000), sockets=workers * 3 // 2)
         plan(f"region-{workers}.toml", f"one region, {workers} workers", seconds=250, warmup=85,
              faults=faults, **common)
         plan(f"region-{workers}-calm.toml", f"one region, {workers} workers, no faults",
