--- a/src/protocol/region_settings.cpp
+++ b/src/protocol/region_settings.cpp
@@ -41,13 +41,13 @@
     }
     if (!has_share) fail(region_.name, "region " + region_.name + ": share is missing");
     if (region_.zones.empty()) fail(region_.name, "region " + region_.name + ": zones is missing");
-    if (!problems_.empty()) return Error{problems_};
+    if (!problems_.text.empty()) return problems_;
     return region_;
   }
 
  private:
   void fail(const std::string& word, const std::string& what) {
-    problems_ += (problems_.empty() ? "" : "\n") + document_.at_line(word) + what;
+    problems_.add(document_.at_line(word) + what);
   }
   bool read_share(const sexp_t* value) {
     const std::string word = SexpDocument::atom(value);
@@ -73,7 +73,7 @@
 
   const SexpDocument& document_;
   Region region_;
-  std::string problems_;
+  Error problems_;
 };
 
 // What the regions have to be together.
@@ -107,16 +107,16 @@
   auto document = SexpDocument::parse(text, "regions");
   if (!document) return Error{document.error()};
   RegionSettings settings;
-  std::string problems;
+  Error problems;
   for (const sexp_t* entry = document->entries(); entry; entry = entry->next) {
     auto region = RegionReader(*document).read(entry);
     if (region) {
       settings.regions.push_back(std::move(*region));
     } else {
-      problems += (problems.empty() ? "" : "\n") + region.error();
+      problems.add(region.error());
     }
   }
-  if (!problems.empty()) return Error{problems};
+  if (!problems.text.empty()) return problems;
   if (auto problem = inconsistency(settings); !problem.empty()) return Error{problem};
   for (size_t i = 0; i < settings.regions.size(); ++i) {
     auto& zones = settings.regions[i].zones;
--- a/src/protocol/result.hpp
+++ b/src/protocol/result.hpp
@@ -9,13 +9,17 @@
 // One problem a line.
 struct Error {
   std::string text;
+  void add(const std::string& problem) {
+    if (!text.empty()) text += '\n';
+    text += problem;
+  }
   // With the file that each problem was found in before it.
   Error in(const std::string& file) const {
     Error out;
     size_t from = 0;
     for (size_t end = 0; end != std::string::npos; from = end + 1) {
       end = text.find('\n', from);
-      out.text += (from == 0 ? "" : "\n") + file + ": " + text.substr(from, end - from);
+      out.add(file + ": " + text.substr(from, end - from));
     }
     return out;
   }
--- a/src/protocol/toml_reader.cpp
+++ b/src/protocol/toml_reader.cpp
@@ -18,13 +18,7 @@
   const toml::node* value = t.find(key);
   const auto line = value ? value->source().begin.line : t.values->source().begin.line;
   const std::string where = line > 0 ? "line " + std::to_string(line) + ": " : "";
-  problems_.push_back(where + t.prefix + key + ": " + what);
-}
-
-Error TomlReader::error() const {
-  std::string all;
-  for (auto& problem : problems_) all += (all.empty() ? "" : "\n") + problem;
-  return Error{all};
+  problems_.add(where + t.prefix + key + ": " + what);
 }
 
 std::string TomlReader::text(const TomlTable& t, const char* key) {
--- a/src/protocol/toml_reader.hpp
+++ b/src/protocol/toml_reader.hpp
@@ -41,13 +41,13 @@
 
   // Names the field, and the line of its value, or that of its table where there is none.
   void fail(const TomlTable& t, const char* key, const std::string& what);
-  bool ok() const { return problems_.empty(); }
+  bool ok() const { return problems_.text.empty(); }
   // One problem a line.
-  Error error() const;
+  const Error& error() const { return problems_; }
 
  private:
   TomlTable root_;
-  std::vector<std::string> problems_;
+  Error problems_;
 };
 
 }  // namespace damsonport
--- a/src/protocol/tuning.cpp
+++ b/src/protocol/tuning.cpp
@@ -66,12 +66,12 @@
   auto document = SexpDocument::parse(text, "damsonport");
   if (!document) return Error{document.error()};
   Tuning tuning;
-  std::string problems;
+  Error problems;
   for (const sexp_t* entry = document->entries(); entry; entry = entry->next) {
     const auto done = apply(tuning, *document, entry);
-    if (!done) problems += (problems.empty() ? "" : "\n") + done.error();
+    if (!done) problems.add(done.error());
   }
-  if (!problems.empty()) return Error{problems};
+  if (!problems.text.empty()) return problems;
   return tuning;
 }
 
