What a long pass of placement has decided is committed for as long as it took

Cause: with a zone of 1,333 or 2,000 machines lost a pass takes some 300 ms (a third of it in looking for what may be stopped), and its starts were committed for 75 ms before everything was decided again. Change: committing may take as long as the pass; while it waits for the state service reports are answered.

--- a/src/coordination/holder.hpp
+++ b/src/coordination/holder.hpp
@@ -175,6 +175,8 @@
                                 std::stop_token token);
   Task<bool> commit_gang_start(const std::vector<DecidedStart>& gang, std::stop_token token);
   Task<bool> commit_single_starts(std::vector<DecidedStart> decided, std::stop_token token);
+  // How long the starts of one pass may be committed before the next pass.
+  double starts_may_take_s() const;
   void order_starts(const std::vector<CommittedStart>& starts);
   // `committed` is called between the commit and its taking effect here.
   Task<bool> commit_and_apply(Txn txn, std::stop_token token, bool starts = false,
@@ -355,6 +357,7 @@
   double next_list_ = 0, next_sizing_ = 0, next_orphan_check_ = 0;
   bool place_again_ = true;
   double next_place_ = 0;
+  double last_pass_s_ = 0;  // how long the last pass of placement took
 
   // Kept from pass to pass; only what changed is made anew. Nobody marks what passes with time
   // alone: silence and pauses are looked at in each pass.
--- a/src/coordination/holder_commit.cpp
+++ b/src/coordination/holder_commit.cpp
@@ -198,8 +198,8 @@
   order_stops(decided);
   // A pass over a large fleet that a new holder hears for the first time takes long: half of the
   // time is left to reports and users.
-  const double took = loop_.now() - now;
-  next_place_ = std::max(next_place_, now + 2 * took);
+  last_pass_s_ = loop_.now() - now;
+  next_place_ = std::max(next_place_, now + 2 * last_pass_s_);
 
   // By name from here on: places in the view are used anew while the commits are under way.
   std::vector<DecidedStart> singles;
@@ -286,12 +286,17 @@
   co_return committed.size() == gang.size();
 }
 
+// What a long pass has decided is committed for as long as it took, rather than decided again.
+double Holder::starts_may_take_s() const {
+  return std::max(settings_.report_s * starts_share, last_pass_s_);
+}
+
 Task<bool> Holder::commit_gang_starts(std::vector<std::vector<DecidedStart>> gangs,
                                       std::stop_token token) {
   const double begun = loop_.now();
   for (auto& gang : gangs) {
     if (!holding()) break;
-    if (loop_.now() - begun > settings_.report_s * starts_share) {
+    if (loop_.now() - begun > starts_may_take_s()) {
       place_again_ = true;
       break;
     }
@@ -306,7 +311,7 @@
   bool any = false;
   while (next < planned.size() && holding()) {
     // A long run of starts must not hold up renewals, exits and what became more urgent meanwhile.
-    if (loop_.now() - begun > settings_.report_s * starts_share) {
+    if (loop_.now() - begun > starts_may_take_s()) {
       place_again_ = true;
       std::set<std::string> jobs;
       for (size_t left = next; left < planned.size(); ++left) jobs.insert(planned[left].job);
