--- a/src/coordination/holder.cpp
+++ b/src/coordination/holder.cpp
@@ -36,8 +36,8 @@
 bool Holder::may_renew(bool first) const {
   RenewalState s;
   s.in_contact = in_contact();
-  s.peer_in_contact = p_.mesh.peer_has_state(contact_s());
-  s.alone = p_.mesh.alone();
+  s.peer_in_contact = p_.peer_network.peer_has_state(contact_s());
+  s.alone = p_.peer_network.alone();
   s.first_visit = first;
   const double now = loop_.now();
   s.staleness_s = now - std::max(cache_.as_of(), p_.cancellations.covered(now));
@@ -261,7 +261,7 @@
   for (auto& [id, m] : machines_) heard += now - m.last_heard < heard_within && m.session != 0;
   // After a takeover they come here by way of the others.
   const bool settled = now - took_over_at_ > 3 * settings_.report_s;
-  const bool deaf = settled && p_.mesh.misrouted_machines() > heard;
+  const bool deaf = settled && p_.peer_network.misrouted_machines() > heard;
   if (!deaf || !p_.election.leading()) {
     deaf_since_ = 0;
     return;
@@ -269,7 +269,7 @@
   if (deaf_since_ == 0) deaf_since_ = now;
   if (now - deaf_since_ < settings_.lease_s * deaf_lease_share) return;
   spdlog::warn("{} machines heard here and {} by other controllers: giving the leadership up",
-               heard, p_.mesh.misrouted_machines());
+               heard, p_.peer_network.misrouted_machines());
   p_.election.resign();
   deaf_since_ = 0;
 }
@@ -277,7 +277,7 @@
 std::optional<HttpResponse> Holder::refusal(const std::string& machine, uint64_t token) {
   // A newer holder exists: a 200 would only hold the worker here while its lease runs out.
   if (token > term_) return HttpResponse{421, encode_report_to({}), 0};
-  const bool lost = p_.mesh.alone() && !in_contact();
+  const bool lost = p_.peer_network.alone() && !in_contact();
   if (!may_renew(lost && first_visit(machine))) return HttpResponse{503, {}, 0};
   return std::nullopt;
 }
--- a/src/coordination/holder.hpp
+++ b/src/coordination/holder.hpp
@@ -16,7 +16,7 @@
 #include "coordination/fleet.hpp"
 #include "coordination/gangs.hpp"
 #include "coordination/machine_list.hpp"
-#include "coordination/mesh.hpp"
+#include "coordination/peer_network.hpp"
 #include "coordination/placement.hpp"
 #include "coordination/reconcile.hpp"
 #include "coordination/renewal_policy.hpp"
@@ -38,7 +38,7 @@
     Cache& cache;
     HttpClient& http;
     Catalog& catalog;
-    Mesh& mesh;
+    PeerNetwork& peer_network;
     const Cancellations& cancellations;
     Election& election;
     const VersionRegistry& versions;
@@ -125,7 +125,7 @@
   bool may_renew(bool first_visit) const;
   bool first_visit(const std::string& machine);
   // A peer says that it holds a newer grant: ours is over, though we may not have read it.
-  bool superseded() const { return term_ != 0 && p_.mesh.newest_holder().second > term_; }
+  bool superseded() const { return term_ != 0 && p_.peer_network.newest_holder().second > term_; }
   void resign_if_deaf();
 
   // --- cancelled jobs
--- a/src/coordination/holder_cloud.cpp
+++ b/src/coordination/holder_cloud.cpp
@@ -113,8 +113,8 @@
     // Never heard at all: it may be booting, or still be looking for the new holder, past
     // controllers that don't answer.
     if (m.session == 0)
-      limit +=
-          cache_.assigned(id).empty() ? report * 2 : worker_retry_s * (1 + p_.mesh.silent_peers());
+      limit += cache_.assigned(id).empty() ? report * 2
+                                           : worker_retry_s * (1 + p_.peer_network.silent_peers());
     if (quiet > limit && direct > give_up) {
       want_return(id, "silent for " + std::to_string(static_cast<int>(quiet)) + " s");
       given_up_.insert(id);
--- a/src/coordination/lease_renewal.cpp
+++ b/src/coordination/lease_renewal.cpp
@@ -25,7 +25,7 @@
     if (g.rest) held = &g;
   if (!held) return {421, encode_report_to({}), 0};
   // A peer may hold a newer grant than the records that we have read say, ours among them.
-  const auto newest = p_.mesh.newest_holder();
+  const auto newest = p_.peer_network.newest_holder();
   const std::string& holder = newest.second > held->term ? newest.first : held->node;
   if (holder == settings_.node_name) return {421, encode_report_to({}), 0};
   auto [it, fresh] = misrouted_.try_emplace(r.machine, MisroutedMachine{now, now, false});
@@ -34,8 +34,8 @@
   // A machine that can reach one controller in five makes the round of all in most of a lease, so
   // the second visit would be too late: where we can't reach the holder either, and its key stands
   // longer than a dead node's would, the first visit is answered.
-  const bool apart =
-      p_.mesh.silence(holder) > patience && cache_.has_leader() && cache_.leader().node == holder;
+  const bool apart = p_.peer_network.silence(holder) > patience && cache_.has_leader() &&
+                     cache_.leader().node == holder;
   // Where only the way between controllers is closed the machine must be sent back to its holder
   // each other time, or it would seem lost to it. In a cut there is nowhere to send it.
   const bool cut_off = apart && !in_contact();
@@ -44,7 +44,7 @@
   if (!answer) {
     // The node named by the records, unless it seems dead. After an answer it is named in any case:
     // it may be back in reach, or only our own way to it be closed.
-    const bool named = p_.mesh.alive(holder) || s.answered;
+    const bool named = p_.peer_network.alive(holder) || s.answered;
     s.answered = false;
     return {421, encode_report_to(named ? holder : std::string()), 0};
   }
--- a/src/coordination/node.cpp
+++ b/src/coordination/node.cpp
@@ -60,14 +60,14 @@
              settings.state_limits.present().writes_per_s),
       catalog_(loop, *http_, settings),
       cancellations_(incarnation_, peer_names(settings)),
-      mesh_(loop, network, settings, cancellations_),
+      peer_network_(loop, network, settings, cancellations_),
       versions_(loop, settings, state_, cache_),
       exit_relay_(loop, settings, state_, cache_),
       budgets_(settings, regions, cache_),
       regions_(loop, network, settings, regions, budgets_),
       election_(loop, settings, state_, cache_, incarnation_, changed_),
-      holder_({loop, settings, state_, cache_, *http_, catalog_, mesh_, cancellations_, election_,
-               versions_, exit_relay_, budgets_, regions_, changed_, incarnation_}),
+      holder_({loop, settings, state_, cache_, *http_, catalog_, peer_network_, cancellations_,
+               election_, versions_, exit_relay_, budgets_, regions_, changed_, incarnation_}),
       api_(loop, settings, state_, cache_, catalog_, versions_),
       server_(network.server(max_read, max_connections(settings), idle_connection_s,
                              [this](HttpRequest r) { return route(std::move(r)); })) {
@@ -81,10 +81,10 @@
     // What this node confirmed or read itself nobody else may know yet.
     if (job && job->cancelled && cancellations_.record(job->spec.id, job->cancelled_since) &&
         job->version > cache_.revision())
-      mesh_.wake();
+      peer_network_.wake();
     holder_.job_changed(job);
   };
-  mesh_.on_cancelled = [this](const std::string& job) { holder_.cancelled_elsewhere(job); };
+  peer_network_.on_cancelled = [this](const std::string& job) { holder_.cancelled_elsewhere(job); };
   regions_.on_news = [this] { holder_.budget_news(); };
   cache_.on_assignment = [this](const std::string& machine, const Job& job, bool added) {
     holder_.assignment_changed(machine, job, added);
@@ -100,8 +100,8 @@
     spdlog::error("cannot listen on {}", settings_.listen.text());
     return false;
   }
-  if (!mesh_.listening()) {
-    spdlog::error("cannot listen on {} for the other controllers", settings_.mesh_listen.text());
+  if (!peer_network_.listening()) {
+    spdlog::error("cannot listen on {} for the other controllers", settings_.peer_listen.text());
     return false;
   }
   if (!regions_.listening()) {
@@ -113,7 +113,7 @@
   auto token = loop_.stop_token();
   loop_.spawn("cache", cache_.follow(token));
   loop_.spawn("catalogue", catalog_.follow(token));
-  loop_.spawn("mesh", mesh_.send_heartbeats([this] { return next_heartbeat(); }, token));
+  loop_.spawn("peers", peer_network_.send_heartbeats([this] { return next_heartbeat(); }, token));
   loop_.spawn("regions", regions_.run([this] { return holder_.term(); }, token));
   loop_.spawn("version", versions_.announce(token));
   loop_.spawn("exit relay", exit_relay_.run(token));
@@ -151,8 +151,8 @@
 
 void Node::share_limits() {
   const bool leading = election_.leading();
-  double others = static_cast<double>(mesh_.wanted_writes());
-  if (!leading && !(cache_.has_leader() && mesh_.alive(cache_.leader().node)))
+  double others = static_cast<double>(peer_network_.wanted_writes());
+  if (!leading && !(cache_.has_leader() && peer_network_.alive(cache_.leader().node)))
     others += settings_.state_limits.present().writes_per_s;
   state_.limit().set_shares(share_of(leading, settings_.nodes),
                             write_share(settings_.nodes, wanted_writes(), others));
@@ -178,7 +178,7 @@
   if (!cache_.loaded() || !catalog_.known()) return {503, {}, 1};
   const double limit = settings_.lease_s / 4;
   bool contact = loop_.now() - state_.last_contact() < limit;
-  if (!contact && mesh_.peer_has_state(limit)) return {503, {}, 1};
+  if (!contact && peer_network_.peer_has_state(limit)) return {503, {}, 1};
   return {200, {}, 0};
 }
 
--- a/src/coordination/node.hpp
+++ b/src/coordination/node.hpp
@@ -32,7 +32,7 @@
   Cache cache_;
   Catalog catalog_;
   Cancellations cancellations_;
-  Mesh mesh_;
+  PeerNetwork peer_network_;
   VersionRegistry versions_;
   ExitRelay exit_relay_;
   budgets::TeamBudgets budgets_;
--- a/src/coordination/orphan_cleanup.cpp
+++ b/src/coordination/orphan_cleanup.cpp
@@ -17,9 +17,9 @@
 // unknown to everybody else. A holder that doesn't know stops answering in time, which ends the
 // tasks of every machine that runs on; one that hangs keeps them.
 bool Holder::no_holder_reachable() const {
-  if (!cache_.loaded() || in_contact() || p_.mesh.peer_has_state(contact_s())) return false;
+  if (!cache_.loaded() || in_contact() || p_.peer_network.peer_has_state(contact_s())) return false;
   // Not whom the records name: it may be up again and hold nothing.
-  return p_.mesh.newest_holder().second == 0;
+  return p_.peer_network.newest_holder().second == 0;
 }
 
 std::vector<Holder::OrphanHost> Holder::orphan_hosts() const {
--- a/src/coordination/mesh.cpp
+++ b/src/coordination/peer_network.cpp
@@ -1,4 +1,4 @@
-#include "coordination/mesh.hpp"
+#include "coordination/peer_network.hpp"
 
 #include <spdlog/spdlog.h>
 
@@ -7,17 +7,18 @@
 
 namespace damsonport {
 
-Mesh::Mesh(Loop& loop, Network& network, const Settings& settings, Cancellations& cancellations)
+PeerNetwork::PeerNetwork(Loop& loop, Network& network, const Settings& settings,
+                         Cancellations& cancellations)
     : loop_(loop), cancellations_(cancellations), period_(settings.report_s / 3), wake_(loop) {
   for (auto& p : settings.peers) {
-    links_[p.name] = network.link(p.mesh);
+    links_[p.name] = network.link(p.address);
     seen_[p.name];
   }
-  listener_ = network.listener(settings.mesh_listen, 2 + 4 * settings.peers.size(),
+  listener_ = network.listener(settings.peer_listen, 2 + 4 * settings.peers.size(),
                                [this](std::string_view b) { return take(b); });
 }
 
-long Mesh::take(std::string_view bytes) {
+long PeerNetwork::take(std::string_view bytes) {
   long used = 0;
   for (;;) {
     Heartbeat heartbeat;
@@ -38,7 +39,7 @@
   }
 }
 
-Task<void> Mesh::send_heartbeats(std::function<Heartbeat()> fill, std::stop_token token) {
+Task<void> PeerNetwork::send_heartbeats(std::function<Heartbeat()> fill, std::stop_token token) {
   while (!token.stop_requested()) {
     const auto common = fill();
     for (auto& [peer, link] : links_) {
@@ -52,40 +53,40 @@
   }
 }
 
-double Mesh::silence(const std::string& node) const {
+double PeerNetwork::silence(const std::string& node) const {
   auto it = seen_.find(node);
   return it == seen_.end() ? std::numeric_limits<double>::infinity() : loop_.now() - it->second.at;
 }
 
-bool Mesh::alive(const std::string& node) const { return silence(node) < 3 * period_; }
+bool PeerNetwork::alive(const std::string& node) const { return silence(node) < 3 * period_; }
 
-uint64_t Mesh::wanted_writes() const {
+uint64_t PeerNetwork::wanted_writes() const {
   uint64_t sum = 0;
   for (auto& [node, s] : seen_)
     if (alive(node)) sum += s.heartbeat.writes;
   return sum;
 }
 
-int Mesh::silent_peers() const {
+int PeerNetwork::silent_peers() const {
   return static_cast<int>(
       std::count_if(seen_.begin(), seen_.end(), [&](auto& s) { return !alive(s.first); }));
 }
 
-bool Mesh::peer_has_state(double max_age_s) const {
+bool PeerNetwork::peer_has_state(double max_age_s) const {
   for (auto& [node, s] : seen_)
     if (alive(node) && static_cast<double>(s.heartbeat.state_age_ms) / 1000 < max_age_s)
       return true;
   return false;
 }
 
-std::pair<std::string, uint64_t> Mesh::newest_holder() const {
+std::pair<std::string, uint64_t> PeerNetwork::newest_holder() const {
   std::pair<std::string, uint64_t> newest{{}, 0};
   for (auto& [node, s] : seen_)
     if (alive(node) && s.heartbeat.term > newest.second) newest = {node, s.heartbeat.term};
   return newest;
 }
 
-uint64_t Mesh::misrouted_machines() const {
+uint64_t PeerNetwork::misrouted_machines() const {
   uint64_t most = 0;
   for (auto& [node, s] : seen_)
     if (alive(node)) most = std::max(most, s.heartbeat.misrouted_machines);
--- a/src/coordination/mesh.hpp
+++ b/src/coordination/peer_network.hpp
@@ -11,9 +11,9 @@
 
 namespace damsonport {
 
-class Mesh {
+class PeerNetwork {
  public:
-  Mesh(Loop& loop, Network& network, const Settings& settings, Cancellations& cancellations);
+  PeerNetwork(Loop& loop, Network& network, const Settings& settings, Cancellations& cancellations);
   bool listening() const { return listener_ && listener_->listening(); }
   // Sends heartbeats until stopped; `fill` makes what is said to all alike.
   Task<void> send_heartbeats(std::function<Heartbeat()> fill, std::stop_token token);
--- a/src/protocol/settings.cpp
+++ b/src/protocol/settings.cpp
@@ -111,7 +111,7 @@
   s.node_name = r.text(root, "node_name");
   s.zone = r.text(root, "location");
   s.listen = read_endpoint(r, root, "listen");
-  s.mesh_listen = read_endpoint(r, root, "mesh_addr");
+  s.peer_listen = read_endpoint(r, root, "mesh_addr");
   for (auto& t : r.tables(root, "known"))
     s.peers.push_back(
         {r.text(t, "node_name"), r.text(t, "location"), read_endpoint(r, t, "endpoint")});
--- a/src/protocol/settings.hpp
+++ b/src/protocol/settings.hpp
@@ -13,7 +13,7 @@
 struct Peer {
   std::string name;
   std::string zone;
-  Endpoint mesh;
+  Endpoint address;
 };
 
 struct TeamSettings {
@@ -31,7 +31,7 @@
 
 struct Settings {
   std::string node_name, zone;
-  Endpoint listen, mesh_listen;
+  Endpoint listen, peer_listen;
   std::vector<Peer> peers;
   Endpoint cloud, state;
   int nodes = 1;
--- a/src/transport/stream.hpp
+++ b/src/transport/stream.hpp
@@ -1,4 +1,4 @@
-// Byte streams for the mesh: one listener, and one outgoing link per peer.
+// Byte streams between controllers: one listener, and one outgoing link per peer.
 #pragma once
 #include <functional>
 #include <string>
--- a/tests/cancellations_test.cpp
+++ b/tests/cancellations_test.cpp
@@ -3,7 +3,7 @@
 
 #include <gtest/gtest.h>
 
-#include "coordination/mesh.hpp"
+#include "coordination/peer_network.hpp"
 #include "coordination/renewal_policy.hpp"
 #include "simulation/world.hpp"
 
@@ -115,7 +115,7 @@
     simulation::VirtualLoop loop;
     simulation::VirtualNetwork network;
     Cancellations said;
-    Mesh mesh;
+    PeerNetwork peers;
     Controller(simulation::World& world, simulation::VirtualNetwork::Streams& streams,
                const std::string& name, const std::string& host, const std::string& peer,
                const std::string& peer_host, uint64_t life)
@@ -123,19 +123,19 @@
           loop(world, name, {static_cast<unsigned>(life)}, 1, 0),
           network(loop, host, streams),
           said(life, {peer}),
-          mesh(loop, network, settings, said) {
+          peers(loop, network, settings, said) {
       auto beat = [name, life] {
         Heartbeat b;
         b.node = name, b.incarnation = life, b.loaded = true;
         return b;
       };
-      loop.spawn("mesh", mesh.send_heartbeats(beat, loop.stop_token()));
+      loop.spawn("peers", peers.send_heartbeats(beat, loop.stop_token()));
     }
     static Settings make_settings(const std::string& host, const std::string& peer,
                                   const std::string& peer_host) {
       Settings s;
       s.report_s = 3;
-      s.mesh_listen = {host, 8081};
+      s.peer_listen = {host, 8081};
       s.peers.push_back({peer, "a", {peer_host, 8081}});
       return s;
     }
@@ -144,7 +144,7 @@
   Controller b(world, streams, "b", "10.0.0.2", "a", "10.0.0.1", 22);
   world.run_until(4);
   for (int i = 0; i < 6000; ++i) b.said.record("run-" + std::to_string(i), b.loop.now());
-  b.mesh.wake();
+  b.peers.wake();
   world.run_until(5);
   EXPECT_TRUE(a.said.cancelled("run-5999"));
   a.loop.stop();
--- a/tests/meeting_test.cpp
+++ b/tests/fault_scenario_test.cpp
@@ -1,5 +1,5 @@
-// Meetings of troubles, each a kept trace played by whole controllers on virtual time.
-#include "world/meeting.hpp"
+// Fault scenarios, each a kept trace played by whole controllers on virtual time.
+#include "scenarios/fault_scenario.hpp"
 
 #include <gtest/gtest.h>
 #include <spdlog/pattern_formatter.h>
@@ -10,7 +10,7 @@
 #include <fstream>
 #include <sstream>
 
-#include "world/random_meeting.hpp"
+#include "scenarios/random_scenario.hpp"
 
 namespace damsonport::simulation {
 namespace {
@@ -30,20 +30,20 @@
   }
 };
 
-// MEETING_LOG=debug shows what the controllers log.
+// SCENARIO_LOG=debug shows what the controllers log.
 class Log : public testing::Environment {
  public:
   void SetUp() override {
     auto formatter = std::make_unique<spdlog::pattern_formatter>();
     formatter->add_flag<WorldTime>('*').set_pattern("%* %l %v");
     spdlog::set_formatter(std::move(formatter));
-    const char* level = std::getenv("MEETING_LOG");
+    const char* level = std::getenv("SCENARIO_LOG");
     spdlog::set_level(level ? spdlog::level::from_str(level) : spdlog::level::off);
   }
 };
 const auto* const log_set_up = testing::AddGlobalTestEnvironment(new Log);
 
-class Meetings : public testing::TestWithParam<std::string> {};
+class FaultScenarios : public testing::TestWithParam<std::string> {};
 
 // A line `vary NAME 1 2 3` plays the trace once for each value, put where $NAME stands.
 std::vector<std::vector<std::string>> variants(std::istream& in) {
@@ -84,58 +84,58 @@
   return out;
 }
 
-TEST_P(Meetings, BreakNoRule) {
-  std::ifstream in(std::string(TRACE_DIR) + "/meetings/" + GetParam() + ".trace");
+TEST_P(FaultScenarios, BreakNoRule) {
+  std::ifstream in(std::string(TRACE_DIR) + "/scenarios/" + GetParam() + ".trace");
   ASSERT_TRUE(in);
   for (auto& lines : variants(in))
     for (uint64_t seed : {1, 2, 3}) {
       spdlog::info("--- seed {}", seed);
-      Meeting meeting(seed);
-      meeting.fixtures_dir = FIXTURES_DIR;
-      shown = &meeting.world();
+      FaultScenario scenario(seed);
+      scenario.fixtures_dir = FIXTURES_DIR;
+      shown = &scenario.world();
       for (auto& text : lines) {
-        auto complaint = meeting.line(text);
+        auto complaint = scenario.line(text);
         ASSERT_TRUE(complaint.empty()) << complaint;
       }
-      for (auto& what : meeting.play()) ADD_FAILURE() << "seed " << seed << ": " << what;
+      for (auto& what : scenario.play()) ADD_FAILURE() << "seed " << seed << ": " << what;
       shown = nullptr;
     }
 }
 
-// Groups of three. MEETING_FIRST and MEETING_COUNT play others than those of the suite.
+// Groups of three. SCENARIO_FIRST and SCENARIO_COUNT play others than those of the suite.
 constexpr uint64_t drawn_groups = 8, drawn_in_a_group = 3;
 
-class DrawnMeetings : public testing::TestWithParam<uint64_t> {};
+class DrawnScenarios : public testing::TestWithParam<uint64_t> {};
 
-TEST_P(DrawnMeetings, BreakNoRule) {
-  const char* first = std::getenv("MEETING_FIRST");
-  const char* count = std::getenv("MEETING_COUNT");
+TEST_P(DrawnScenarios, BreakNoRule) {
+  const char* first = std::getenv("SCENARIO_FIRST");
+  const char* count = std::getenv("SCENARIO_COUNT");
   const uint64_t n = count ? std::stoull(count) : drawn_in_a_group;
   const uint64_t from = (first ? std::stoull(first) : 1) + GetParam() * n;
   for (uint64_t seed = from; seed < from + n; ++seed) {
-    Meeting meeting(seed);
-    shown = &meeting.world();
+    FaultScenario scenario(seed);
+    shown = &scenario.world();
     spdlog::info("--- seed {}", seed);
-    for (auto& text : random_meeting(seed)) {
+    for (auto& text : random_scenario(seed)) {
       spdlog::info("{}", text);
-      auto complaint = meeting.line(text);
+      auto complaint = scenario.line(text);
       ASSERT_TRUE(complaint.empty()) << complaint;
     }
-    for (auto& what : meeting.play()) ADD_FAILURE() << "seed " << seed << ": " << what;
+    for (auto& what : scenario.play()) ADD_FAILURE() << "seed " << seed << ": " << what;
     shown = nullptr;
   }
 }
 
-INSTANTIATE_TEST_SUITE_P(Suite, DrawnMeetings, testing::Range(uint64_t{0}, drawn_groups));
+INSTANTIATE_TEST_SUITE_P(Suite, DrawnScenarios, testing::Range(uint64_t{0}, drawn_groups));
 
-std::vector<std::string> meeting_names() {
+std::vector<std::string> scenario_names() {
   std::vector<std::string> out;
-  for (auto& f : std::filesystem::directory_iterator(std::string(TRACE_DIR) + "/meetings"))
+  for (auto& f : std::filesystem::directory_iterator(std::string(TRACE_DIR) + "/scenarios"))
     if (f.path().extension() == ".trace") out.push_back(f.path().stem());
   std::sort(out.begin(), out.end());
   return out;
 }
-INSTANTIATE_TEST_SUITE_P(Kept, Meetings, testing::ValuesIn(meeting_names()),
+INSTANTIATE_TEST_SUITE_P(Kept, FaultScenarios, testing::ValuesIn(scenario_names()),
                          [](auto& test) { return test.param; });
 
 }  // namespace
--- a/tests/regions/region_cluster.cpp
+++ b/tests/regions/region_cluster.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 constexpr double eps = 1e-6;
-constexpr uint16_t api_port = 8080, mesh_port = 8081, region_port = 8082;
+constexpr uint16_t api_port = 8080, peer_port = 8081, region_port = 8082;
 const std::string user_host = "10.9.0.1";
 
 std::string state_host(size_t region) { return fmt::format("10.{}.0.1", 20 + region); }
@@ -85,9 +85,9 @@
     own.node_name = nodes[n].first;
     own.zone = region.zone;
     own.listen = {nodes[n].second, api_port};
-    own.mesh_listen = {nodes[n].second, mesh_port};
+    own.peer_listen = {nodes[n].second, peer_port};
     for (size_t m = 0; m < plan_.controllers; ++m)
-      if (m != n) own.peers.push_back({nodes[m].first, region.zone, {nodes[m].second, mesh_port}});
+      if (m != n) own.peers.push_back({nodes[m].first, region.zone, {nodes[m].second, peer_port}});
     constexpr double clock_drift = 0.0005;
     region.controllers.push_back(std::make_unique<VirtualController>(
         world_, streams_, std::move(own), regions, 1 + (n % 2 == 1 ? clock_drift : 0)));
--- a/tests/world/meeting.cpp
+++ b/tests/scenarios/fault_scenario.cpp
@@ -1,4 +1,4 @@
-#include "world/meeting.hpp"
+#include "scenarios/fault_scenario.hpp"
 
 #include <algorithm>
 #include <fstream>
@@ -58,7 +58,7 @@
   return out;
 }
 
-std::string Meeting::line(const std::string& text) {
+std::string FaultScenario::line(const std::string& text) {
   std::istringstream in(text.substr(0, text.find('#')));
   std::string verb, name;
   in >> verb;
@@ -142,7 +142,7 @@
   } else if (verb == "until") {
     in >> until_;
   } else if (verb == "at" || verb == "expect") {
-    Happening h;
+    Event h;
     h.at = until_;
     if (verb == "at") {
       in >> h.at >> h.verb;
@@ -159,14 +159,14 @@
         h.verb != "lower_limits")
       in >> h.name;
     h.words = words(in);
-    happenings_.push_back(std::move(h));
+    events_.push_back(std::move(h));
   } else {
     return "unknown line: " + text;
   }
   return {};
 }
 
-void Meeting::set_up() {
+void FaultScenario::set_up() {
   if (settings_.report_s == 0)
     settings_.report_s = 1.5, settings_.lease_s = 12, settings_.cancel_s = 42;
   if (settings_.gang_wait_s == 0) settings_.gang_wait_s = 40, settings_.gang_peer_s = 6;
@@ -200,7 +200,7 @@
     own.node_name = name;
     own.zone = settings_.zones[static_cast<size_t>(i) % settings_.zones.size()];
     own.listen = {host, 8080};
-    own.mesh_listen = {host, 8081};
+    own.peer_listen = {host, 8081};
     for (int j = 0; j < node_count_; ++j)
       if (j != i)
         own.peers.push_back({nodes[static_cast<size_t>(j)].first,
@@ -212,7 +212,7 @@
   }
 }
 
-void Meeting::store_records(const std::string& file) {
+void FaultScenario::store_records(const std::string& file) {
   std::ifstream in(file);
   for (std::string text; std::getline(in, text);) {
     const auto tab = text.find('\t');
@@ -241,12 +241,12 @@
   }
 }
 
-std::string Meeting::leader() const {
+std::string FaultScenario::leader() const {
   auto* value = state_->value("d/l");
   return value ? value->value("node", std::string()) : std::string();
 }
 
-std::vector<VirtualController*> Meeting::controllers(const std::string& word) {
+std::vector<VirtualController*> FaultScenario::controllers(const std::string& word) {
   std::vector<VirtualController*> out;
   for (auto& part : split(word))
     for (auto& c : controllers_) {
@@ -258,7 +258,7 @@
   return out;
 }
 
-std::vector<Worker*> Meeting::machines(const std::string& word) const {
+std::vector<Worker*> FaultScenario::machines(const std::string& word) const {
   std::vector<Worker*> out;
   for (auto& part : split(word)) {
     for (auto& [id, w] : fleet_->workers()) {
@@ -275,9 +275,9 @@
   return out;
 }
 
-std::vector<std::string> Meeting::hosts(const std::string& word) const {
+std::vector<std::string> FaultScenario::hosts(const std::string& word) const {
   std::vector<std::string> out;
-  auto* self = const_cast<Meeting*>(this);
+  auto* self = const_cast<FaultScenario*>(this);
   for (auto& part : split(word)) {
     if (part == "state") out.push_back(state_host);
     if (part == "cloud") out.push_back(cloud_host);
@@ -287,7 +287,7 @@
   return out;
 }
 
-void Meeting::cut(const std::string& a, const std::string& b, const Words& w) {
+void FaultScenario::cut(const std::string& a, const std::string& b, const Words& w) {
   const auto how = str(w, "how", "hold") == "hold" ? World::Cut::hold : World::Cut::drop;
   std::vector<std::pair<std::string, std::string>> ways;
   for (auto& from : hosts(a))
@@ -302,9 +302,11 @@
   });
 }
 
-std::vector<std::string> Meeting::jobs(const std::string& word) const { return spell_out(word); }
+std::vector<std::string> FaultScenario::jobs(const std::string& word) const {
+  return spell_out(word);
+}
 
-void Meeting::happen(const Happening& h) {
+void FaultScenario::apply(const Event& h) {
   auto& w = h.words;
   const double for_s = num(w, "for", 1e6);
   if (h.verb.starts_with("expect")) {
@@ -397,7 +399,7 @@
   }
 }
 
-void Meeting::count_tasks(const std::string& job, int& running, int& present) const {
+void FaultScenario::count_tasks(const std::string& job, int& running, int& present) const {
   for (auto& [id, m] : fleet_->workers())
     for (auto& [a, t] : m->tasks()) {
       if (a.first.job != job || t.report.state == TaskState::exited) continue;
@@ -415,7 +417,7 @@
 }
 }  // namespace
 
-std::string Meeting::unmet(const Happening& h) {
+std::string FaultScenario::unmet(const Event& h) {
   const auto what = h.verb.substr(7);
   std::string out;
   auto complain = [&](const std::string& text) { out += what + " " + text + "; "; };
@@ -495,7 +497,7 @@
 
 // --- users
 
-size_t Meeting::pick(const std::string& via) {
+size_t FaultScenario::pick(const std::string& via) {
   std::vector<VirtualController*> able;
   for (auto* c : controllers(via.empty() ? "all" : via))
     if (c->running()) able.push_back(c);
@@ -503,8 +505,9 @@
   return static_cast<size_t>(able[world_.random64() % able.size()]->name()[1] - '0');
 }
 
-void Meeting::ask(size_t node, Method method, const std::string& path, const std::string& body,
-                  double patience, std::function<void(const HttpReply&, double)> then) {
+void FaultScenario::ask(size_t node, Method method, const std::string& path,
+                        const std::string& body, double patience,
+                        std::function<void(const HttpReply&, double)> then) {
   const double asked = world_.now();
   auto done = std::make_shared<bool>(false);
   auto answer = [done, then = std::move(then), asked](const HttpReply& reply) {
@@ -516,7 +519,7 @@
   world_.ask(user_host, controllers_[node]->host(), method, path, body, answer);
 }
 
-void Meeting::submit(const std::string& job, size_t node, double since, bool with_repeats) {
+void FaultScenario::submit(const std::string& job, size_t node, double since, bool with_repeats) {
   fleet_->rules().submitted(jobs_.at(job));
   ask(node, Method::post, "/api/jobs", encode(submission_of(jobs_.at(job))), user_patience_s,
       [this, job, node, since, with_repeats](const HttpReply& reply, double asked) {
@@ -531,7 +534,7 @@
       });
 }
 
-void Meeting::cancel(const std::string& job, size_t node, double since) {
+void FaultScenario::cancel(const std::string& job, size_t node, double since) {
   ask(node, Method::post, "/api/jobs/" + job + "/cancel", {}, user_patience_s,
       [this, job, node, since](const HttpReply& reply, double asked) {
         if (reply.status == 200 || reply.status == 404) told(job, reply, asked);
@@ -543,14 +546,14 @@
       });
 }
 
-void Meeting::poll(const std::string& job, size_t node) {
+void FaultScenario::poll(const std::string& job, size_t node) {
   ask(node, Method::get, "/api/jobs/" + job, {}, poll_patience_s,
       [this, job](const HttpReply& reply, double asked) {
         if (reply.status == 200 || reply.status == 404) told(job, reply, asked);
       });
 }
 
-void Meeting::odd_request(size_t node, int kind) {
+void FaultScenario::odd_request(size_t node, int kind) {
   auto spec = jobs_.begin()->second;
   spec.id = "run-odd" + std::to_string(world_.random64() % 1000000);
   auto m = submission_of(spec);
@@ -578,7 +581,7 @@
       });
 }
 
-void Meeting::told(const std::string& job, const HttpReply& reply, double asked) {
+void FaultScenario::told(const std::string& job, const HttpReply& reply, double asked) {
   auto m = decode_map(reply.body);
   const auto status = m.is_object() ? m.value("status", std::string()) : std::string();
   fleet_->rules().told(job, reply.status, status, asked);
@@ -597,16 +600,15 @@
     });
 }
 
-void Meeting::polls(const std::string& job) {
+void FaultScenario::polls(const std::string& job) {
   poll(job, world_.random64() % controllers_.size());
   world_.in(poll_every_s * world_.uniform(0.8, 1.2), [this, job] { polls(job); });
 }
 
-std::vector<std::string> Meeting::play() {
+std::vector<std::string> FaultScenario::play() {
   set_up();
-  std::stable_sort(happenings_.begin(), happenings_.end(),
-                   [](auto& a, auto& b) { return a.at < b.at; });
-  for (auto& h : happenings_) world_.at(std::min(h.at, until_ - 1e-6), [this, &h] { happen(h); });
+  std::stable_sort(events_.begin(), events_.end(), [](auto& a, auto& b) { return a.at < b.at; });
+  for (auto& h : events_) world_.at(std::min(h.at, until_ - 1e-6), [this, &h] { apply(h); });
   world_.run_until(until_);
   auto out = fleet_->rules().broken();
   out.insert(out.end(), unmet_.begin(), unmet_.end());
--- a/tests/world/meeting.hpp
+++ b/tests/scenarios/fault_scenario.hpp
@@ -1,5 +1,5 @@
-// A meeting of troubles: whole controllers against the stand-ins, driven by a trace. See
-// traces/meetings/README.
+// A fault scenario: whole controllers against the stand-ins, driven by a trace. See
+// traces/scenarios/README.
 #pragma once
 #include "simulation/fleet.hpp"
 #include "simulation/state_service.hpp"
@@ -9,9 +9,9 @@
 
 using Words = std::map<std::string, std::string>;
 
-class Meeting {
+class FaultScenario {
  public:
-  explicit Meeting(uint64_t seed = 1) : world_(seed) { settings_.cloud_rps = 5; }
+  explicit FaultScenario(uint64_t seed = 1) : world_(seed) { settings_.cloud_rps = 5; }
   // Where the files with stored records are.
   std::string fixtures_dir;
   // One line of a trace; yields a complaint, or nothing.
@@ -23,15 +23,15 @@
   const World& world() const { return world_; }
 
  private:
-  struct Happening {
+  struct Event {
     double at;
     std::string verb, name;
     Words words;
   };
   void set_up();
   void store_records(const std::string& file);
-  void happen(const Happening& h);
-  std::string unmet(const Happening& h);
+  void apply(const Event& h);
+  std::string unmet(const Event& h);
   std::string leader() const;
   // Hosts that a word of a trace means: n0, leader, other, nodes, state, a zone, m3, with:JOB ...
   std::vector<std::string> hosts(const std::string& word) const;
@@ -66,7 +66,7 @@
   std::map<std::string, JobSpec> jobs_;
   std::map<std::string, double> run_s_;
   std::set<std::string> broken_jobs_;  // submitted with a mistake: they fail on every machine
-  std::vector<Happening> happenings_;
+  std::vector<Event> events_;
   double until_ = 100, boot_s_ = 0, drift_ = 0.0005;
   int capacity_ = 0;
   size_t page_ = 500;  // machines in one of the cloud's lists
--- a/tests/world/random_meeting.cpp
+++ b/tests/scenarios/random_scenario.cpp
@@ -1,4 +1,4 @@
-#include "world/random_meeting.hpp"
+#include "scenarios/random_scenario.hpp"
 
 #include <fmt/format.h>
 
@@ -26,7 +26,7 @@
 };
 }  // namespace
 
-std::vector<std::string> random_meeting(uint64_t seed) {
+std::vector<std::string> random_scenario(uint64_t seed) {
   Draw draw(seed);
   std::vector<std::string> out;
   auto line = [&](std::string_view f, const auto&... args) {
--- a/tests/world/random_meeting.hpp
+++ b/tests/scenarios/random_scenario.hpp
@@ -1,4 +1,4 @@
-// A meeting drawn at random from all troubles, as lines of a trace.
+// A scenario drawn at random from all troubles, as lines of a trace.
 #pragma once
 #include <cstdint>
 #include <string>
@@ -6,6 +6,6 @@
 
 namespace damsonport::simulation {
 
-std::vector<std::string> random_meeting(uint64_t seed);
+std::vector<std::string> random_scenario(uint64_t seed);
 
 }  // namespace damsonport::simulation
--- a/tools/fleet/addresses.hpp
+++ b/tools/fleet/addresses.hpp
@@ -7,7 +7,7 @@
 
 namespace damsonport::fleet::addresses {
 
-inline constexpr uint16_t state_port = 2379, cloud_port = 8443, api_port = 8080, mesh_port = 8081,
+inline constexpr uint16_t state_port = 2379, cloud_port = 8443, api_port = 8080, peer_port = 8081,
                           region_port = 8082;
 
 inline std::string state(size_t region) { return fmt::format("127.{}.0.1", 10 + region); }
--- a/tools/fleet/controllers.cpp
+++ b/tools/fleet/controllers.cpp
@@ -88,14 +88,14 @@
     known.push_back(toml::table{
         {"node_name", addresses::controller_name(one.region, other)},
         {"location", addresses::zone_name(one.region, other % plan_.zones)},
-        {"endpoint", endpoint(addresses::controller(one.region, other), addresses::mesh_port)}});
+        {"endpoint", endpoint(addresses::controller(one.region, other), addresses::peer_port)}});
   }
   const auto& limits = s.state_limits.present();
   const toml::table root{
       {"node_name", one.name},
       {"location", addresses::zone_name(one.region, n % plan_.zones)},
       {"listen", endpoint(one.host, addresses::api_port)},
-      {"mesh_addr", endpoint(one.host, addresses::mesh_port)},
+      {"mesh_addr", endpoint(one.host, addresses::peer_port)},
       {"known", std::move(known)},
       {"endpoints",
        toml::table{{"cloud", endpoint(addresses::cloud(one.region), addresses::cloud_port)},
