--- a/src/coordination/holder.hpp
+++ b/src/coordination/holder.hpp
@@ -174,6 +174,14 @@
   Task<bool> commit_gang_starts(std::vector<std::vector<DecidedStart>> gangs,
                                 std::stop_token token);
   Task<bool> commit_gang_start(const std::vector<DecidedStart>& gang, std::stop_token token);
+  // The next task of a job to be started, in a record among the edits.
+  struct Startable {
+    ChunkRecord* record = nullptr;  // null: there is none
+    uint32_t chunk = 0, index = 0;  // `index`: within the chunk
+    uint64_t attempt = 0;
+    bool full = false;  // the transaction has no room for another record
+  };
+  Startable find_startable(const Job& job, ChunkEdits& edits);
   Task<bool> commit_single_starts(std::vector<DecidedStart> decided, std::stop_token token);
   // How long the starts of one pass may be committed before the next pass.
   double starts_may_take_s() const;
--- a/src/coordination/holder_commit.cpp
+++ b/src/coordination/holder_commit.cpp
@@ -305,6 +305,22 @@
   co_return !gangs.empty();
 }
 
+Holder::Startable Holder::find_startable(const Job& job, ChunkEdits& edits) {
+  Startable found;
+  for (; found.chunk < job.chunk_count(); ++found.chunk) {
+    if (job.all_started(found.chunk)) continue;
+    ChunkRecord* record = edits.edit(job, found.chunk);
+    found.full = record == nullptr;
+    if (found.full) return found;
+    const uint32_t size = job.size_of(found.chunk);
+    if (!record->peek_startable(size, 0, found.index, found.attempt)) continue;
+    if (waits_for_layout(job, *record)) continue;
+    found.record = record;
+    return found;
+  }
+  return found;
+}
+
 Task<bool> Holder::commit_single_starts(std::vector<DecidedStart> planned, std::stop_token token) {
   const double begun = loop_.now();
   size_t next = 0;
@@ -325,28 +341,13 @@
       Job* job = cache_.job(s.job);
       // Changed while an earlier part was being committed: the next pass sees it as it is.
       if (!job || is_cancelled(*job)) continue;
-      uint32_t index = 0, chunk = 0;
-      uint64_t attempt = 0;
-      ChunkRecord* record = nullptr;
-      bool full = false;
-      for (; chunk < job->chunk_count(); ++chunk) {
-        if (job->all_started(chunk)) continue;
-        record = edits.edit(*job, chunk);
-        if (!record) {
-          full = true;
-          break;
-        }
-        if (record->peek_startable(job->size_of(chunk), 0, index, attempt) &&
-            !waits_for_layout(*job, *record))
-          break;
-        record = nullptr;
-      }
-      if (full || (record && !edits.take_entry())) break;
-      if (!record) continue;
-      record->start(index, attempt, s.machine);
+      const auto found = find_startable(*job, edits);
+      if (found.full || (found.record && !edits.take_entry())) break;
+      if (!found.record) continue;
+      found.record->start(found.index, found.attempt, s.machine);
       edits.require_unchanged(*job);
-      started.push_back(
-          {{s.job, chunk * job->chunk_size + index}, attempt, s.machine, s.image_cached});
+      const uint32_t in_job = found.chunk * job->chunk_size + found.index;
+      started.push_back({{s.job, in_job}, found.attempt, s.machine, s.image_cached});
     }
     if (started.empty()) break;
     any = true;
--- a/tools/fleet/results.cpp
+++ b/tools/fleet/results.cpp
@@ -209,7 +209,7 @@
   auto show_waits = [&](WaitsOf which, const std::string& words) {
     for (auto& [load, values] : waits_of(results, which)) {
       const auto q = quantiles(values);
-      line("start of " + load + words + " (p50, p99, max, count)",
+      line(fmt::format("start of {}{} (p50, p99, max, count)", load, words),
            fmt::format("{:.2f} s, {:.2f} s, {:.2f} s, {}", q.p50, q.p99, q.max, q.count));
     }
   };
