Exits that share a transaction with the end of their job teach the same as before

Found on rereading: of a job whose last tasks end together only the very last exit was dealt with before the job's records went, so the others' machines were told to forget them a report later, and their run times weren't counted.

--- a/src/coordination/holder_commit.cpp
+++ b/src/coordination/holder_commit.cpp
@@ -122,7 +122,14 @@
   }
   if (edits.empty()) co_return false;
   // While the job is still known here: its records go with the commit.
-  std::function<void()> committed = [&] { finish_exits(last); };
+  std::function<void()> committed = [&] {
+    std::set<std::string> ended;
+    for (auto& name : last) ended.insert(name.job);
+    std::vector<TaskName> of_ended = last;
+    for (auto& name : taken)
+      if (ended.contains(name.job)) of_ended.push_back(name);
+    finish_exits(of_ended);
+  };
   if (co_await commit_and_apply(edits.finish(), token, false, std::move(committed))) {
     for (auto& name : last) {
       cache_.remember_final(name.job, FinalState::done);
