--- a/src/coordination/holder.cpp
+++ b/src/coordination/holder.cpp
@@ -79,6 +79,7 @@
   returning_.clear();
   booting_.clear();
   rentals_.begin_term(term_);
+  spending_.begin_term(took_over_at_);
   hints_.clear();
   failures_.clear();
   place_again_ = true;
--- a/src/coordination/holder.hpp
+++ b/src/coordination/holder.hpp
@@ -24,6 +24,7 @@
 #include "coordination/repeated_reports.hpp"
 #include "coordination/silence_timeout.hpp"
 #include "coordination/sizing.hpp"
+#include "coordination/spending.hpp"
 #include "coordination/straggler.hpp"
 #include "coordination/version_registry.hpp"
 
@@ -346,6 +347,7 @@
   std::set<std::string> returning_;
   std::map<std::string, Booting> booting_;
   Rentals rentals_;
+  SpendingAccount spending_;
   MachineListReader machine_list_;
   std::deque<std::string> send_queue_;  // machines with orders
   std::set<std::string> probing_;
--- a/src/coordination/holder_cloud.cpp
+++ b/src/coordination/holder_cloud.cpp
@@ -366,6 +366,8 @@
 void Holder::rent(const std::stop_token& token) {
   rentals_.resume(token);
   auto input = sizing_input();
+  spending_.charge(input.machines, input.types, loop_.now());
+  if (auto line = spending_.report(loop_.now(), settings_.lease_s)) spdlog::info("{}", *line);
   for (auto& [id, m] : machines_) {
     const bool wanted = m.replacing_since > 0 && !m.draining && !m.replacement_asked;
     if (!wanted || rentals_.under_way({m.type, m.zone, m.spot})) continue;
--- /dev/null
+++ b/src/coordination/spending.cpp
@@ -0,0 +1,83 @@
+#include "coordination/spending.hpp"
+
+#include <spdlog/fmt/fmt.h>
+
+#include <algorithm>
+
+namespace damsonport {
+
+namespace {
+
+constexpr double seconds_an_hour = 3600;
+
+double price_of(const std::vector<MachineType>& types, const sizing::MachineState& machine) {
+  for (auto& type : types)
+    if (type.name == machine.type) return machine.spot ? type.spot_price : type.price;
+  return 0;
+}
+
+Cost hourly_cost(const sizing::MachineState& machine, double price) {
+  if (machine.booting) return {price, 0, 0};
+  const double in_use = price * utilisation(machine);
+  return {0, in_use, price - in_use};
+}
+
+void add(Cost& sum, const Cost& cost, double times = 1) {
+  sum.booting += cost.booting * times;
+  sum.in_use += cost.in_use * times;
+  sum.idle += cost.idle * times;
+}
+
+std::string text_of(const Cost& cost) {
+  return fmt::format("{:.2f} (booting {:.2f}, in use {:.2f}, idle {:.2f})", cost.total(),
+                     cost.booting, cost.in_use, cost.idle);
+}
+
+}  // namespace
+
+double utilisation(const sizing::MachineState& machine) {
+  auto share = [](double total, double free) { return total > 0 ? 1 - free / total : 0; };
+  const double most = std::max({share(machine.total.cpus, machine.free.cpus),
+                                share(machine.total.gpus, machine.free.gpus),
+                                share(machine.total.memory_gb, machine.free.memory_gb)});
+  return std::clamp(most, 0.0, 1.0);
+}
+
+void SpendingAccount::begin_term(double now) {
+  *this = {};
+  began_at_ = charged_until_ = next_report_ = now;
+}
+
+void SpendingAccount::charge(const std::vector<sizing::MachineState>& machines,
+                             const std::vector<MachineType>& types, double now) {
+  const double hours = (now - charged_until_) / seconds_an_hour;
+  charged_until_ = now;
+  hourly_ = {};
+  for (auto& [name, kind] : kinds_) {
+    kind.machines = kind.booting = 0;
+    kind.hourly = {};
+  }
+  for (auto& machine : machines) {
+    const Cost hourly = hourly_cost(machine, price_of(types, machine));
+    auto& kind = kinds_[machine.type + " in " + machine.zone + (machine.spot ? " (spot)" : "")];
+    ++kind.machines;
+    kind.booting += machine.booting;
+    add(kind.hourly, hourly);
+    add(kind.spent, hourly, hours);
+    add(hourly_, hourly);
+    add(spent_, hourly, hours);
+  }
+}
+
+std::optional<std::string> SpendingAccount::report(double now, double every_s) {
+  if (now < next_report_) return std::nullopt;
+  next_report_ = now + every_s;
+  auto line = fmt::format("costs: {} an hour, {} in the {:.0f} s of this term", text_of(hourly_),
+                          text_of(spent_), now - began_at_);
+  for (auto& [name, kind] : kinds_)
+    line += fmt::format("; {} {}: {} an hour, {:.2f} so far", kind.machines, name,
+                        text_of(kind.hourly), kind.spent.total());
+  return line;
+}
+
+}  // namespace damsonport
