--- a/src/coordination/holder.hpp
+++ b/src/coordination/holder.hpp
@@ -300,6 +300,7 @@
   Task<bool> ask_return(std::vector<std::string> ask);
   void rent(const std::stop_token& token);
   sizing::Input sizing_input() const;
+  void expect_arrivals(sizing::Input& in) const;
   uint64_t team_limit(const JobSpec& spec) const;
   void drain(Machine& m, const std::string& why);
   void want_return(const std::string& id, const std::string& why);
--- a/src/coordination/holder_cloud.cpp
+++ b/src/coordination/holder_cloud.cpp
@@ -2,6 +2,7 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 #include "coordination/holder.hpp"
@@ -302,13 +303,39 @@
   return t && loop_.now() - b.since <= t->boot_s * slow_boot ? t : nullptr;
 }
 
+// What may be asked for while a machine boots, from what was asked for over some boot times: the
+// mean and twice the spread, as if jobs came independently of one another.
+void Holder::expect_arrivals(sizing::Input& in) const {
+  double gpu_boot = 0, cpu_boot = 0;
+  for (auto& t : in.types) (t.gpus > 0 ? gpu_boot : cpu_boot) =
+      std::max(t.gpus > 0 ? gpu_boot : cpu_boot, t.boot_s);
+  constexpr double window_boots = 5, spreads = 2, late_boot = 1.5;
+  const double wall = loop_.wall();
+  auto expect = [&](bool accelerators, double boot) {
+    double sum = 0, squares = 0, oldest = 0;
+    for (auto& [id, job] : cache_.jobs()) {
+      auto& spec = job->spec;
+      const double age = wall - spec.accepted_at;
+      oldest = std::max(oldest, age);
+      if (spec.spot || (spec.gpus > 0) != accelerators || age > window_boots * boot) continue;
+      const double amount = (accelerators ? spec.gpus : spec.cpus) * spec.tasks;
+      sum += amount;
+      squares += amount * amount;
+    }
+    const double windows = std::max(std::min(oldest / boot, window_boots), 1.0) / late_boot;
+    return sum / windows + spreads * std::sqrt(squares / windows);
+  };
+  in.expected_gpus = expect(true, std::max(gpu_boot, 1.0));
+  in.expected_cpus = expect(false, std::max(cpu_boot, 1.0));
+}
+
 sizing::Input Holder::sizing_input() const {
   sizing::Input in;
   const double now = loop_.now();
   in.types = p_.catalog.types();
   in.spare_share = tuning_.spare_share;
-  in.give_back_idle_s = 20 * settings_.lease_s;
   in.demand = unplaced_;
+  expect_arrivals(in);
   for (auto& [id, job] : cache_.jobs()) {
     auto& spec = job->spec;
     if (!spec.spot || job->cancelled || failures_.job_at_fault(id)) continue;
@@ -323,8 +350,8 @@
     for (auto& zone : t.zones)
       for (bool spot : {false, true}) {
         const MachineKind kind{t.name, zone, spot};
-        const bool closed = rentals_.refused(kind) || rentals_.under_way(kind);
-        in.offers.push_back({t.name, zone, spot, closed});
+        in.offers.push_back(
+            {t.name, zone, spot, rentals_.refused(kind), rentals_.under_way(kind)});
       }
   for (auto& [id, m] : machines_) {
     if (cache_.leaving(id) || to_return_.contains(id) || m.type.empty()) continue;
@@ -345,6 +372,11 @@
       auto& spec = a.job->spec;
       auto& sum = spec.gpus > 0 ? in.gpu_work : in.cpu_work;
       sum += {spec.cpus, spec.gpus, spec.memory_gb};
+      if (!spec.spot) {
+        in.machines.back().has_fixed_work = true;
+      } else if (spec.checkpoint_s > 0) {
+        in.machines.back().yielding += {spec.cpus, spec.gpus, spec.memory_gb};
+      }
       in.largest_gpus = std::max(in.largest_gpus, spec.gpus);
     }
   }
--- a/src/coordination/placement_cost.cpp
+++ b/src/coordination/placement_cost.cpp
@@ -7,6 +7,7 @@
 
 namespace {
 constexpr double missed_cost = 25;  // seconds that a start later than expected counts for
+constexpr double opening_cost = 15;
 }  // namespace
 
 double PlacementPass::usable_gpus(const Amounts& room) const {
@@ -36,6 +37,8 @@
   c += missed_cost * miss_chance(c, job.start_within_s);
   if (job.spot && !machine.spot) c += 3;  // what may use cheap machines leaves others free
   c += (1.0 - std::min(machine.speed, 1.0)) * 20;
+  // An empty machine can be given back.
+  if (machine.live.empty() && replicas_[m] == 0) c += opening_cost;
   // Replicas apart, so that one machine's loss takes few of them.
   if (job.service) c += 2.0 * replicas_[m];
   if (machine.total.gpus > 0 && job.need.gpus <= 0) {
--- a/src/coordination/sizing.cpp
+++ b/src/coordination/sizing.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <limits>
 #include <map>
+#include <set>
 
 namespace damsonport::sizing {
 
@@ -54,7 +55,7 @@
   const Offer* best_like(const Offer& wanted) const {
     const Offer* best = nullptr;
     for (auto& o : in_.offers) {
-      if (o.refused || o.type != wanted.type) continue;
+      if (o.refused || o.under_way || o.type != wanted.type) continue;
       if (o.spot && !wanted.spot) continue;
       if (o.zone == wanted.zone && o.spot == wanted.spot) return &o;
       if (!best) best = &o;
@@ -91,7 +92,7 @@
     double best_cost = std::numeric_limits<double>::infinity();
     for (auto& o : in_.offers) {
       auto* t = type(o.type);
-      if (!t || o.refused || (o.spot ? !d.spot : only_spot)) continue;
+      if (!t || o.refused || (o.under_way && !d.spot) || (o.spot ? !d.spot : only_spot)) continue;
       if (!d.zone.empty() && d.zone != o.zone) continue;
       if (!d.types.empty() && std::find(d.types.begin(), d.types.end(), o.type) == d.types.end())
         continue;
@@ -141,7 +142,8 @@
     uint32_t left = d.count - take_rooms(d, d.count);
     while (left > 0 && added_ < max_new_) {
       const Offer* offer = best_for(d);
-      if (!offer) break;
+      // What may use spot machines is not worth a dearer one as long as the cheapest may come.
+      if (!offer || offer->under_way) break;
       add(offer);
       const uint32_t taken = take_last_room(d, left);
       if (taken == 0) break;
@@ -185,9 +187,19 @@
   // images they hold, to work that may not: standing replicas then start without a stop before.
   void keep_spot() {
     std::vector<Room> rooms;
+    std::vector<const MachineState*> owners;
     for (auto& m : in_.machines)
-      if (auto* t = type(m.type); t && m.spot && (m.open || m.booting))
+      if (auto* t = type(m.type); t && !m.spot && m.open && m.has_fixed_work) {
+        Amounts room = m.free;
+        room += m.yielding;
+        rooms.push_back({t, m.zone, false, room});
+        owners.push_back(&m);
+      }
+    for (auto& m : in_.machines)
+      if (auto* t = type(m.type); t && m.spot && (m.open || m.booting)) {
         rooms.push_back({t, m.zone, true, whole(*t)});
+        owners.push_back(&m);
+      }
     for (auto& r : out_.rent)
       if (r.spot)
         rooms.insert(rooms.end(), static_cast<size_t>(r.count),
@@ -195,7 +207,7 @@
     for (auto& d : in_.spot_work) {
       uint32_t left = d.count;
       auto fill_up = [&](Room& r) {
-        if (left == 0 || !suits(d, r.type->name, r.zone, true)) return;
+        if (left == 0 || !suits(d, r.type->name, r.zone, r.spot)) return;
         uint32_t n = std::min(left, placing::count_fitting(d.need, r.free));
         for (uint32_t i = 0; i < n; ++i) r.free -= d.need;
         left -= n;
@@ -203,12 +215,15 @@
       for (auto& r : rooms) fill_up(r);
       while (left > 0 && added_ < max_new_) {
         auto* offer = best_for(d, true);
-        if (!offer) break;
+        if (!offer || offer->under_way) break;
         add(offer);
         rooms.push_back({type(offer->type), offer->zone, true, whole(*type(offer->type))});
         fill_up(rooms.back());
       }
     }
+    for (size_t i = 0; i < owners.size(); ++i)
+      if (rooms[i].free.gpus < rooms[i].type->gpus || rooms[i].free.cpus < rooms[i].type->cpus)
+        needed_spot_.insert(owners[i]->id);
   }
 
   void keep_spare() {
@@ -216,7 +231,7 @@
     for (auto& m : in_.machines) {
       if (!m.open || m.spot) continue;
       if (m.total.gpus > 0) {
-        gpus += m.free.gpus;
+        gpus += m.free.gpus + m.yielding.gpus;
       } else {
         cpus += m.free.cpus;
       }
@@ -225,8 +240,9 @@
       if (r.spot) continue;
       (r.type->gpus > 0 ? gpus : cpus) += r.type->gpus > 0 ? r.free.gpus : r.free.cpus;
     }
-    double want_gpus = in_.gpu_work.gpus * in_.spare_share + in_.largest_gpus;
-    double want_cpus = in_.cpu_work.cpus * in_.spare_share;
+    double want_gpus =
+        std::min(in_.gpu_work.gpus * in_.spare_share, in_.expected_gpus) + in_.largest_gpus;
+    double want_cpus = std::min(in_.cpu_work.cpus * in_.spare_share, in_.expected_cpus);
     fill(gpus, want_gpus, true);
     fill(cpus, want_cpus, false);
     spare_gpus_ = gpus - want_gpus;
@@ -239,7 +255,7 @@
       double best_cost = std::numeric_limits<double>::infinity();
       for (auto& o : in_.offers) {
         auto* t = type(o.type);
-        if (!t || o.refused || o.spot || (t->gpus > 0) != accelerators) continue;
+        if (!t || o.refused || o.under_way || o.spot || (t->gpus > 0) != accelerators) continue;
         double unit = accelerators ? t->gpus : t->cpus;
         double cost = t->price / unit * (1 + 1e-3 * machines_in(o.zone, o.type));
         if (cost < best_cost) best_cost = cost, best = &o;
@@ -251,16 +267,23 @@
     }
   }
 
-  // Twice the spare must remain: what is given back takes a whole boot to come again.
+  bool rents(const std::string& type) const {
+    return std::any_of(out_.rent.begin(), out_.rent.end(), [&](auto& r) { return r.type == type; });
+  }
+
   void give_back() {
-    if (!out_.rent.empty()) return;
     for (auto& m : in_.machines) {
-      if (!m.open || !m.empty || m.idle_s < in_.give_back_idle_s) continue;
+      auto* t = type(m.type);
+      if (!t || !m.open || !m.empty || m.idle_s < in_.idle_boots * t->boot_s || rents(m.type))
+        continue;
+      if (m.spot) {
+        if (!needed_spot_.contains(m.id)) out_.give_back.push_back(m.id);
+        continue;
+      }
       double& spare = m.total.gpus > 0 ? spare_gpus_ : spare_cpus_;
-      double unit = m.total.gpus > 0 ? m.total.gpus : m.total.cpus;
-      double want = m.total.gpus > 0 ? in_.gpu_work.gpus : in_.cpu_work.cpus;
-      if (!m.spot && spare - unit < want * in_.spare_share + unit) continue;
-      if (!m.spot) spare -= unit;
+      const double unit = m.total.gpus > 0 ? m.total.gpus : m.total.cpus;
+      if (spare < unit) continue;
+      spare -= unit;
       out_.give_back.push_back(m.id);
     }
   }
@@ -272,6 +295,7 @@
   // By zone and type; without those that this plan rents.
   std::map<std::pair<std::string, std::string>, int> machines_in_;
   double spare_gpus_ = 0, spare_cpus_ = 0;
+  std::set<std::string> needed_spot_;  // machines that the work which may use them fills
   Plan out_;
 };
 
--- a/src/coordination/sizing.hpp
+++ b/src/coordination/sizing.hpp
@@ -18,6 +18,9 @@
   bool empty = false;
   double idle_s = 0;
   Amounts total, free;
+  // Held by tasks that may use spot machines and save by themselves: they give way to urgent work.
+  Amounts yielding;
+  bool has_fixed_work = false;  // runs tasks that may not use spot machines
 };
 
 struct Demand {
@@ -34,6 +37,7 @@
   std::string type, zone;
   bool spot = false;
   bool refused = false;  // lately
+  bool under_way = false;  // a request for it is not answered yet
 };
 
 struct Input {
@@ -45,7 +49,11 @@
   std::vector<Demand> spot_work;
   std::vector<Offer> replacements;  // machines to be replaced before they are drained
   double spare_share = 0.25;
-  double give_back_idle_s = 300;
+  // What is likely to be asked for while a machine boots, by work that may not use spot machines:
+  // accelerators, and the CPUs of work without them. The spare room is no larger than that.
+  double expected_gpus = 1e9, expected_cpus = 1e9;
+  // An idle machine is given back after so many times its type's boot time.
+  double idle_boots = 1;
   Amounts gpu_work, cpu_work;  // in use by tasks with and without accelerators
   double largest_gpus = 0;     // the largest task known
 };
