--- a/src/coordination/holder.cpp
+++ b/src/coordination/holder.cpp
@@ -84,7 +84,9 @@
   failures_.clear();
   place_again_ = true;
   next_list_ = 0;
-  next_sizing_ = took_over_at_ + 2 * settings_.report_s;
+  // Machines that an earlier holder rented are heard first. The first one of all has none.
+  const bool first_of_all = cache_.blocks().renewals <= 1;
+  next_sizing_ = took_over_at_ + (first_of_all ? 0 : 2 * settings_.report_s);
   p_.budgets.begin_term();
   budget_news_ = true;
   reset_view();
--- a/src/coordination/holder_cloud.cpp
+++ b/src/coordination/holder_cloud.cpp
@@ -309,7 +309,7 @@
   double gpu_boot = 0, cpu_boot = 0;
   for (auto& t : in.types) (t.gpus > 0 ? gpu_boot : cpu_boot) =
       std::max(t.gpus > 0 ? gpu_boot : cpu_boot, t.boot_s);
-  constexpr double window_boots = 5, spreads = 2, late_boot = 1.5;
+  constexpr double window_boots = 5, spreads = 4, late_boot = 1.5;
   const double wall = loop_.wall();
   auto expect = [&](bool accelerators, double boot) {
     double sum = 0, squares = 0, oldest = 0;
@@ -370,9 +370,9 @@
     in.machines.push_back(s);
     for (auto& [a, attempt] : cache_.assigned(id)) {
       auto& spec = a.job->spec;
-      auto& sum = spec.gpus > 0 ? in.gpu_work : in.cpu_work;
-      sum += {spec.cpus, spec.gpus, spec.memory_gb};
       if (!spec.spot) {
+        auto& sum = spec.gpus > 0 ? in.gpu_work : in.cpu_work;
+        sum += {spec.cpus, spec.gpus, spec.memory_gb};
         in.machines.back().has_fixed_work = true;
       } else if (spec.checkpoint_s > 0) {
         in.machines.back().yielding += {spec.cpus, spec.gpus, spec.memory_gb};
--- a/src/coordination/sizing.cpp
+++ b/src/coordination/sizing.cpp
@@ -12,7 +12,7 @@
 
 // Machines rented in one plan, as a share of the fleet, and at the least.
 constexpr double new_share = 0.25;
-constexpr int new_at_least = 8;
+constexpr int new_at_least = 100;
 
 struct Room {
   const MachineType* type;
