--- a/src/coordination/holder_cloud.cpp
+++ b/src/coordination/holder_cloud.cpp
@@ -365,6 +365,7 @@
     s.free = free_of(m);
     s.empty = cache_.assigned(id).empty() && m.tasks.empty();
     s.idle_s = now - m.idle_since;
+    for (auto& [image, use] : m.images.images()) s.images_gb += use.second;
     // Up but not heard yet counts as on its way.
     s.booting = m.session == 0 && silence(m) < 4 * settings_.report_s;
     in.machines.push_back(s);
--- a/src/coordination/sizing.cpp
+++ b/src/coordination/sizing.cpp
@@ -241,8 +241,8 @@
       (r.type->gpus > 0 ? gpus : cpus) += r.type->gpus > 0 ? r.free.gpus : r.free.cpus;
     }
     double want_gpus =
-        std::min(in_.gpu_work.gpus * in_.spare_share, in_.expected_gpus) + in_.largest_gpus;
-    double want_cpus = std::min(in_.cpu_work.cpus * in_.spare_share, in_.expected_cpus);
+        wanted_spare(in_.gpu_work.gpus, in_.expected_gpus, true) + in_.largest_gpus;
+    double want_cpus = wanted_spare(in_.cpu_work.cpus, in_.expected_cpus, false);
     fill(gpus, want_gpus, true);
     fill(cpus, want_cpus, false);
     spare_gpus_ = gpus - want_gpus;
@@ -271,11 +271,38 @@
     return std::any_of(out_.rent.begin(), out_.rent.end(), [&](auto& r) { return r.type == type; });
   }
 
+  double keep_idle_s(const MachineState& m, const MachineType& t) const {
+    return in_.idle_replacements * (t.boot_s + m.images_gb / std::max(t.fetch_gb_per_s, 1e-3));
+  }
+
+  double hourly(const MachineState& m) const {
+    auto* t = type(m.type);
+    return !t ? 0 : m.spot ? t->spot_price : t->price;
+  }
+
+  // The price of a unit of room, accelerators or CPUs, at the dearest of its machines; 0: no machine.
+  double unit_price(bool accelerators) const {
+    double most = 0;
+    for (auto& m : in_.machines)
+      if (!m.spot && (m.total.gpus > 0) == accelerators)
+        most = std::max(most, hourly(m) / std::max(accelerators ? m.total.gpus : m.total.cpus, 1.0));
+    return most;
+  }
+
+  // The spare room to keep: a share of what is in use, but no more than is expected to be asked for
+  // where it costs much.
+  double wanted_spare(double in_use, double expected, bool accelerators) const {
+    double fleet = 0;
+    for (auto& m : in_.machines) fleet += hourly(m);
+    const double wanted = in_use * in_.spare_share;
+    const double cheap = in_.cheap_share * fleet / std::max(unit_price(accelerators), 1e-9);
+    return std::min(wanted, std::max(expected, cheap));
+  }
+
   void give_back() {
     for (auto& m : in_.machines) {
       auto* t = type(m.type);
-      if (!t || !m.open || !m.empty || m.idle_s < in_.idle_boots * t->boot_s || rents(m.type))
-        continue;
+      if (!t || !m.open || !m.empty || m.idle_s < keep_idle_s(m, *t) || rents(m.type)) continue;
       if (m.spot) {
         if (!needed_spot_.contains(m.id)) out_.give_back.push_back(m.id);
         continue;
--- a/src/coordination/sizing.hpp
+++ b/src/coordination/sizing.hpp
@@ -17,6 +17,7 @@
   bool booting = false;  // expected to take tasks soon
   bool empty = false;
   double idle_s = 0;
+  double images_gb = 0;  // held
   Amounts total, free;
   // Held by tasks that may use spot machines and save by themselves: they give way to urgent work.
   Amounts yielding;
@@ -52,8 +53,11 @@
   // What is likely to be asked for while a machine boots, by work that may not use spot machines:
   // accelerators, and the CPUs of work without them. The spare room is no larger than that.
   double expected_gpus = 1e9, expected_cpus = 1e9;
-  // An idle machine is given back after so many times its type's boot time.
-  double idle_boots = 1;
+  // An idle machine is given back after so many times what another one would take to replace it: to
+  // boot and to fetch the images.
+  double idle_replacements = 1;
+  // Spare room is kept in full where all of it costs less than this share of the fleet.
+  double cheap_share = 0.05;
   Amounts gpu_work, cpu_work;  // in use by tasks with and without accelerators
   double largest_gpus = 0;     // the largest task known
 };
