--- a/src/coordination/catalog.cpp
+++ b/src/coordination/catalog.cpp
@@ -36,6 +36,12 @@
   return nullptr;
 }
 
+double Catalog::dearest_price() const {
+  double most = 0;
+  for (auto& t : types_) most = std::max(most, t.price);
+  return std::max(most, 1e-9);
+}
+
 void keep_known_types(JobSpec& job, const std::vector<MachineType>& types) {
   std::vector<std::string> known;
   for (auto& type : types)
--- a/src/coordination/catalog.hpp
+++ b/src/coordination/catalog.hpp
@@ -14,6 +14,8 @@
   bool known() const { return !types_.empty(); }
   const std::vector<MachineType>& types() const { return types_; }
   const MachineType* type(const std::string& name) const;
+  // Of the dearest type, an hour.
+  double dearest_price() const;
 
  private:
   Loop& loop_;
--- a/src/coordination/holder_view.cpp
+++ b/src/coordination/holder_view.cpp
@@ -97,7 +97,10 @@
   v.free = free_of(m);
   v.straggler = m.straggler.flagged;
   v.speed = m.straggler.updates >= tuning_.straggler_test_every ? m.straggler.average : 1.0;
-  if (auto* type = p_.catalog.type(m.type)) v.fetch_gb_per_s = type->fetch_gb_per_s;
+  if (auto* type = p_.catalog.type(m.type)) {
+    v.fetch_gb_per_s = type->fetch_gb_per_s;
+    v.price_share = (m.spot ? type->spot_price : type->price) / p_.catalog.dearest_price();
+  }
   v.images.clear();
   for (auto& [image, use] : m.images.images()) v.images.push_back(view_.images.id(image));
   v.fetching.clear();
--- a/src/coordination/placement.hpp
+++ b/src/coordination/placement.hpp
@@ -57,6 +57,7 @@
   bool open = true;  // takes new tasks now
   Amounts total, free;
   double fetch_gb_per_s = 1;
+  double price_share = 0;             // of the price of the dearest type
   double speed = 1.0;                 // straggler average
   bool straggler = false;             // flagged by it
   std::vector<NameId> images;         // held
--- a/src/coordination/placement_cost.cpp
+++ b/src/coordination/placement_cost.cpp
@@ -38,7 +38,7 @@
   if (job.spot && !machine.spot) c += 3;  // what may use cheap machines leaves others free
   c += (1.0 - std::min(machine.speed, 1.0)) * 20;
   // An empty machine can be given back.
-  if (machine.live.empty() && replicas_[m] == 0) c += opening_cost;
+  if (machine.live.empty() && replicas_[m] == 0) c += opening_cost * machine.price_share;
   // Replicas apart, so that one machine's loss takes few of them.
   if (job.service) c += 2.0 * replicas_[m];
   if (machine.total.gpus > 0 && job.need.gpus <= 0) {
