--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -286,15 +286,16 @@
   ++replicas_[m];
 }
 
-bool PlacementPass::claim_coming(size_t j, std::optional<double> image_held_within_s) {
+bool PlacementPass::claim_coming(size_t j, std::optional<BesideImage> beside_image) {
   out_.examined += coming_.size();
   auto& need = in_.jobs[j].need;
-  double best = never;
+  const double bound = beside_image ? beside_image->cheaper_than : never;
+  double best = bound;
   size_t where = 0;
   for (size_t m : coming_) {
     if (!has_room(future_[m])) continue;
-    if (image_held_within_s &&
-        !(holds(in_.machines[m], in_.jobs[j].image) && time_to_save(m) < *image_held_within_s))
+    if (beside_image &&
+        !(holds(in_.machines[m], in_.jobs[j].image) && time_to_save(m) < beside_image->within_s))
       continue;
     Amounts both = free_[m];
     both += future_[m];
@@ -302,7 +303,7 @@
     double c = cost(j, m, both);
     if (c < best || (c == best && m < where)) best = c, where = m;
   }
-  if (best == never) return false;
+  if (best == bound) return false;
   take_future(j, where);
   return true;
 }
--- a/src/coordination/placement_pass.hpp
+++ b/src/coordination/placement_pass.hpp
@@ -134,8 +134,11 @@
 
   void occupy(size_t j, size_t m);
 
-  // `image_held_within_s`: only where the image is and the room is free within that time.
-  bool claim_coming(size_t j, std::optional<double> image_held_within_s = {});
+  // Bounds on room beside an image: free within that time, at a lower cost.
+  struct BesideImage {
+    double within_s, cheaper_than;
+  };
+  bool claim_coming(size_t j, std::optional<BesideImage> beside_image = {});
 
   bool claim_booting(size_t j);
 
@@ -181,6 +184,8 @@
   bool make_room_beside_image(size_t j, double fetch_s, double cost);
   // Until all that is stopped on the machine has saved.
   double time_to_save(size_t m) const;
+  // What the machine costs the job once the tasks are stopped.
+  double machine_cost_after(size_t j, const Eviction& eviction) const;
   bool beside_image_in_time(size_t j, const Eviction& eviction, double before) const;
   void stop_task(size_t m, size_t live, double grace_s);
   // Stops every task of a gang at once: one alone could not save.
--- a/src/coordination/placement_preemption.cpp
+++ b/src/coordination/placement_preemption.cpp
@@ -170,12 +170,20 @@
   return longest < before;
 }
 
+double PlacementPass::machine_cost_after(size_t j, const Eviction& eviction) const {
+  const size_t m = eviction.machine;
+  Amounts room = free_[m];
+  room += future_[m];
+  for (size_t i : eviction.live) room += in_.jobs[in_.machines[m].live[i].job].need;
+  return cost(j, m, room);
+}
+
 bool PlacementPass::make_room_beside_image(size_t j, double fetch_s, double cost) {
   auto& job = in_.jobs[j];
   // Room that takes as long as the fetch, or longer than is expected of the start, is no gain.
   const double before = std::min(fetch_s, job.start_within_s);
   // Also what an earlier pass decided: it would else start elsewhere meanwhile, with a fetch.
-  if (claim_coming(j, before)) return true;
+  if (claim_coming(j, BesideImage{before, cost})) return true;
   Eviction best;
   best.cost = cost;
   for (size_t m = 0; m < in_.machines.size(); ++m) {
@@ -183,6 +191,9 @@
     ++out_.examined;
     if (!allowed(j, m)) continue;
     auto eviction = eviction_on(j, m, false);
+    // The machine's own cost counts too: once the room is free the task would else not start there,
+    // what was stopped would, and be stopped again.
+    eviction.cost += machine_cost_after(j, eviction);
     if (eviction.cost < best.cost && beside_image_in_time(j, eviction, before))
       best = std::move(eviction);
   }
