--- a/src/coordination/holder_cloud.cpp
+++ b/src/coordination/holder_cloud.cpp
@@ -338,13 +338,15 @@
   expect_arrivals(in);
   for (auto& [id, job] : cache_.jobs()) {
     auto& spec = job->spec;
-    if (!spec.spot || job->cancelled || failures_.job_at_fault(id)) continue;
-    in.spot_work.push_back(
-        {{spec.cpus, spec.gpus, spec.memory_gb},
-         static_cast<uint32_t>(std::min<uint64_t>(spec.tasks - job->done, team_limit(spec))),
-         spec.types,
-         spec.zone,
-         true});
+    if (job->cancelled || failures_.job_at_fault(id)) continue;
+    const auto tasks =
+        static_cast<uint32_t>(std::min<uint64_t>(spec.tasks - job->done, team_limit(spec)));
+    if (spec.spot) {
+      in.spot_work.push_back({need_of(spec), tasks, spec.types, spec.zone, true});
+      continue;
+    }
+    (spec.gpus > 0 ? in.gpu_work : in.cpu_work) += need_of(spec) * tasks;
+    in.largest_gpus = std::max(in.largest_gpus, spec.gpus);
   }
   for (auto& t : in.types)
     for (auto& zone : t.zones)
@@ -372,13 +374,10 @@
     for (auto& [a, attempt] : cache_.assigned(id)) {
       auto& spec = a.job->spec;
       if (!spec.spot) {
-        auto& sum = spec.gpus > 0 ? in.gpu_work : in.cpu_work;
-        sum += {spec.cpus, spec.gpus, spec.memory_gb};
         in.machines.back().has_fixed_work = true;
       } else if (spec.checkpoint_s > 0) {
-        in.machines.back().yielding += {spec.cpus, spec.gpus, spec.memory_gb};
+        in.machines.back().yielding += need_of(spec);
       }
-      in.largest_gpus = std::max(in.largest_gpus, spec.gpus);
     }
   }
   for (auto& [id, b] : booting_) {
--- a/src/coordination/holder_commit.cpp
+++ b/src/coordination/holder_commit.cpp
@@ -13,7 +13,6 @@
 // Share of a report period that one pass may go on committing starts.
 constexpr double starts_share = 0.05;
 
-placing::Amounts need_of(const JobSpec& s) { return {s.cpus, s.gpus, s.memory_gb}; }
 
 }  // namespace
 
--- a/src/coordination/placement.hpp
+++ b/src/coordination/placement.hpp
@@ -23,6 +23,10 @@
   }
 };
 
+inline Amounts operator*(const Amounts& one, double times) {
+  return {one.cpus * times, one.gpus * times, one.memory_gb * times};
+}
+
 // How many of the like fit into this room.
 uint32_t count_fitting(const Amounts& need, const Amounts& room);
 
--- a/src/coordination/sizing.hpp
+++ b/src/coordination/sizing.hpp
@@ -6,6 +6,15 @@
 #include "coordination/placement.hpp"
 #include "protocol/messages.hpp"
 
+namespace damsonport {
+
+// What each task of the job takes of its machine.
+inline placing::Amounts need_of(const JobSpec& spec) {
+  return {spec.cpus, spec.gpus, spec.memory_gb};
+}
+
+}  // namespace damsonport
+
 namespace damsonport::sizing {
 
 using placing::Amounts;
