--- a/src/coordination/sizing.hpp
+++ b/src/coordination/sizing.hpp
@@ -80,6 +80,9 @@
 struct Plan {
   std::vector<Rent> rent;
   std::vector<std::string> give_back;
+  // Room that could be given back too, if it were on a machine of its own: accelerators, and the
+  // CPUs of machines without them.
+  double surplus_gpus = 0, surplus_cpus = 0;
   size_t examined = 0;  // rooms and machines looked at: the work of this plan
 };
 
