--- a/src/coordination/holder.hpp
+++ b/src/coordination/holder.hpp
@@ -303,8 +303,6 @@
   void expect_arrivals(sizing::Input& in) const;
   uint64_t team_limit(const JobSpec& spec) const;
   void drain(Machine& m, const std::string& why);
-  // Empties a machine whose tasks have room elsewhere.
-  void consolidate(const sizing::Plan& plan);
   void want_return(const std::string& id, const std::string& why);
 
   Parts p_;
@@ -367,7 +365,7 @@
   Dividing dividing_;
   bool budget_news_ = false, unmet_told_ = false;
   double next_budgets_ = 0;
-  double next_list_ = 0, next_sizing_ = 0, next_consolidation_ = 0, next_orphan_check_ = 0;
+  double next_list_ = 0, next_sizing_ = 0, next_orphan_check_ = 0;
   bool place_again_ = true;
   double next_place_ = 0;
   double last_pass_s_ = 0;  // how long the last pass of placement took
--- a/src/coordination/holder_cloud.cpp
+++ b/src/coordination/holder_cloud.cpp
@@ -5,7 +5,6 @@
 #include <cmath>
 #include <limits>
 
-#include "coordination/consolidation.hpp"
 #include "coordination/holder.hpp"
 
 namespace damsonport {
@@ -15,8 +14,6 @@
 constexpr size_t max_returns_a_tick = 4;  // the cloud's calls are also wanted for rentals
 // A worker that gets no answer in 4 s goes to the next controller a second later.
 constexpr double worker_retry_s = 5;
-// A task isn't moved before it has run for so many leases, nor machines emptied more often.
-constexpr double consolidation_leases = 2;
 constexpr double slow_boot = 1.6;    // times boot_s: the room is no longer counted on
 constexpr double never_boots = 4.0;  // times boot_s: returned
 }  // namespace
@@ -420,26 +417,6 @@
     const MachineKind kind{r.type, r.zone, r.spot};
     if (!rentals_.under_way(kind)) rentals_.rent(kind, r.count, token);
   }
-  if (plan.rent.empty()) consolidate(plan);
-}
-
-void Holder::consolidate(const sizing::Plan& plan) {
-  const double now = loop_.now();
-  if (now < next_consolidation_ || waiting_tasks_ > 0) return;
-  consolidation::Limits limits;
-  limits.spare_gpus = plan.surplus_gpus;
-  limits.spare_cpus = plan.surplus_cpus;
-  limits.settled_s = consolidation_leases * settings_.lease_s;
-  refresh_view();
-  const auto chosen = consolidation::machine_to_empty(view_, limits);
-  if (!chosen) return;
-  next_consolidation_ = now + limits.settled_s;
-  const std::string id = view_.machines[*chosen].id;
-  spdlog::info("emptying {}: its {} tasks have room elsewhere", id,
-               view_.machines[*chosen].live.size());
-  drain(machines_.at(id), "consolidated");
-  for (auto& [task, attempt] : cache_.assigned(id))
-    stop_task({{task.job->spec.id, task.index}, attempt, id}, stop_grace(task.job->spec));
 }
 
 }  // namespace damsonport
--- a/src/coordination/sizing.cpp
+++ b/src/coordination/sizing.cpp
@@ -40,8 +40,6 @@
     keep_spot();
     keep_spare();
     give_back();
-    out_.surplus_gpus = spare_gpus_;
-    out_.surplus_cpus = spare_cpus_;
     return std::move(out_);
   }
 
--- a/src/coordination/sizing.hpp
+++ b/src/coordination/sizing.hpp
@@ -64,7 +64,7 @@
   double expected_gpus = 1e9, expected_cpus = 1e9;
   // An idle machine is given back after so many times what another one would take to replace it: to
   // boot and to fetch the images.
-  double idle_replacements = 1;
+  double idle_replacements = 0.5;
   // Spare room is kept in full where all of it costs less than this share of the fleet.
   double cheap_share = 0.05;
   Amounts gpu_work, cpu_work;  // in use by tasks with and without accelerators
@@ -80,9 +80,6 @@
 struct Plan {
   std::vector<Rent> rent;
   std::vector<std::string> give_back;
-  // Room that could be given back too, if it were on a machine of its own: accelerators, and the
-  // CPUs of machines without them.
-  double surplus_gpus = 0, surplus_cpus = 0;
   size_t examined = 0;  // rooms and machines looked at: the work of this plan
 };
 
