--- a/src/coordination/holder_cloud.cpp
+++ b/src/coordination/holder_cloud.cpp
@@ -309,7 +309,7 @@
   double gpu_boot = 0, cpu_boot = 0;
   for (auto& t : in.types) (t.gpus > 0 ? gpu_boot : cpu_boot) =
       std::max(t.gpus > 0 ? gpu_boot : cpu_boot, t.boot_s);
-  constexpr double window_boots = 5, spreads = 4, late_boot = 1.5;
+  constexpr double window_boots = 5, spreads = 2, late_boot = 1.5;
   const double wall = loop_.wall();
   auto expect = [&](bool accelerators, double boot) {
     double sum = 0, squares = 0, oldest = 0;
--- a/src/coordination/sizing.hpp
+++ b/src/coordination/sizing.hpp
@@ -64,7 +64,7 @@
   double expected_gpus = 1e9, expected_cpus = 1e9;
   // An idle machine is given back after so many times what another one would take to replace it: to
   // boot and to fetch the images.
-  double idle_replacements = 0.5;
+  double idle_replacements = 1;
   // Spare room is kept in full where all of it costs less than this share of the fleet.
   double cheap_share = 0.05;
   Amounts gpu_work, cpu_work;  // in use by tasks with and without accelerators
