--- a/src/coordination/holder_cloud.cpp
+++ b/src/coordination/holder_cloud.cpp
@@ -2,9 +2,9 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
-#include <cmath>
 #include <limits>
 
+#include "coordination/headroom.hpp"
 #include "coordination/holder.hpp"
 
 namespace damsonport {
@@ -303,30 +303,26 @@
   return t && loop_.now() - b.since <= t->boot_s * slow_boot ? t : nullptr;
 }
 
-// What may be asked for while a machine boots, from what was asked for over some boot times: the
-// mean and twice the spread, as if jobs came independently of one another.
+// From the jobs that are known: a new holder expects what the last one did.
 void Holder::expect_arrivals(sizing::Input& in) const {
-  double gpu_boot = 0, cpu_boot = 0;
-  for (auto& t : in.types) (t.gpus > 0 ? gpu_boot : cpu_boot) =
-      std::max(t.gpus > 0 ? gpu_boot : cpu_boot, t.boot_s);
-  constexpr double window_boots = 5, spreads = 2, late_boot = 1.5;
-  const double wall = loop_.wall();
-  auto expect = [&](bool accelerators, double boot) {
-    double sum = 0, squares = 0, oldest = 0;
-    for (auto& [id, job] : cache_.jobs()) {
-      auto& spec = job->spec;
-      const double age = wall - spec.accepted_at;
-      oldest = std::max(oldest, age);
-      if (spec.spot || (spec.gpus > 0) != accelerators || age > window_boots * boot) continue;
-      const double amount = (accelerators ? spec.gpus : spec.cpus) * spec.tasks;
-      sum += amount;
-      squares += amount * amount;
+  double gpu_boot_s = 0, cpu_boot_s = 0;
+  for (auto& t : in.types) {
+    double& boot_s = t.gpus > 0 ? gpu_boot_s : cpu_boot_s;
+    boot_s = std::max(boot_s, t.boot_s);
+  }
+  std::vector<headroom::Arrival> gpus, cpus;
+  for (auto& [id, job] : cache_.jobs()) {
+    auto& spec = job->spec;
+    if (spec.spot) continue;
+    const double age_s = loop_.wall() - spec.accepted_at;
+    if (spec.gpus > 0) {
+      gpus.push_back({age_s, spec.gpus * spec.tasks});
+    } else {
+      cpus.push_back({age_s, spec.cpus * spec.tasks});
     }
-    const double windows = std::max(std::min(oldest / boot, window_boots), 1.0) / late_boot;
-    return sum / windows + spreads * std::sqrt(squares / windows);
-  };
-  in.expected_gpus = expect(true, std::max(gpu_boot, 1.0));
-  in.expected_cpus = expect(false, std::max(cpu_boot, 1.0));
+  }
+  in.expected_gpus = headroom::expected_arrivals(gpus, gpu_boot_s, tuning_.arrival_spreads);
+  in.expected_cpus = headroom::expected_arrivals(cpus, cpu_boot_s, tuning_.arrival_spreads);
 }
 
 sizing::Input Holder::sizing_input() const {
@@ -334,6 +330,8 @@
   const double now = loop_.now();
   in.types = p_.catalog.types();
   in.spare_share = tuning_.spare_share;
+  in.cheap_share = tuning_.cheap_spare_share;
+  in.idle_replacements = tuning_.idle_replacements;
   in.demand = unplaced_;
   expect_arrivals(in);
   for (auto& [id, job] : cache_.jobs()) {
@@ -352,8 +350,7 @@
     for (auto& zone : t.zones)
       for (bool spot : {false, true}) {
         const MachineKind kind{t.name, zone, spot};
-        in.offers.push_back(
-            {t.name, zone, spot, rentals_.refused(kind), rentals_.under_way(kind)});
+        in.offers.push_back({t.name, zone, spot, rentals_.refused(kind), rentals_.under_way(kind)});
       }
   for (auto& [id, m] : machines_) {
     if (cache_.leaving(id) || to_return_.contains(id) || m.type.empty()) continue;
--- a/src/coordination/holder_commit.cpp
+++ b/src/coordination/holder_commit.cpp
@@ -13,7 +13,6 @@
 // Share of a report period that one pass may go on committing starts.
 constexpr double starts_share = 0.05;
 
-
 }  // namespace
 
 Task<void> Holder::reread(std::vector<std::string> failed) {
--- a/src/coordination/placement_cost.cpp
+++ b/src/coordination/placement_cost.cpp
@@ -7,6 +7,8 @@
 
 namespace {
 constexpr double missed_cost = 25;  // seconds that a start later than expected counts for
+// Seconds that the use of an empty machine counts for, which could else be given back: on the
+// dearest type, on others in proportion to their price.
 constexpr double opening_cost = 15;
 }  // namespace
 
@@ -30,6 +32,13 @@
   return std::clamp((most - within) / (most - least), 0.0, 1.0);
 }
 
+bool PlacementPass::opens(size_t j, size_t m) const {
+  auto& machine = in_.machines[m];
+  if (!machine.live.empty() || replicas_[m] > 0) return false;
+  // It was kept for such a start.
+  return in_.jobs[j].start_within_s <= 0 || !holds(machine, in_.jobs[j].image);
+}
+
 double PlacementPass::cost(size_t j, size_t m, const Amounts& room) const {
   auto& job = in_.jobs[j];
   auto& machine = in_.machines[m];
@@ -37,8 +46,7 @@
   c += missed_cost * miss_chance(c, job.start_within_s);
   if (job.spot && !machine.spot) c += 3;  // what may use cheap machines leaves others free
   c += (1.0 - std::min(machine.speed, 1.0)) * 20;
-  // An empty machine can be given back.
-  if (machine.live.empty() && replicas_[m] == 0) c += opening_cost * machine.price_share;
+  if (opens(j, m)) c += opening_cost * machine.price_share;
   // Replicas apart, so that one machine's loss takes few of them.
   if (job.service) c += 2.0 * replicas_[m];
   if (machine.total.gpus > 0 && job.need.gpus <= 0) {
--- a/src/coordination/placement_pass.hpp
+++ b/src/coordination/placement_pass.hpp
@@ -83,6 +83,9 @@
   // Chance that a fetch of this length, give or take a third, is too long for what is expected.
   static double miss_chance(double fetch, double within);
 
+  // The start would use a machine that is empty and could else be given back.
+  bool opens(size_t j, size_t m) const;
+
   // Seconds, or what counts like them: the lower, the better the machine for this task.
   double cost(size_t j, size_t m, const Amounts& room) const;
 
--- a/src/coordination/sizing.cpp
+++ b/src/coordination/sizing.cpp
@@ -6,11 +6,14 @@
 #include <map>
 #include <set>
 
+#include "coordination/headroom.hpp"
+
 namespace damsonport::sizing {
 
 namespace {
 
-// Machines rented in one plan, as a share of the fleet, and at the least.
+// Machines rented in one plan, as a share of the fleet, and at the least: two requests' worth, so
+// that a fleet which begins with nothing is there after a few plans.
 constexpr double new_share = 0.25;
 constexpr int new_at_least = 100;
 
@@ -114,38 +117,34 @@
            (d.types.empty() || std::find(d.types.begin(), d.types.end(), type) != d.types.end());
   }
 
-  // Takes room for up to so many tasks of the like, from the first room on; yields how many found
-  // some. A room that is passed over here has none left for a later task of them either.
-  uint32_t take_rooms(const Demand& d, uint32_t count) {
+  // Takes room for up to so many tasks of the like; yields how many found some.
+  uint32_t take_room(Room& room, const Demand& d, uint32_t count) {
+    ++out_.examined;
+    if (!suits(d, room.type->name, room.zone, room.spot)) return 0;
+    const uint32_t taken = std::min(count, placing::count_fitting(d.need, room.free));
+    room.free -= d.need * taken;
+    return taken;
+  }
+
+  // From the first room on. A room that is passed over has none left for a later task either.
+  uint32_t take_rooms(std::vector<Room>& rooms, const Demand& d, uint32_t count) {
     uint32_t left = count;
-    for (auto& r : rooms_) {
+    for (auto& room : rooms) {
       if (left == 0) break;
-      ++out_.examined;
-      if (!suits(d, r.type->name, r.zone, r.spot)) continue;
-      for (; left > 0 && d.need.fits(r.free); --left) r.free -= d.need;
+      left -= take_room(room, d, left);
     }
     return count - left;
   }
 
-  // As above, in the room added last.
-  uint32_t take_last_room(const Demand& d, uint32_t count) {
-    ++out_.examined;
-    Room& r = rooms_.back();
-    uint32_t left = suits(d, r.type->name, r.zone, r.spot) ? count : 0;
-    const uint32_t tried = left;
-    for (; left > 0 && d.need.fits(r.free); --left) r.free -= d.need;
-    return tried - left;
-  }
-
   // Room for all of the like, renting where there is none; yields how many are left without.
   uint32_t serve(const Demand& d) {
-    uint32_t left = d.count - take_rooms(d, d.count);
+    uint32_t left = d.count - take_rooms(rooms_, d, d.count);
     while (left > 0 && added_ < max_new_) {
       const Offer* offer = best_for(d);
       // What may use spot machines is not worth a dearer one as long as the cheapest may come.
       if (!offer || offer->under_way) break;
       add(offer);
-      const uint32_t taken = take_last_room(d, left);
+      const uint32_t taken = take_room(rooms_.back(), d, left);
       if (taken == 0) break;
       left -= taken;
     }
@@ -183,47 +182,77 @@
     }
   }
 
+  // Room for work that may use spot machines, and whose it is; no machine: it is being rented.
+  struct SpotRoom {
+    Room room;
+    const MachineState* machine;
+  };
+
+  // What is free beside work that keeps its machine rented anyhow comes first, since it costs
+  // nothing, then the spot machines, the empty ones last: they can be given back.
+  std::vector<SpotRoom> rooms_for_spot_work() const {
+    std::vector<SpotRoom> rooms;
+    for (auto& m : in_.machines) {
+      auto* t = type(m.type);
+      if (!t || m.spot || !m.open || !m.has_fixed_work) continue;
+      Amounts room = m.free;
+      room += m.yielding;
+      rooms.push_back({{t, m.zone, false, room}, &m});
+    }
+    for (const bool empty : {false, true})
+      for (auto& m : in_.machines) {
+        auto* t = type(m.type);
+        if (!t || !m.spot || m.empty != empty || !(m.open || m.booting)) continue;
+        rooms.push_back({{t, m.zone, true, whole(*t)}, &m});
+      }
+    for (auto& r : out_.rent) {
+      auto* t = type(r.type);
+      if (!r.spot) continue;
+      rooms.insert(rooms.end(), static_cast<size_t>(r.count),
+                   {{t, r.zone, true, whole(*t)}, nullptr});
+    }
+    return rooms;
+  }
+
+  // The least that any task of this work takes, of each kind: what has less room is full.
+  Amounts least_spot_need() const {
+    Amounts least{1e18, 1e18, 1e18};
+    for (auto& d : in_.spot_work) {
+      least.cpus = std::min(least.cpus, d.need.cpus);
+      least.gpus = std::min(least.gpus, d.need.gpus);
+      least.memory_gb = std::min(least.memory_gb, d.need.memory_gb);
+    }
+    return least;
+  }
+
   // Spot machines for all the work that may use them. What runs there leaves the others, and the
   // images they hold, to work that may not: standing replicas then start without a stop before.
   void keep_spot() {
-    std::vector<Room> rooms;
-    std::vector<const MachineState*> owners;
-    for (auto& m : in_.machines)
-      if (auto* t = type(m.type); t && !m.spot && m.open && m.has_fixed_work) {
-        Amounts room = m.free;
-        room += m.yielding;
-        rooms.push_back({t, m.zone, false, room});
-        owners.push_back(&m);
-      }
-    for (auto& m : in_.machines)
-      if (auto* t = type(m.type); t && m.spot && (m.open || m.booting)) {
-        rooms.push_back({t, m.zone, true, whole(*t)});
-        owners.push_back(&m);
-      }
-    for (auto& r : out_.rent)
-      if (r.spot)
-        rooms.insert(rooms.end(), static_cast<size_t>(r.count),
-                     {type(r.type), r.zone, true, whole(*type(r.type))});
+    if (in_.spot_work.empty()) return;
+    auto rooms = rooms_for_spot_work();
+    const Amounts least = least_spot_need();
     for (auto& d : in_.spot_work) {
       uint32_t left = d.count;
-      auto fill_up = [&](Room& r) {
-        if (left == 0 || !suits(d, r.type->name, r.zone, r.spot)) return;
-        uint32_t n = std::min(left, placing::count_fitting(d.need, r.free));
-        for (uint32_t i = 0; i < n; ++i) r.free -= d.need;
-        left -= n;
+      auto fill_up = [&](SpotRoom& r) {
+        const uint32_t taken = take_room(r.room, d, left);
+        if (taken > 0 && r.machine) needed_.insert(r.machine->id);
+        left -= taken;
       };
-      for (auto& r : rooms) fill_up(r);
+      for (auto& r : rooms) {
+        if (left == 0) break;
+        fill_up(r);
+      }
       while (left > 0 && added_ < max_new_) {
         auto* offer = best_for(d, true);
         if (!offer || offer->under_way) break;
         add(offer);
-        rooms.push_back({type(offer->type), offer->zone, true, whole(*type(offer->type))});
+        auto* t = type(offer->type);
+        rooms.push_back({{t, offer->zone, true, whole(*t)}, nullptr});
         fill_up(rooms.back());
       }
+      // Full rooms are not looked at again for each of many jobs.
+      std::erase_if(rooms, [&](auto& r) { return !least.fits(r.room.free); });
     }
-    for (size_t i = 0; i < owners.size(); ++i)
-      if (rooms[i].free.gpus < rooms[i].type->gpus || rooms[i].free.cpus < rooms[i].type->cpus)
-        needed_spot_.insert(owners[i]->id);
   }
 
   void keep_spare() {
@@ -240,15 +269,33 @@
       if (r.spot) continue;
       (r.type->gpus > 0 ? gpus : cpus) += r.type->gpus > 0 ? r.free.gpus : r.free.cpus;
     }
-    double want_gpus =
-        wanted_spare(in_.gpu_work.gpus, in_.expected_gpus, true) + in_.largest_gpus;
-    double want_cpus = wanted_spare(in_.cpu_work.cpus, in_.expected_cpus, false);
+    const double want_gpus = wanted_spare(true) + in_.largest_gpus;
+    const double want_cpus = wanted_spare(false);
     fill(gpus, want_gpus, true);
     fill(cpus, want_cpus, false);
     spare_gpus_ = gpus - want_gpus;
     spare_cpus_ = cpus - want_cpus;
   }
 
+  double wanted_spare(bool accelerators) const {
+    headroom::Pool pool;
+    pool.in_use = accelerators ? in_.gpu_work.gpus : in_.cpu_work.cpus;
+    pool.expected = accelerators ? in_.expected_gpus : in_.expected_cpus;
+    for (auto& m : in_.machines) {
+      pool.fleet_price += hourly_price(m);
+      if (m.spot || (m.total.gpus > 0) != accelerators) continue;
+      const double units = std::max(accelerators ? m.total.gpus : m.total.cpus, 1.0);
+      pool.unit_price = std::max(pool.unit_price, hourly_price(m) / units);
+    }
+    return headroom::wanted_spare(pool, in_.spare_share, in_.cheap_share);
+  }
+
+  double hourly_price(const MachineState& m) const {
+    auto* t = type(m.type);
+    if (!t) return 0;
+    return m.spot ? t->spot_price : t->price;
+  }
+
   void fill(double& have, double want, bool accelerators) {
     while (have < want && added_ < max_new_) {
       const Offer* best = nullptr;
@@ -271,40 +318,22 @@
     return std::any_of(out_.rent.begin(), out_.rent.end(), [&](auto& r) { return r.type == type; });
   }
 
+  // As long as renting another one would cost: it boots, and fetches the images that this one
+  // holds.
   double keep_idle_s(const MachineState& m, const MachineType& t) const {
     return in_.idle_replacements * (t.boot_s + m.images_gb / std::max(t.fetch_gb_per_s, 1e-3));
   }
 
-  double hourly(const MachineState& m) const {
+  bool may_go(const MachineState& m) const {
     auto* t = type(m.type);
-    return !t ? 0 : m.spot ? t->spot_price : t->price;
-  }
-
-  // The price of a unit of room, accelerators or CPUs, at the dearest of its machines; 0: no machine.
-  double unit_price(bool accelerators) const {
-    double most = 0;
-    for (auto& m : in_.machines)
-      if (!m.spot && (m.total.gpus > 0) == accelerators)
-        most = std::max(most, hourly(m) / std::max(accelerators ? m.total.gpus : m.total.cpus, 1.0));
-    return most;
-  }
-
-  // The spare room to keep: a share of what is in use, but no more than is expected to be asked for
-  // where it costs much.
-  double wanted_spare(double in_use, double expected, bool accelerators) const {
-    double fleet = 0;
-    for (auto& m : in_.machines) fleet += hourly(m);
-    const double wanted = in_use * in_.spare_share;
-    const double cheap = in_.cheap_share * fleet / std::max(unit_price(accelerators), 1e-9);
-    return std::min(wanted, std::max(expected, cheap));
+    return t && m.open && m.empty && m.idle_s >= keep_idle_s(m, *t) && !rents(m.type);
   }
 
   void give_back() {
     for (auto& m : in_.machines) {
-      auto* t = type(m.type);
-      if (!t || !m.open || !m.empty || m.idle_s < keep_idle_s(m, *t) || rents(m.type)) continue;
+      if (!may_go(m)) continue;
       if (m.spot) {
-        if (!needed_spot_.contains(m.id)) out_.give_back.push_back(m.id);
+        if (!needed_.contains(m.id)) out_.give_back.push_back(m.id);
         continue;
       }
       double& spare = m.total.gpus > 0 ? spare_gpus_ : spare_cpus_;
@@ -322,7 +351,7 @@
   // By zone and type; without those that this plan rents.
   std::map<std::pair<std::string, std::string>, int> machines_in_;
   double spare_gpus_ = 0, spare_cpus_ = 0;
-  std::set<std::string> needed_spot_;  // machines that the work which may use them fills
+  std::set<std::string> needed_;  // machines that work which may use spot machines has room on
   Plan out_;
 };
 
--- a/src/coordination/sizing.hpp
+++ b/src/coordination/sizing.hpp
@@ -46,7 +46,7 @@
 struct Offer {  // one kind of machine that the cloud may have
   std::string type, zone;
   bool spot = false;
-  bool refused = false;  // lately
+  bool refused = false;    // lately
   bool under_way = false;  // a request for it is not answered yet
 };
 
@@ -58,17 +58,17 @@
   // All unfinished work that may use spot machines, whether it runs already or not.
   std::vector<Demand> spot_work;
   std::vector<Offer> replacements;  // machines to be replaced before they are drained
-  double spare_share = 0.25;
-  // What is likely to be asked for while a machine boots, by work that may not use spot machines:
-  // accelerators, and the CPUs of work without them. The spare room is no larger than that.
-  double expected_gpus = 1e9, expected_cpus = 1e9;
+  // The spare room: a share of what is in use, of which what costs more than the second share of
+  // the fleet's price is kept only as far as arrivals are expected.
+  double spare_share = 0.25, cheap_share = 0.05;
   // An idle machine is given back after so many times what another one would take to replace it: to
   // boot and to fetch the images.
   double idle_replacements = 1;
-  // Spare room is kept in full where all of it costs less than this share of the fleet.
-  double cheap_share = 0.05;
-  Amounts gpu_work, cpu_work;  // in use by tasks with and without accelerators
-  double largest_gpus = 0;     // the largest task known
+  // Of all unfinished tasks that may not use spot machines, with and without accelerators.
+  Amounts gpu_work, cpu_work;
+  double largest_gpus = 0;  // the largest of those tasks
+  // Accelerators, and CPUs of work without them, likely to be asked for while a machine boots.
+  double expected_gpus = 0, expected_cpus = 0;
 };
 
 struct Rent {
