--- a/simulation/fleet.cpp
+++ b/simulation/fleet.cpp
@@ -438,6 +438,7 @@
 void Fleet::serve_cloud(Method method, const std::string& target, const std::string& body,
                         const World::Answer& answer) {
   if (over_rate()) return answer({429, {}});
+  if (cloud_out_) return answer({503, encode({{"error", "trouble"}})});
   if (target == "/catalog") {
     Json hulls = Json::array();
     for (auto& t : types)
--- a/simulation/fleet.hpp
+++ b/simulation/fleet.hpp
@@ -154,6 +154,8 @@
   size_t refused_for_rate() const { return over_rate_; }
   static constexpr double never_boots = -1;
   void set_boot(double seconds) { boot_s_ = seconds; }
+  // The cloud's interface answers nothing but that it is in trouble.
+  void set_cloud_out(bool out) { cloud_out_ = out; }
   void set_broken(std::set<std::string> jobs) { broken_jobs_ = std::move(jobs); }
   // Starts of the job's tasks that got as far as their image, failed ones too.
   int starts(const std::string& job) const {
@@ -197,6 +199,7 @@
   size_t page_ = 500;
   double calls_ = 0, filled_at_ = -1e9;
   size_t over_rate_ = 0;
+  bool cloud_out_ = false;
   std::set<std::string> broken_jobs_;
   std::map<std::string, int> starts_;
 };
--- a/tests/placing_work_test.cpp
+++ b/tests/placing_work_test.cpp
@@ -116,5 +116,25 @@
   EXPECT_LT(plan.examined, fleet * 3);
 }
 
+// Many small jobs that may use spot machines, in a large fleet: full rooms are looked at once.
+TEST(SizingWork, SpotWorkGrowsWithTheRoomsAndNotWithTheJobsTimesRooms) {
+  constexpr size_t fleet = 6000, spot_jobs = 2500;
+  sizing::Input in;
+  MachineType type;
+  type.name = "g", type.cpus = 64, type.gpus = 8, type.memory_gb = 512, type.zones = {"a"};
+  in.types.push_back(type);
+  for (size_t i = 0; i < fleet; ++i) {
+    sizing::MachineState m;
+    m.id = "i-" + std::to_string(i), m.type = "g", m.zone = "a", m.open = true, m.spot = i % 2 == 0;
+    m.total = {64, 8, 512};
+    m.has_fixed_work = !m.spot;
+    in.machines.push_back(m);
+  }
+  for (size_t i = 0; i < spot_jobs; ++i) in.spot_work.push_back({{5, 1, 18}, 60, {}, "", true});
+  const auto plan = sizing::plan(in);
+  EXPECT_TRUE(plan.rent.empty());
+  EXPECT_LT(plan.examined, fleet * 3 + spot_jobs);
+}
+
 }  // namespace
 }  // namespace damsonport::placing
--- a/tests/regions/region_cluster.cpp
+++ b/tests/regions/region_cluster.cpp
@@ -60,6 +60,8 @@
   const StateLimits limits{150, 50, 16, 12};
   s.state_limits = {limits, limits};
   s.cloud_rps = 5, s.list_lag_s = 4, s.max_sockets = 600;
+  // Budgets are looked at, not rentals: machines that have no work yet stay.
+  s.tuning.idle_replacements = 1000;
   s.zones = {region.zone};
   s.nodes = static_cast<int>(plan_.controllers);
   s.state = {state_host(index), 2379};
--- a/tests/scenarios/fault_scenario.cpp
+++ b/tests/scenarios/fault_scenario.cpp
@@ -106,6 +106,12 @@
     settings_.cloud_rps = num(w, "rps", settings_.cloud_rps);
     page_ = static_cast<size_t>(num(w, "page", static_cast<double>(page_)));
     boot_s_ = num(w, "boot");
+  } else if (verb == "tuning") {  // tuning ENTRIES, as in the operators' file
+    std::string entries;
+    std::getline(in, entries);
+    auto tuning = parse_tuning("(damsonport " + entries + ")");
+    if (!tuning) return tuning.error();
+    settings_.tuning = *tuning;
   } else if (verb == "jobs") {  // jobs NAMES tasks=N cpus=N run=S ...
     in >> name;
     auto w = words(in);
@@ -156,7 +162,7 @@
       h.verb = "expect " + what;
     }
     if (h.verb != "outage" && h.verb != "slow" && h.verb != "odd" && h.verb != "expect served" &&
-        h.verb != "lower_limits")
+        h.verb != "lower_limits" && h.verb != "cloud_outage")
       in >> h.name;
     h.words = words(in);
     events_.push_back(std::move(h));
@@ -364,6 +370,9 @@
     for (auto* c : controllers(h.name)) c->crash(num(w, "for", 6));
   } else if (h.verb == "stall") {  // stall NODES for=S: their clocks run on
     for (auto* c : controllers(h.name)) c->stall(for_s);
+  } else if (h.verb == "cloud_outage") {  // cloud_outage for=S
+    fleet_->set_cloud_out(true);
+    world_.in(for_s, [this] { fleet_->set_cloud_out(false); });
   } else if (h.verb == "boots") {  // boots quick|late|never for=S [in=S]: of machines rented then
     fleet_->set_boot(h.name == "never" ? Fleet::never_boots : num(w, "in"));
     world_.in(for_s, [this] { fleet_->set_boot(boot_s_); });
--- /dev/null
+++ b/tests/spending_and_headroom_test.cpp
@@ -0,0 +1,90 @@
+// What the fleet costs, and how much room is kept ready for work to come.
+#include <gtest/gtest.h>
+
+#include <cmath>
+
+#include "coordination/headroom.hpp"
+#include "coordination/spending.hpp"
+
+namespace damsonport {
+namespace {
+
+MachineType type(const std::string& name, double price, double spot_price) {
+  MachineType t;
+  t.name = name, t.price = price, t.spot_price = spot_price;
+  return t;
+}
+
+sizing::MachineState machine(const std::string& type, bool spot, double free_gpus) {
+  sizing::MachineState m;
+  m.type = type, m.zone = "a", m.spot = spot;
+  m.total = {64, 8, 256};
+  m.free = {64, free_gpus, 256};
+  return m;
+}
+
+TEST(Spending, IsDividedByWhatMachinesDoAndAddsUp) {
+  SpendingAccount account;
+  account.begin_term(100);
+  auto booting = machine("g", false, 8);
+  booting.booting = true;
+  const std::vector<MachineType> types{type("g", 20, 8)};
+  account.charge({booting, machine("g", false, 2), machine("g", true, 8)}, types, 100 + 1800);
+  EXPECT_DOUBLE_EQ(account.spent().booting, 10);
+  EXPECT_DOUBLE_EQ(account.spent().in_use, 7.5);
+  EXPECT_DOUBLE_EQ(account.spent().idle, 2.5 + 4);
+  // A machine that is gone costs no more; what it cost stays.
+  account.charge({machine("g", true, 0)}, types, 100 + 3600);
+  EXPECT_DOUBLE_EQ(account.spent().total(), 24 + 4);
+  double by_kind = 0;
+  for (auto& [name, kind] : account.kinds()) by_kind += kind.spent.total();
+  EXPECT_DOUBLE_EQ(by_kind, account.spent().total());
+  EXPECT_EQ(account.kinds().at("g in a").machines, 0U);
+}
+
+TEST(Spending, ANewTermBeginsAtNothing) {
+  SpendingAccount account;
+  account.begin_term(0);
+  account.charge({machine("g", false, 8)}, {type("g", 20, 8)}, 3600);
+  account.begin_term(7200);
+  account.charge({machine("g", false, 8)}, {type("g", 20, 8)}, 7200 + 360);
+  EXPECT_DOUBLE_EQ(account.spent().total(), 2);
+}
+
+TEST(Spending, IsReportedAtIntervals) {
+  SpendingAccount account;
+  account.begin_term(0);
+  account.charge({machine("g", false, 2)}, {type("g", 20, 8)}, 3600);
+  const auto line = account.report(3600, 22);
+  ASSERT_TRUE(line);
+  EXPECT_NE(line->find("20.00 (booting 0.00, in use 15.00, idle 5.00) an hour"), std::string::npos);
+  EXPECT_NE(line->find("1 g in a"), std::string::npos);
+  EXPECT_FALSE(account.report(3621, 22));
+  EXPECT_TRUE(account.report(3622, 22));
+}
+
+TEST(Headroom, CoversTheArrivalsOfABootAndTheirSpread) {
+  // One job of 4 in each of five boot times; a boot is taken to last half as long again.
+  std::vector<headroom::Arrival> arrivals;
+  for (int i = 0; i < 5; ++i) arrivals.push_back({60.0 * i + 30, 4});
+  arrivals.push_back({10000, 1000});  // too old to count
+  EXPECT_DOUBLE_EQ(headroom::expected_arrivals(arrivals, 60, 0), 6);
+  EXPECT_NEAR(headroom::expected_arrivals(arrivals, 60, 2), 6 + 2 * std::sqrt(24), 1e-9);
+  EXPECT_DOUBLE_EQ(headroom::expected_arrivals({}, 60, 2), 0);
+}
+
+TEST(Headroom, IsBoundedByWhatIsInUseAndByWhatItCosts) {
+  headroom::Pool pool;
+  pool.in_use = 100, pool.unit_price = 2, pool.fleet_price = 200;
+  pool.expected = 15;
+  EXPECT_DOUBLE_EQ(headroom::wanted_spare(pool, 0.25, 0.05), 15);
+  pool.expected = 60;
+  EXPECT_DOUBLE_EQ(headroom::wanted_spare(pool, 0.25, 0.05), 25);
+  pool.expected = 0;
+  EXPECT_DOUBLE_EQ(headroom::wanted_spare(pool, 0.25, 0.05), 5);
+  pool.unit_price = 0.05;
+  EXPECT_DOUBLE_EQ(headroom::wanted_spare(pool, 0.25, 0.05), 25);
+}
+
+}  // namespace
+}  // namespace damsonport
--- a/tests/trace_test.cpp
+++ b/tests/trace_test.cpp
@@ -76,6 +76,7 @@
       for (auto& image : list(w, "images")) m.images.push_back(input_.images.id(image));
       m.fetch_gb_per_s = num(w, "fetch", 1);
       m.speed = num(w, "speed", 1);
+      m.price_share = num(w, "price");
       m.straggler = w.contains("straggler");
       m.bad_jobs = list(w, "failed");
       input_.machines.push_back(m);
@@ -158,8 +159,10 @@
        : how == "limbo" ? machine_.in_limbo
                         : machine_.in_answer)
           .insert(key);
-    } else if (verb == "type") {  // type NAME cpus=N gpus=N price=N spot_price=N zones=Z,...
+    } else if (verb == "type") {  // type NAME cpus=N gpus=N price=N spot_price=N zones=Z,... boot=S
+                                  // fetch=GB/s
       MachineType t;
+      t.boot_s = num(w, "boot"), t.fetch_gb_per_s = num(w, "fetch", 1);
       t.name = name, t.cpus = num(w, "cpus"), t.gpus = num(w, "gpus"), t.memory_gb = 1e6;
       t.price = num(w, "price", 4), t.spot_price = num(w, "spot_price", 1);
       for (auto& zone : list(w, "zones"))
@@ -169,12 +172,25 @@
       for (auto& o : fleet_.offers)
         if (o.type == name && o.zone == str(w, "zone") && o.spot == w.contains("spot"))
           o.refused = true;
-    } else if (verb == "has") {  // has MACHINE type=T zone=Z [spot] [booting]
+    } else if (verb == "under_way") {  // under_way TYPE zone=Z [spot]
+      for (auto& o : fleet_.offers)
+        if (o.type == name && o.zone == str(w, "zone") && o.spot == w.contains("spot"))
+          o.under_way = true;
+    } else if (verb == "expected") {  // expected arrivals gpus=N cpus=N
+      fleet_.expected_gpus = num(w, "gpus"), fleet_.expected_cpus = num(w, "cpus");
+    } else if (verb == "in_use") {  // in_use tasks gpus=N cpus=N: by work with and without gpus
+      fleet_.gpu_work.gpus = num(w, "gpus"), fleet_.cpu_work.cpus = num(w, "cpus");
+    } else if (verb == "has") {
+      // has MACHINE type=T zone=Z [spot] [booting] [idle=S] [images=GB] [gpus=FREE] [yielding=GPUS]
       sizing::MachineState m;
       m.id = name, m.type = str(w, "type"), m.zone = str(w, "zone"), m.spot = w.contains("spot");
       m.booting = w.contains("booting"), m.open = !m.booting;
       for (auto& t : fleet_.types)
         if (t.name == m.type) m.total = m.free = {t.cpus, t.gpus, t.memory_gb};
+      m.empty = w.contains("idle"), m.idle_s = num(w, "idle"), m.images_gb = num(w, "images");
+      m.has_fixed_work = w.contains("gpus");  // what isn't free is held by standing replicas
+      m.free.gpus = num(w, "gpus", m.free.gpus);
+      m.yielding.gpus = num(w, "yielding"), m.yielding.cpus = num(w, "yielding_cpus");
       fleet_.machines.push_back(m);
     } else if (verb == "work") {  // work NAME count=N cpus=N gpus=N: may use spot machines
       fleet_.spot_work.push_back({{num(w, "cpus"), num(w, "gpus"), 0},
