--- a/src/coordination/holder_cloud.cpp
+++ b/src/coordination/holder_cloud.cpp
@@ -14,6 +14,8 @@
 constexpr size_t max_returns_a_tick = 4;  // the cloud's calls are also wanted for rentals
 // A worker that gets no answer in 4 s goes to the next controller a second later.
 constexpr double worker_retry_s = 5;
+// Leases for which a kind that was refused counts as scarce.
+constexpr double scarce_leases = 10;
 constexpr double slow_boot = 1.6;    // times boot_s: the room is no longer counted on
 constexpr double never_boots = 4.0;  // times boot_s: returned
 }  // namespace
--- a/src/coordination/rentals.cpp
+++ b/src/coordination/rentals.cpp
@@ -48,6 +48,11 @@
   return it != refusals_.end() && it->second.until > loop_.now();
 }
 
+bool Rentals::scarce(const MachineKind& kind, double within_s) const {
+  auto it = last_refused_.find(kind);
+  return it != last_refused_.end() && loop_.now() - it->second < within_s;
+}
+
 void Rentals::resume(const std::stop_token& token) {
   std::vector<RentalRequest> left;
   for (auto& [id, rental] : cache_.rentals())
@@ -139,6 +144,7 @@
     refusal = {};
     return;
   }
+  last_refused_[kind] = loop_.now();
   // Remembered, but never for good: capacity comes back.
   const double first_s = settings_.report_s * first_pause_reports;
   refusal.pause_s =
--- a/src/coordination/rentals.hpp
+++ b/src/coordination/rentals.hpp
@@ -36,6 +36,8 @@
   bool under_way(const MachineKind& kind) const { return under_way_.contains(kind); }
   // The cloud has refused this kind lately.
   bool refused(const MachineKind& kind) const;
+  // The cloud has refused this kind, or given less of it than was asked for, within this time.
+  bool scarce(const MachineKind& kind, double within_s) const;
   // Capacity of this kind has come back.
   void forget_refusal(const MachineKind& kind) { refusals_.erase(kind); }
 
@@ -59,6 +61,7 @@
   const uint64_t incarnation_;
   uint64_t term_ = 0;
   std::map<MachineKind, Refusal> refusals_;
+  std::map<MachineKind, double> last_refused_;
   std::map<MachineKind, int> under_way_;  // requests
   std::set<std::string> answered_;        // only their records are still to be removed
 };
--- a/src/coordination/sizing.cpp
+++ b/src/coordination/sizing.cpp
@@ -188,13 +188,20 @@
     const MachineState* machine;
   };
 
+  // Where the cloud has no more of a machine, its room is kept for work that can't go to spot ones.
+  bool scarce(const MachineState& m) const {
+    return std::any_of(in_.offers.begin(), in_.offers.end(), [&](auto& o) {
+      return o.scarce && o.type == m.type && o.zone == m.zone && o.spot == m.spot;
+    });
+  }
+
   // What is free beside work that keeps its machine rented anyhow comes first, since it costs
   // nothing, then the spot machines, the empty ones last: they can be given back.
   std::vector<SpotRoom> rooms_for_spot_work() const {
     std::vector<SpotRoom> rooms;
     for (auto& m : in_.machines) {
       auto* t = type(m.type);
-      if (!t || m.spot || !m.open || !m.has_fixed_work) continue;
+      if (!t || m.spot || !m.open || !m.has_fixed_work || scarce(m)) continue;
       Amounts room = m.free;
       room += m.yielding;
       rooms.push_back({{t, m.zone, false, room}, &m});
@@ -260,7 +267,7 @@
     for (auto& m : in_.machines) {
       if (!m.open || m.spot) continue;
       if (m.total.gpus > 0) {
-        gpus += m.free.gpus + m.yielding.gpus;
+        gpus += m.free.gpus + (scarce(m) ? 0 : m.yielding.gpus);
       } else {
         cpus += m.free.cpus;
       }
--- a/src/coordination/sizing.hpp
+++ b/src/coordination/sizing.hpp
@@ -46,7 +46,9 @@
 struct Offer {  // one kind of machine that the cloud may have
   std::string type, zone;
   bool spot = false;
-  bool refused = false;    // lately
+  bool refused = false;  // lately
+  bool scarce =
+      false;  // refused in a longer time: what there is of it is worth more than its price
   bool under_way = false;  // a request for it is not answered yet
 };
 
--- a/tests/placing_work_test.cpp
+++ b/tests/placing_work_test.cpp
@@ -98,7 +98,7 @@
     type.name = "g" + std::to_string(k), type.cpus = 96, type.gpus = 8, type.memory_gb = 768;
     type.price = 1 + static_cast<double>(k), type.zones = {"a"};
     in.types.push_back(type);
-    in.offers.push_back({type.name, "a", false, false});
+    in.offers.push_back({type.name, "a"});
   }
   for (size_t i = 0; i < fleet; ++i) {
     sizing::MachineState m;
--- a/tests/trace_test.cpp
+++ b/tests/trace_test.cpp
@@ -166,7 +166,7 @@
       t.name = name, t.cpus = num(w, "cpus"), t.gpus = num(w, "gpus"), t.memory_gb = 1e6;
       t.price = num(w, "price", 4), t.spot_price = num(w, "spot_price", 1);
       for (auto& zone : list(w, "zones"))
-        for (bool spot : {false, true}) fleet_.offers.push_back({name, zone, spot, false});
+        for (bool spot : {false, true}) fleet_.offers.push_back({name, zone, spot});
       fleet_.types.push_back(t);
     } else if (verb == "refused") {  // refused TYPE zone=Z [spot]
       for (auto& o : fleet_.offers)
@@ -176,6 +176,10 @@
       for (auto& o : fleet_.offers)
         if (o.type == name && o.zone == str(w, "zone") && o.spot == w.contains("spot"))
           o.under_way = true;
+    } else if (verb == "scarce") {  // scarce TYPE zone=Z [spot]
+      for (auto& o : fleet_.offers)
+        if (o.type == name && o.zone == str(w, "zone") && o.spot == w.contains("spot"))
+          o.scarce = true;
     } else if (verb == "expected") {  // expected arrivals gpus=N cpus=N
       fleet_.expected_gpus = num(w, "gpus"), fleet_.expected_cpus = num(w, "cpus");
     } else if (verb == "in_use") {  // in_use tasks gpus=N cpus=N: by work with and without gpus
@@ -207,7 +211,7 @@
       d.gang = w.contains("gang"), d.one_zone = w.contains("one_zone");
       fleet_.demand.push_back(d);
     } else if (verb == "replace") {  // replace TYPE zone=Z [spot]
-      fleet_.replacements.push_back({name, str(w, "zone"), w.contains("spot"), false});
+      fleet_.replacements.push_back({name, str(w, "zone"), w.contains("spot")});
     } else if (verb == "successes") {  // successes MACHINE run=S median=S count=N
       StragglerAverage s;
       RunTimes times;
