--- a/src/coordination/placement_preemption.cpp
+++ b/src/coordination/placement_preemption.cpp
@@ -191,10 +191,10 @@
     ++out_.examined;
     if (!allowed(j, m)) continue;
     auto eviction = eviction_on(j, m, false);
-    // The machine's own cost counts too: once the room is free the task would else not start there,
-    // what was stopped would, and be stopped again.
-    eviction.cost += machine_cost_after(j, eviction);
-    if (eviction.cost < best.cost && beside_image_in_time(j, eviction, before))
+    // Where the machine itself costs more than the other one, the task would not start there once
+    // the room is free; what was stopped would, and be stopped again.
+    const bool would_start = machine_cost_after(j, eviction) < cost;
+    if (would_start && eviction.cost < best.cost && beside_image_in_time(j, eviction, before))
       best = std::move(eviction);
   }
   if (best.machine == nowhere) return false;
