--- a/src/coordination/holder_cloud.cpp
+++ b/src/coordination/holder_cloud.cpp
@@ -352,7 +352,11 @@
     for (auto& zone : t.zones)
       for (bool spot : {false, true}) {
         const MachineKind kind{t.name, zone, spot};
-        in.offers.push_back({t.name, zone, spot, rentals_.refused(kind), rentals_.under_way(kind)});
+        sizing::Offer offer{t.name, zone, spot};
+        offer.refused = rentals_.refused(kind);
+        offer.scarce = rentals_.scarce(kind, scarce_leases * settings_.lease_s);
+        offer.under_way = rentals_.under_way(kind);
+        in.offers.push_back(offer);
       }
   for (auto& [id, m] : machines_) {
     if (cache_.leaving(id) || to_return_.contains(id) || m.type.empty()) continue;
