--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -289,7 +289,8 @@
 bool PlacementPass::claim_coming(size_t j, std::optional<BesideImage> beside_image) {
   out_.examined += coming_.size();
   auto& need = in_.jobs[j].need;
-  const double bound = beside_image ? beside_image->cheaper_than : never;
+  double bound = never;
+  if (beside_image) bound = beside_image->cheaper_than;
   double best = bound;
   size_t where = 0;
   for (size_t m : coming_) {
--- a/tests/spending_and_headroom_test.cpp
+++ b/tests/spending_and_headroom_test.cpp
@@ -66,6 +66,7 @@
 TEST(Headroom, CoversTheArrivalsOfABootAndTheirSpread) {
   // One job of 4 in each of five boot times; a boot is taken to last half as long again.
   std::vector<headroom::Arrival> arrivals;
+  arrivals.reserve(6);
   for (int i = 0; i < 5; ++i) arrivals.push_back({60.0 * i + 30, 4});
   arrivals.push_back({10000, 1000});  // too old to count
   EXPECT_DOUBLE_EQ(headroom::expected_arrivals(arrivals, 60, 0), 6);
