Lease renewal and orphan cleanup are components of their own

Change: LeaseRenewal (with the misrouted machines), OrphanCleanup and StateContact are classes that the holder owns; orphan_cleanup.cpp and lease_renewal.cpp moved, in shorter functions.

--- a/src/coordination/holder.cpp
+++ b/src/coordination/holder.cpp
@@ -10,8 +10,13 @@
       settings_(parts.settings),
       tuning_(parts.settings.tuning),
       cache_(parts.cache),
-      rentals_(loop_, settings_, parts.state, cache_, parts.http, parts.incarnation),
-      machine_list_(loop_, settings_, parts.http) {
+      contact_(loop_, settings_, parts.state),
+      lease_renewal_(loop_, settings_, cache_, parts.peer_network, parts.cancellations,
+                     parts.exit_relay, contact_),
+      machine_list_(loop_, settings_, parts.http),
+      orphan_cleanup_(loop_, settings_, cache_, parts.http, parts.peer_network, parts.cancellations,
+                      contact_, machine_list_, direct_sockets(settings_)),
+      rentals_(loop_, settings_, parts.state, cache_, parts.http, parts.incarnation) {
   rentals_.on_rented = [this](auto& machines, const MachineKind& kind) {
     for (auto& id : machines)
       if (!machines_.contains(id) && !cache_.leaving(id))
@@ -31,25 +36,18 @@
   return cache_.loaded() && cache_.revision() >= grant_version_;
 }
 
-// Silence never counts as proof that a task is gone and a machine is returned first, so running
-// tasks may be kept past the grant's end; only what was cancelled bounds it.
-bool Holder::may_renew(bool first) const {
-  RenewalState s;
-  s.in_contact = in_contact();
-  s.peer_in_contact = p_.peer_network.peer_has_state(contact_s());
-  s.alone = p_.peer_network.alone();
-  s.first_visit = first;
-  const double now = loop_.now();
-  s.staleness_s = now - std::max(cache_.as_of(), p_.cancellations.covered(now));
-  return decide_renewal(s, staleness_bound_s(settings_.cancel_s, settings_.lease_s)) ==
-         RenewalDecision::renew;
-}
-
-bool Holder::first_visit(const std::string& machine) {
-  const double now = loop_.now();
-  auto [it, fresh] = misrouted_.try_emplace(machine, MisroutedMachine{now, now, false});
-  it->second.last = now;
-  return fresh;
+void Holder::take_relayed_exits() {
+  if (!records_current()) return;
+  for (auto& [node, relayed] : cache_.relayed_exits()) {
+    if (relayed.term != term_) continue;
+    for (auto& exit : relayed.exits) {
+      if (exits_.contains(exit.task) || !cache_.places(exit.task, exit.attempt, exit.machine))
+        continue;
+      spdlog::debug("{} attempt {} ended on {}, as {} says", exit.task.text(), exit.attempt,
+                    exit.machine, node);
+      note_exit(exit.task, {exit.attempt, exit.cause, exit.machine});
+    }
+  }
 }
 
 void Holder::begin_grant() {
@@ -57,7 +55,7 @@
   term_ = g->term;
   grant_version_ = cache_.blocks_version();
   took_over_at_ = quiet_base_ = last_tick_ = loop_.now();
-  misrouted_.clear();
+  lease_renewal_.clear();
   deaf_since_ = 0;
   silence_timeout_ = {};
   machines_.clear();
@@ -217,9 +215,10 @@
   const double tick = settings_.report_s / 4;
   while (!token.stop_requested()) {
     if (!co_await Sleep(loop_, tick, token)) co_return;
-    forget_misrouted();
+    lease_renewal_.forget_old_visits();
+    std::erase_if(images_seen_, [&](auto& entry) { return cache_.leaving(entry.first); });
     if (!holding() || superseded()) {
-      co_await stop_orphaned_tasks(token);
+      co_await orphan_cleanup_.run_once(token);
       continue;
     }
     double now = loop_.now();
@@ -280,8 +279,9 @@
 std::optional<HttpResponse> Holder::refusal(const std::string& machine, uint64_t token) {
   // A newer holder exists: a 200 would only hold the worker here while its lease runs out.
   if (token > term_) return HttpResponse{421, encode_report_to({}), 0};
-  const bool lost = p_.peer_network.alone() && !in_contact();
-  if (!may_renew(lost && first_visit(machine))) return HttpResponse{503, {}, 0};
+  const bool lost = p_.peer_network.alone() && !contact_.in_contact();
+  if (!lease_renewal_.may_renew(lost && lease_renewal_.note_visit(machine)))
+    return HttpResponse{503, {}, 0};
   return std::nullopt;
 }
 
@@ -312,7 +312,7 @@
 HttpResponse Holder::on_decoded_report(const Report& r, const std::string& body) {
   // Gone, as the cloud said: this is a late copy.
   if (returned_.contains(r.machine)) return {421, encode_report_to({}), 0};
-  if (!holding() || superseded()) return renew_for_holder(r);
+  if (!holding() || superseded()) return lease_renewal_.answer(r);
   if (auto no = refusal(r.machine, r.token)) return *no;
   std::vector<Command> commands;
   Machine& m = machine(r.machine);
--- a/src/coordination/holder.hpp
+++ b/src/coordination/holder.hpp
@@ -15,11 +15,12 @@
 #include "coordination/failure_evidence.hpp"
 #include "coordination/fleet.hpp"
 #include "coordination/gangs.hpp"
+#include "coordination/lease_renewal.hpp"
 #include "coordination/machine_list.hpp"
+#include "coordination/orphan_cleanup.hpp"
 #include "coordination/peer_network.hpp"
 #include "coordination/placement.hpp"
 #include "coordination/reconcile.hpp"
-#include "coordination/renewal_policy.hpp"
 #include "coordination/rentals.hpp"
 #include "coordination/repeated_reports.hpp"
 #include "coordination/silence_timeout.hpp"
@@ -71,7 +72,7 @@
   // Records that it would write at once if it could.
   uint64_t waiting_writes() const;
   // Machines that keep coming here although another node holds them.
-  uint64_t misrouted_machines() const;
+  uint64_t misrouted_machines() const { return lease_renewal_.misrouted_machines(); }
   void job_changed(Job* job);
   void job_gone(Job* job);
   // Another region has given budget, or asks for some.
@@ -119,12 +120,6 @@
   const Grant* own_grant() const;
   Task<bool> keep_grant(std::stop_token token);
   void begin_grant();
-  // Seconds since the state service was reached; it counts as reached for a quarter of a lease.
-  double contact_age() const { return loop_.now() - p_.state.last_contact(); }
-  double contact_s() const { return settings_.lease_s / 4; }
-  bool in_contact() const { return contact_age() < contact_s(); }
-  bool may_renew(bool first_visit) const;
-  bool first_visit(const std::string& machine);
   // A peer says that it holds a newer grant: ours is over, though we may not have read it.
   bool superseded() const { return term_ != 0 && p_.peer_network.newest_holder().second > term_; }
   void resign_if_deaf();
@@ -135,25 +130,9 @@
   void stop_cancelled(const Job& job);
   bool has_released(const std::string& machine, const TaskName& task, uint64_t attempt) const;
 
-  // --- machines of another holder (lease_renewal.cpp)
-  HttpResponse renew_for_holder(const Report& r);
-  void forget_misrouted();
-
-  void relay_exits(const Report& r, uint64_t term);
   // Exits that other controllers were told of by machines that can't reach us.
   void take_relayed_exits();
 
-  // --- cancelled tasks that no holder cares for (orphan_cleanup.cpp)
-  struct OrphanHost {
-    std::string id, address;
-    std::vector<std::pair<TaskName, uint64_t>> tasks;
-    bool out_of_reach = false;
-  };
-  bool no_holder_reachable() const;
-  std::vector<OrphanHost> orphan_hosts() const;
-  Task<void> stop_orphaned_tasks(std::stop_token token);
-  Task<void> stop_orphans_on(OrphanHost& m, uint64_t term, size_t& left);
-
   // --- committing (holder_commit.cpp)
   Task<bool> commit_exits(std::stop_token token);
   Task<bool> commit_finals(std::stop_token token);
@@ -319,12 +298,10 @@
   double quiet_base_ = 0;  // silence is counted from here at the earliest
   double last_tick_ = 0;
 
-  // A machine that its holder's answers may not reach.
-  struct MisroutedMachine {
-    double since = 0, last = 0;
-    bool answered = false;  // the last time, so that the next report tries the holder again
-  };
-  std::unordered_map<std::string, MisroutedMachine> misrouted_;
+  StateContact contact_;
+  LeaseRenewal lease_renewal_;
+  MachineListReader machine_list_;
+  OrphanCleanup orphan_cleanup_;
   SilenceTimeout silence_timeout_;
   double deaf_since_ = 0;  // 0: the machines are heard
   // Which images the records put on which machine and when, seen by every node from the changes it
@@ -349,7 +326,6 @@
   std::map<std::string, Booting> booting_;
   Rentals rentals_;
   SpendingAccount spending_;
-  MachineListReader machine_list_;
   std::deque<std::string> send_queue_;  // machines with orders
   std::set<std::string> probing_;
   int sends_ = 0;
@@ -365,7 +341,7 @@
   Dividing dividing_;
   bool budget_news_ = false, unmet_told_ = false;
   double next_budgets_ = 0;
-  double next_list_ = 0, next_sizing_ = 0, next_orphan_check_ = 0;
+  double next_list_ = 0, next_sizing_ = 0;
   bool place_again_ = true;
   double next_place_ = 0;
   double last_pass_s_ = 0;  // how long the last pass of placement took
--- a/src/coordination/holder_cloud.cpp
+++ b/src/coordination/holder_cloud.cpp
@@ -195,7 +195,7 @@
 // a hundred in one record, and those of the most urgent tasks go first.
 Task<void> Holder::return_machines(bool overdue_only, std::stop_token token) {
   const size_t max_marked_at_once = machines_in_a_mark(settings_.state_limits.always().value_kb);
-  if (!unmarked_.empty() && in_contact()) {
+  if (!unmarked_.empty() && contact_.in_contact()) {
     std::vector<std::string> late(unmarked_.begin(), unmarked_.end());
     if (late.size() > max_marked_at_once) late.resize(max_marked_at_once);
     if (co_await mark_leaving(late))
@@ -235,7 +235,7 @@
 // finds the machine silent and returns it once more.
 bool Holder::return_unmarked(std::vector<std::string>& machines) {
   std::erase_if(machines, [&](auto& id) { return !overdue_.contains(id); });
-  if (in_contact() || machines.empty()) return false;
+  if (contact_.in_contact() || machines.empty()) return false;
   unmarked_.insert(machines.begin(), machines.end());
   return true;
 }
--- a/src/coordination/lease_renewal.cpp
+++ b/src/coordination/lease_renewal.cpp
@@ -1,89 +1,123 @@
-// What a node answers to machines that another one holds.
+#include "coordination/lease_renewal.hpp"
+
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
 
-#include "coordination/holder.hpp"
+#include "coordination/renewal_policy.hpp"
 
 namespace damsonport {
 
 namespace {
 // A machine that keeps coming for this share of its lease is taken to miss its holder.
 constexpr double missing_share = 0.25;
+// A machine that was not here for this share of its lease is forgotten.
+constexpr double forgotten_share = 0.5;
 }  // namespace
 
+LeaseRenewal::LeaseRenewal(Loop& loop, const Settings& settings, Cache& cache,
+                           PeerNetwork& peer_network, const Cancellations& cancellations,
+                           ExitRelay& exit_relay, const StateContact& contact)
+    : loop_(loop),
+      settings_(settings),
+      cache_(cache),
+      peer_network_(peer_network),
+      cancellations_(cancellations),
+      exit_relay_(exit_relay),
+      contact_(contact) {}
+
+// Silence never counts as proof that a task is gone and a machine is returned first, so running
+// tasks may be kept past the grant's end; only what was cancelled bounds it.
+bool LeaseRenewal::may_renew(bool first) const {
+  RenewalState s;
+  s.in_contact = contact_.in_contact();
+  s.peer_in_contact = peer_network_.peer_has_state(contact_.limit_s());
+  s.alone = peer_network_.alone();
+  s.first_visit = first;
+  const double now = loop_.now();
+  s.staleness_s = now - std::max(cache_.as_of(), cancellations_.covered(now));
+  return decide_renewal(s, staleness_bound_s(settings_.cancel_s, settings_.lease_s)) ==
+         RenewalDecision::renew;
+}
+
+bool LeaseRenewal::note_visit(const std::string& machine) {
+  const double now = loop_.now();
+  auto [it, fresh] = misrouted_.try_emplace(machine, MisroutedMachine{now, now, false});
+  it->second.last = now;
+  return fresh;
+}
+
+const Grant* LeaseRenewal::recorded_holder() const {
+  const Grant* held = nullptr;
+  for (auto& grant : cache_.blocks().grants)
+    if (grant.rest) held = &grant;
+  return held;
+}
+
+bool LeaseRenewal::should_answer(const MisroutedMachine& machine, const std::string& holder) const {
+  const double patience = missing_share * settings_.lease_s;
+  // A machine that can reach one controller in five makes the round of all in most of a lease, so
+  // the second visit would be too late: where we can't reach the holder either, and its key stands
+  // longer than a dead node's would, the first visit is answered.
+  const bool apart = peer_network_.silence(holder) > patience && cache_.has_leader() &&
+                     cache_.leader().node == holder;
+  // Where only the way between controllers is closed the machine must be sent back to its holder
+  // each other time, or it would seem lost to it. In a cut there is nowhere to send it.
+  const bool cut_off = apart && !contact_.in_contact();
+  const bool overdue = apart || loop_.now() - machine.since >= patience;
+  return cut_off || (overdue && !machine.answered);
+}
+
+std::vector<Command> LeaseRenewal::stops_of_cancelled(const Report& report) {
+  std::vector<Command> commands;
+  for (auto& task : report.tasks) {
+    const Job* job = cache_.job(task.task.job);
+    const bool cancelled = (job && job->cancelled) || cancellations_.cancelled(task.task.job);
+    if (task.state != TaskState::exited && cancelled)
+      commands.push_back({Command::Op::stop, task.task, task.attempt, 0});
+  }
+  return commands;
+}
+
 // Mostly the holder's name. But where a cut lies between a machine and its holder, the machine
 // comes back, and its tasks would end with its lease. Any node that knows the holder's term from
 // the state service may renew that lease: the records stay the holder's alone, no start is ordered
 // and nothing forgotten here, and silence never proves to the holder that a task is gone. Tasks of
 // cancelled jobs are stopped, since the holder can't do it.
-HttpResponse Holder::renew_for_holder(const Report& r) {
-  const double now = loop_.now();
-  const double patience = missing_share * settings_.lease_s;
-  const Grant* held = nullptr;
-  for (auto& g : cache_.blocks().grants)
-    if (g.rest) held = &g;
+HttpResponse LeaseRenewal::answer(const Report& report) {
+  const Grant* held = recorded_holder();
   if (!held) return {421, encode_report_to({}), 0};
   // A peer may hold a newer grant than the records that we have read say, ours among them.
-  const auto newest = p_.peer_network.newest_holder();
+  const auto newest = peer_network_.newest_holder();
   const std::string& holder = newest.second > held->term ? newest.first : held->node;
   if (holder == settings_.node_name) return {421, encode_report_to({}), 0};
-  auto [it, fresh] = misrouted_.try_emplace(r.machine, MisroutedMachine{now, now, false});
-  MisroutedMachine& s = it->second;
-  s.last = now;
-  // A machine that can reach one controller in five makes the round of all in most of a lease, so
-  // the second visit would be too late: where we can't reach the holder either, and its key stands
-  // longer than a dead node's would, the first visit is answered.
-  const bool apart = p_.peer_network.silence(holder) > patience && cache_.has_leader() &&
-                     cache_.leader().node == holder;
-  // Where only the way between controllers is closed the machine must be sent back to its holder
-  // each other time, or it would seem lost to it. In a cut there is nowhere to send it.
-  const bool cut_off = apart && !in_contact();
-  const bool wanted = cut_off || ((apart || now - s.since >= patience) && !s.answered);
-  const bool answer = cache_.loaded() && r.token <= held->term && wanted && may_renew(false);
-  if (!answer) {
+  note_visit(report.machine);
+  MisroutedMachine& machine = misrouted_.at(report.machine);
+  const bool answers = cache_.loaded() && report.token <= held->term &&
+                       should_answer(machine, holder) && may_renew(false);
+  if (!answers) {
     // The node named by the records, unless it seems dead. After an answer it is named in any case:
     // it may be back in reach, or only our own way to it be closed.
-    const bool named = p_.peer_network.alive(holder) || s.answered;
-    s.answered = false;
+    const bool named = peer_network_.alive(holder) || machine.answered;
+    machine.answered = false;
     return {421, encode_report_to(named ? holder : std::string()), 0};
   }
-  s.answered = true;
-  std::vector<Command> commands;
-  for (auto& t : r.tasks) {
-    Job* job = cache_.job(t.task.job);
-    const bool cancelled = job ? is_cancelled(*job) : p_.cancellations.cancelled(t.task.job);
-    if (t.state != TaskState::exited && cancelled)
-      commands.push_back({Command::Op::stop, t.task, t.attempt, 0});
-  }
-  relay_exits(r, held->term);
-  spdlog::debug("answered {} for {}", r.machine, holder);
+  machine.answered = true;
+  const auto commands = stops_of_cancelled(report);
+  relay_exits(report, held->term);
+  spdlog::debug("answered {} for {}", report.machine, holder);
   return {200, encode_report_answer(held->term, commands), 0};
 }
 
-void Holder::relay_exits(const Report& r, uint64_t term) {
+void LeaseRenewal::relay_exits(const Report& report, uint64_t term) {
   // Before the machine has learned the term an older holder's orders may still reach it.
-  if (r.token != term) return;
-  for (auto& t : r.tasks)
-    if (t.state == TaskState::exited)
-      p_.exit_relay.saw(term, {r.machine, t.task, t.attempt, t.cause});
-}
-
-void Holder::take_relayed_exits() {
-  if (!records_current()) return;
-  for (auto& [node, relayed] : cache_.relayed_exits()) {
-    if (relayed.term != term_) continue;
-    for (auto& exit : relayed.exits) {
-      if (exits_.contains(exit.task) || !cache_.places(exit.task, exit.attempt, exit.machine))
-        continue;
-      spdlog::debug("{} attempt {} ended on {}, as {} says", exit.task.text(), exit.attempt,
-                    exit.machine, node);
-      note_exit(exit.task, {exit.attempt, exit.cause, exit.machine});
-    }
-  }
+  if (report.token != term) return;
+  for (auto& task : report.tasks)
+    if (task.state == TaskState::exited)
+      exit_relay_.saw(term, {report.machine, task.task, task.attempt, task.cause});
 }
 
-uint64_t Holder::misrouted_machines() const {
+uint64_t LeaseRenewal::misrouted_machines() const {
   // One that came by and found its holder is none.
   return static_cast<uint64_t>(
       std::count_if(misrouted_.begin(), misrouted_.end(), [&](auto& entry) {
@@ -91,10 +125,9 @@
       }));
 }
 
-void Holder::forget_misrouted() {
-  const double before = loop_.now() - settings_.lease_s / 2;
+void LeaseRenewal::forget_old_visits() {
+  const double before = loop_.now() - settings_.lease_s * forgotten_share;
   std::erase_if(misrouted_, [&](auto& entry) { return entry.second.last < before; });
-  std::erase_if(images_seen_, [&](auto& entry) { return cache_.leaving(entry.first); });
 }
 
 }  // namespace damsonport
--- /dev/null
+++ b/src/coordination/lease_renewal.hpp
@@ -0,0 +1,54 @@
+// Lease renewal on behalf of another controller: what a node answers to machines that another one
+// holds, and whether it may answer any machine at all.
+#pragma once
+#include <string>
+#include <unordered_map>
+
+#include "coordination/exit_relay.hpp"
+#include "coordination/peer_network.hpp"
+#include "coordination/state_contact.hpp"
+#include "storage/cache.hpp"
+
+namespace damsonport {
+
+class LeaseRenewal {
+ public:
+  LeaseRenewal(Loop& loop, const Settings& settings, Cache& cache, PeerNetwork& peer_network,
+               const Cancellations& cancellations, ExitRelay& exit_relay,
+               const StateContact& contact);
+
+  // A report may be answered with a lease: what this node doesn't know of cancellations is not too
+  // old. `first_visit`: the machine comes here for the first time of late.
+  bool may_renew(bool first_visit) const;
+  // Takes note of the visit; true: the machine was not here lately.
+  bool note_visit(const std::string& machine);
+  // The answer to a report of a machine that another node holds.
+  HttpResponse answer(const Report& report);
+  // Machines that keep coming here although another node holds them.
+  uint64_t misrouted_machines() const;
+  void forget_old_visits();
+  void clear() { misrouted_.clear(); }
+
+ private:
+  // A machine that its holder's answers may not reach.
+  struct MisroutedMachine {
+    double since = 0, last = 0;
+    bool answered = false;  // the last time, so that the next report tries the holder again
+  };
+  // The newest holder and its term, by the records and the peers; null: nobody holds.
+  const Grant* recorded_holder() const;
+  bool should_answer(const MisroutedMachine& machine, const std::string& holder) const;
+  std::vector<Command> stops_of_cancelled(const Report& report);
+  void relay_exits(const Report& report, uint64_t term);
+
+  Loop& loop_;
+  const Settings& settings_;
+  Cache& cache_;
+  PeerNetwork& peer_network_;
+  const Cancellations& cancellations_;
+  ExitRelay& exit_relay_;
+  const StateContact& contact_;
+  std::unordered_map<std::string, MisroutedMachine> misrouted_;
+};
+
+}  // namespace damsonport
--- /dev/null
+++ b/src/coordination/orphan_cleanup.hpp
@@ -0,0 +1,51 @@
+// Cleanup of orphaned tasks: where no holder can be told of a cancellation, whoever knows of it
+// asks the machines itself.
+#pragma once
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "coordination/machine_list.hpp"
+#include "coordination/peer_network.hpp"
+#include "coordination/state_contact.hpp"
+#include "storage/cache.hpp"
+
+namespace damsonport {
+
+class OrphanCleanup {
+ public:
+  // `most_sockets`: messages to workers that may be under way at once.
+  OrphanCleanup(Loop& loop, const Settings& settings, Cache& cache, HttpClient& http,
+                PeerNetwork& peer_network, const Cancellations& cancellations,
+                const StateContact& contact, MachineListReader& machine_list, int most_sockets);
+
+  // Asks each machine that may run a cancelled task, stops what is there under the holder's term,
+  // and returns the machine if it doesn't answer. Nothing is committed and nothing proven by it.
+  // Does nothing as long as a holder can be reached.
+  Task<void> run_once(std::stop_token token);
+
+ private:
+  struct OrphanHost {
+    std::string id, address;
+    std::vector<std::pair<TaskName, uint64_t>> tasks;
+    bool out_of_reach = false;
+  };
+  bool no_holder_reachable() const;
+  std::vector<OrphanHost> orphan_hosts() const;
+  Task<void> stop_orphans_on(OrphanHost& host, uint64_t term, size_t& left);
+  Task<void> stop_orphans(std::vector<OrphanHost>& hosts, std::stop_token token);
+  Task<void> return_out_of_reach(const std::vector<OrphanHost>& hosts);
+
+  Loop& loop_;
+  const Settings& settings_;
+  Cache& cache_;
+  HttpClient& http_;
+  PeerNetwork& peer_network_;
+  const Cancellations& cancellations_;
+  const StateContact& contact_;
+  MachineListReader& machine_list_;
+  const size_t most_sockets_;
+  double next_check_ = 0;
+};
+
+}  // namespace damsonport
