--- a/src/coordination/catalog.cpp
+++ b/src/coordination/catalog.cpp
@@ -63,6 +63,7 @@
     return job.cpus <= t.cpus && job.gpus <= t.gpus && job.memory_gb <= t.memory_gb;
   });
   if (!fits) return Verdict::fits_no_type;
+  if (job.replicated() && job.tasks % job.parts != 0) return Verdict::indivisible;
   double count = job.kind == Kind::batch ? 1 : job.tasks;
   const double cpus_here = team->cpus_max - team->cpus_elsewhere;
   const double gpus_here = team->gpus_max - team->gpus_elsewhere;
--- a/src/coordination/catalog.hpp
+++ b/src/coordination/catalog.hpp
@@ -28,7 +28,7 @@
 // Leaves out of the job's list those machine types that the cloud doesn't have.
 void keep_known_types(JobSpec& job, const std::vector<MachineType>& types);
 
-enum class Verdict : uint8_t { ok, unknown_team, fits_no_type, over_limit };
+enum class Verdict : uint8_t { ok, unknown_team, fits_no_type, over_limit, indivisible };
 // Whether the job could ever run.
 Verdict judge_job(const JobSpec& job, const Settings& settings,
                   const std::vector<MachineType>& types);
--- a/src/coordination/gangs.cpp
+++ b/src/coordination/gangs.cpp
@@ -1,7 +1,5 @@
 #include "coordination/gangs.hpp"
 
-#include <algorithm>
-
 namespace damsonport {
 
 GangAction gang_action(const GangStanding& gang, double patience_s) {
@@ -14,18 +12,26 @@
   return GangAction::complete;
 }
 
-uint64_t live_attempt(const Job& gang) {
-  uint64_t attempt = 0;
-  for (auto& [n, chunk] : gang.chunks)
-    for (auto& task : chunk.record.live) attempt = std::max(attempt, task.attempt);
-  return attempt;
+uint32_t gang_count(const JobSpec& spec) {
+  const uint32_t size = spec.group_size();
+  return size == 0 ? 0 : spec.tasks / size;
+}
+
+TaskRange gang_range(const JobSpec& spec, uint32_t number) {
+  const uint32_t size = spec.group_size();
+  return {number * size, size};
 }
 
-uint64_t next_attempt(const Job& gang) {
-  if (const uint64_t attempt = live_attempt(gang)) return attempt;
-  uint64_t last = 0;
-  for (auto& [n, chunk] : gang.chunks) last = std::max(last, chunk.record.last_attempt());
-  return last + 1;
+uint32_t gang_of(const JobSpec& spec, uint32_t task) {
+  const uint32_t size = spec.group_size();
+  return size == 0 ? 0 : task / size;
+}
+
+uint64_t live_attempt(const Job& job, TaskRange gang) { return job.record_of(gang).live_attempt; }
+
+uint64_t next_attempt(const Job& job, TaskRange gang) {
+  const RangeRecord record = job.record_of(gang);
+  return record.live_attempt != 0 ? record.live_attempt : record.last_attempt + 1;
 }
 
 }  // namespace damsonport
--- a/src/coordination/gangs.hpp
+++ b/src/coordination/gangs.hpp
@@ -1,8 +1,9 @@
-// What is to be done about a gang, judged by its records and reports. Pure.
+// What is to be done about tasks that run as one, judged by their records and reports. Pure.
 //
-// All tasks of an attempt share its number. A gang is started by one decision; until it runs, a
-// task that is proven gone is replaced under the same attempt, and once it has run, or the missing
-// task can't be replaced in time, the attempt is given up as a whole.
+// A gang is all tasks of a job, or those of one replica of several parts. All tasks of an attempt
+// share its number. A gang is started by one decision; until it runs, a task that is proven gone is
+// replaced under the same attempt, and once it has run, or the missing task can't be replaced in
+// time, the attempt is given up as a whole.
 #pragma once
 #include <cstdint>
 
@@ -30,9 +31,16 @@
 // `patience_s`: how long a missing task may take to be replaced while the others hold their places.
 GangAction gang_action(const GangStanding& gang, double patience_s);
 
+// The gangs of a job: one for a gang job, one for each replica of several parts, else none.
+uint32_t gang_count(const JobSpec& spec);
+// By its number, from 0.
+TaskRange gang_range(const JobSpec& spec, uint32_t number);
+// The number of the gang that the task belongs to.
+uint32_t gang_of(const JobSpec& spec, uint32_t task);
+
 // The attempt of the tasks that are live; 0: none is.
-uint64_t live_attempt(const Job& gang);
+uint64_t live_attempt(const Job& job, TaskRange gang);
 // The attempt under which the missing tasks are started next.
-uint64_t next_attempt(const Job& gang);
+uint64_t next_attempt(const Job& job, TaskRange gang);
 
 }  // namespace damsonport
--- a/src/coordination/holder.cpp
+++ b/src/coordination/holder.cpp
@@ -16,6 +16,8 @@
       machine_list_(loop_, settings_, parts.http),
       orphan_cleanup_(loop_, settings_, cache_, parts.http, parts.peer_network, parts.cancellations,
                       contact_, machine_list_, direct_sockets(settings_)),
+      gangs_(loop_, settings_, *this),
+      replicas_(loop_, settings_, cache_, *this, gangs_),
       rentals_(loop_, settings_, parts.state, cache_, parts.http, parts.incarnation) {
   rentals_.on_rented = [this](auto& machines, const MachineKind& kind) {
     for (auto& id : machines)
@@ -79,6 +81,8 @@
   rentals_.begin_term(term_);
   spending_.begin_term(took_over_at_);
   hints_.clear();
+  gangs_.clear();
+  replicas_.clear();
   failures_.clear();
   place_again_ = true;
   next_list_ = 0;
@@ -97,6 +101,7 @@
     if (is_cancelled(*job)) cancelled_.insert(id);
     if (is_over(*job)) over_.insert(id);
     if (failed_before(*job)) failures_.suspect(id);
+    replicas_.add_job(*job);
     dirty_jobs_.insert(job.get());
   }
   spdlog::info("holding the grant with term {}: {} machines named in records, {} jobs", term_,
@@ -163,6 +168,7 @@
   if (term_ != 0 && job) {
     place_again_ = true;
     dirty_jobs_.insert(job);
+    replicas_.add_job(*job);
     if (is_over(*job)) over_.insert(job->spec.id);
     if (is_cancelled(*job)) stop_cancelled(*job);
   }
@@ -171,13 +177,10 @@
 
 void Holder::job_gone(Job* job) {
   dirty_jobs_.erase(job);
-  if (auto slot = job_slots_.find(job); slot != job_slots_.end()) {
-    view_.jobs[slot->second] = {};
-    slot_jobs_[slot->second] = nullptr;
-    free_job_slots_.push_back(slot->second);
-    job_slots_.erase(slot);
-  }
+  job_slots_.release(job, view_.jobs);
   hints_.erase(job->spec.id);
+  gangs_.forget_job(job->spec.id);
+  replicas_.forget_job(job->spec.id);
   failures_.forget_job(job->spec.id);
   held_back_.erase(job->spec.id);
   over_.erase(job->spec.id);
@@ -285,6 +288,10 @@
   return std::nullopt;
 }
 
+std::vector<replicas::ReplicaStatus> Holder::replica_statuses() {
+  return holding() ? replicas_.statuses() : std::vector<replicas::ReplicaStatus>{};
+}
+
 HttpResponse Holder::on_report(const std::string& body) {
   if (auto answer = answer_repeated(body)) return *answer;
   const auto report = decode_report(decode_map(body));
@@ -302,6 +309,7 @@
   Machine& m = it->second;
   if (auto no = refusal(m.id, m.token)) return no;
   const double now = loop_.now();
+  note_report_time(m, m.session, repeat->sequence, now);
   m.seq = repeat->sequence;
   m.last_heard = m.repeated_at = now;
   if (!m.tasks.empty()) m.idle_since = now;
@@ -317,6 +325,7 @@
   std::vector<Command> commands;
   Machine& m = machine(r.machine);
   if (r.newer_than(m.session, m.seq)) {
+    note_report_time(m, r.session, r.seq, loop_.now());
     // One report is in flight at a time, so the answer to the one before was taken or dropped.
     m.in_answer.clear();
     if (process_report(m, r, false, commands)) repeated_reports_.remember(m.id, body, r.seq);
--- a/src/coordination/holder.hpp
+++ b/src/coordination/holder.hpp
@@ -14,7 +14,8 @@
 #include "coordination/exit_relay.hpp"
 #include "coordination/failure_evidence.hpp"
 #include "coordination/fleet.hpp"
-#include "coordination/gangs.hpp"
+#include "coordination/gang_tracker.hpp"
+#include "coordination/job_slots.hpp"
 #include "coordination/lease_renewal.hpp"
 #include "coordination/machine_list.hpp"
 #include "coordination/orphan_cleanup.hpp"
@@ -23,6 +24,7 @@
 #include "coordination/reconcile.hpp"
 #include "coordination/rentals.hpp"
 #include "coordination/repeated_reports.hpp"
+#include "coordination/replicas/replica_manager.hpp"
 #include "coordination/silence_timeout.hpp"
 #include "coordination/sizing.hpp"
 #include "coordination/spending.hpp"
@@ -31,7 +33,7 @@
 
 namespace damsonport {
 
-class Holder {
+class Holder : private TaskFacts {
  public:
   struct Parts {
     Loop& loop;
@@ -79,6 +81,8 @@
   void budget_news();
   // Another controller says that the job is cancelled; the records may follow.
   void cancelled_elsewhere(const std::string& job);
+  // Replicas of several parts, as this holder knows them; none where it holds nothing.
+  std::vector<replicas::ReplicaStatus> replica_statuses();
   // The records put a task of this job on the machine, or took one away.
   void assignment_changed(const std::string& machine, const Job& job, bool added);
 
@@ -93,18 +97,10 @@
     ExitCause cause;
     std::string machine;
   };
-  // What was seen of a gang's present attempt; lost with the process.
-  struct GangHints {
-    uint64_t attempt = 0;
-    bool ran = false;             // some task was seen running or saving
-    bool broken = false;          // some task ended because of the others, or was stopped
-    double incomplete_since = 0;  // 0: no task is missing
-  };
   struct JobHints {
     double backoff_until = 0;
     int errors = 0;  // tasks that failed
     RunTimes run_times;
-    GangHints gang;
   };
   struct Booting {
     std::string type, zone;
@@ -151,9 +147,18 @@
   void order_stops(const placing::Decisions& decided);
   void note_unplaced(const placing::Decisions& decided);
   DecidedStart by_name(size_t job, size_t machine) const;
-  Task<bool> commit_gang_starts(std::vector<std::vector<DecidedStart>> gangs,
-                                std::stop_token token);
-  Task<bool> commit_gang_start(const std::vector<DecidedStart>& gang, std::stop_token token);
+  // All tasks of a gang that are to be started now.
+  struct DecidedGang {
+    TaskRange tasks;
+    std::vector<DecidedStart> starts;
+  };
+  DecidedGang gang_by_name(const placing::GangStart& decided) const;
+  Task<bool> commit_gang_starts(std::vector<DecidedGang> gangs, std::stop_token token);
+  Task<bool> commit_gang_start(const DecidedGang& gang, std::stop_token token);
+  // Takes as many of the remaining starts as the transaction has room for.
+  std::vector<CommittedStart> edit_gang_starts(const Job& job, const DecidedGang& gang,
+                                               size_t committed, uint64_t attempt,
+                                               ChunkEdits& edits);
   // The next task of a job to be started, in a record among the edits.
   struct Startable {
     ChunkRecord* record = nullptr;  // null: there is none
@@ -197,22 +202,24 @@
   // --- gangs (holder_gangs.cpp)
   // Takes note of a proven exit; of a gang it says something about the other tasks too.
   void note_exit(const TaskName& task, PendingExit exit);
-  GangHints& gang_hints(const Job& gang);
-  GangStanding gang_standing(const Job& gang);
-  GangAction next_gang_action(const Job& gang);
+  bool is_stopping(const PlacedTask& task) const override;
+  bool has_ended(const PlacedTask& task) const override;
+  const Machine* find_machine(const std::string& id) const override;
   // Tasks that may be started now.
-  uint32_t startable_gang_tasks(const Job& gang);
-  void review_gang(const Job& gang);
+  uint32_t startable_gang_tasks(const Job& job, TaskRange gang);
+  void review_gang(const Job& job, TaskRange gang);
   void review_gangs();
   void finish_gang(const Job& gang, uint64_t attempt);
   // Tells every task of the attempt at once.
-  void stop_gang(const Job& gang, double grace_s);
+  void stop_gang(const Job& job, TaskRange gang, double grace_s);
   void stop_task(const PlacedTask& task, double grace_s);
 
   // --- what placement sees (holder_view.cpp)
   void reset_view();
   void refresh_view();
   void refresh_job(Job& job);
+  void describe_job(const JobSpec& spec, placing::JobView& view);
+  uint32_t startable_tasks(const Job& job, uint32_t gang);
   void refresh_machine(Machine& m);
   void forget_machine(const std::string& id);
 
@@ -230,6 +237,8 @@
   void mark_changed(const std::string& machine);
   std::vector<Expected> expected_on(const Machine& m) const;
   void note_states(Machine& m);
+  // Parts of replicas that the records place on the machine and that it doesn't have.
+  void note_absent_parts(const Machine& m);
   // The images of its tasks are in use at this time.
   void note_images(Machine& m, double at);
   void note_running(Machine& m, const TaskName& task, uint64_t attempt);
@@ -311,6 +320,8 @@
   std::map<std::string, Machine> machines_;
   RepeatedReports repeated_reports_;
   std::unordered_map<std::string, JobHints> hints_;
+  GangTracker gangs_;
+  replicas::ReplicaManager replicas_;
   FailureEvidence failures_;
   std::map<TaskName, std::map<uint64_t, Attempt>> attempts_;
   std::map<TaskName, PendingExit> exits_;
@@ -349,9 +360,8 @@
   // Kept from pass to pass; only what changed is made anew. Nobody marks what passes with time
   // alone: silence and pauses are looked at in each pass.
   placing::Input view_;
-  std::vector<Job*> slot_jobs_;  // by place in view_.jobs; null: empty
-  std::vector<size_t> free_job_slots_, free_machine_slots_;
-  std::unordered_map<const Job*, size_t> job_slots_;
+  JobSlots job_slots_;
+  std::vector<size_t> free_machine_slots_;
   std::unordered_set<Job*> dirty_jobs_;
   std::unordered_set<std::string> dirty_machines_;
   std::set<std::string> held_back_;  // jobs that pause after errors
--- a/src/coordination/holder_cloud.cpp
+++ b/src/coordination/holder_cloud.cpp
@@ -143,8 +143,8 @@
         if (stopping_.contains(name)) continue;
         bool saves = s.checkpoint_s > 0;
         if (saves ? left < grace + 2 * settings_.report_s : left < settings_.report_s / 2) {
-          if (s.kind == Kind::gang) {
-            stop_gang(*a.job, grace);
+          if (s.group_size() > 0) {
+            stop_gang(*a.job, gang_range(s, gang_of(s, a.index)), grace);
           } else {
             stop_task({name, attempt, id}, grace);
           }
--- a/src/coordination/holder_commit.cpp
+++ b/src/coordination/holder_commit.cpp
@@ -209,11 +209,8 @@
   // By name from here on: places in the view are used anew while the commits are under way.
   std::vector<DecidedStart> singles;
   for (auto& start : decided.starts) singles.push_back(by_name(start.job, start.machine));
-  std::vector<std::vector<DecidedStart>> gangs;
-  for (auto& gang : decided.gangs) {
-    auto& starts = gangs.emplace_back();
-    for (size_t m : gang.machines) starts.push_back(by_name(gang.job, m));
-  }
+  std::vector<DecidedGang> gangs;
+  for (auto& gang : decided.gangs) gangs.push_back(gang_by_name(gang));
   bool any = co_await commit_gang_starts(std::move(gangs), token);
   any = co_await commit_single_starts(std::move(singles), token) || any;
   co_return any;
@@ -225,11 +222,12 @@
   for (auto& u : decided.unplaced) {
     waiting_tasks_ += u.count;
     if (u.room_coming) continue;
-    auto& s = slot_jobs_[u.job]->spec;
+    auto& s = job_slots_.owner(u.job).job->spec;
     sizing::Demand demand{need_of(s), u.missing, s.types, s.zone, s.spot};
-    if (s.kind == Kind::gang) {
+    if (s.group_size() > 0) {
       demand.gang = true;
-      demand.one_zone = s.one_zone;
+      demand.one_zone = u.one_zone;
+      demand.distinct_machines = s.distinct_machines;
       for (auto& zone : settings_.zones)
         if (u.zone != 0 && view_.zones.id(zone) == u.zone) demand.zone = zone;
     }
@@ -241,7 +239,7 @@
   for (auto& s : decided.stops) {
     auto& live = view_.machines[s.machine].live[s.live];
     const std::string& machine_id = view_.machines[s.machine].id;
-    const TaskName name{slot_jobs_[live.job]->spec.id, live.index};
+    const TaskName name{job_slots_.owner(live.job).job->spec.id, live.index};
     spdlog::info("stopping {} attempt {} on {} to make room", name.text(), live.attempt,
                  machine_id);
     stop_task({name, live.attempt, machine_id}, s.grace_s);
@@ -254,41 +252,66 @@
   return {j.id, m.id, placing::holds(m, j.image)};
 }
 
+Holder::DecidedGang Holder::gang_by_name(const placing::GangStart& decided) const {
+  const auto& owner = job_slots_.owner(decided.job);
+  DecidedGang gang{gang_range(owner.job->spec, owner.gang), {}};
+  for (size_t machine : decided.machines) gang.starts.push_back(by_name(decided.job, machine));
+  return gang;
+}
+
 // A gang is started by one transaction where its records fit into one. Otherwise one after the
 // other under the same attempt: a holder that ends halfway leaves a gang with missing tasks, which
 // the next one completes or gives up like any other.
-Task<bool> Holder::commit_gang_start(const std::vector<DecidedStart>& gang, std::stop_token token) {
-  const std::string id = gang.front().job;
+Task<bool> Holder::commit_gang_start(const DecidedGang& gang, std::stop_token token) {
+  const std::string id = gang.starts.front().job;
   uint64_t attempt = 0;
   std::vector<CommittedStart> committed;
-  while (committed.size() < gang.size()) {
+  while (committed.size() < gang.starts.size()) {
     Job* job = cache_.job(id);
     // Changed while it was being committed: the next pass sees it as it is.
     if (!job || is_cancelled(*job) || !holding()) break;
-    if (attempt == 0) attempt = next_attempt(*job);
+    if (attempt == 0) {
+      // A part that was lost since may have ended the attempt.
+      if (job->spec.replicated() && gangs_.startable(*job, gang.tasks) == 0) break;
+      attempt = next_attempt(*job, gang.tasks);
+    }
     if (gang_waits_for_layout(*job)) break;
     ChunkEdits edits(cache_, limits());
     edits.require_unchanged(*job);
-    std::vector<CommittedStart> started;
-    for (uint32_t n = 0; n < job->chunk_count(); ++n) {
-      if (job->all_started(n)) continue;
-      auto* record = edits.edit(*job, n);
-      if (!record) break;
-      uint32_t index = 0;
-      uint64_t own_attempt = 0;
-      while (committed.size() + started.size() < gang.size() &&
-             record->peek_startable(job->size_of(n), 0, index, own_attempt) && edits.take_entry()) {
-        auto& place = gang[committed.size() + started.size()];
-        record->start(index, attempt, place.machine);
-        started.push_back(
-            {{id, n * job->chunk_size + index}, attempt, place.machine, place.image_cached});
-      }
-    }
-    if (started.empty() || !co_await commit_and_apply(edits.finish(), token, true)) break;
+    const auto started = edit_gang_starts(*job, gang, committed.size(), attempt, edits);
+    if (started.empty()) break;
+    std::function<void()> begun = [&] { gangs_.note_begun(*job, gang.tasks, attempt); };
+    if (!co_await commit_and_apply(edits.finish(), token, true, std::move(begun))) break;
     committed.insert(committed.end(), started.begin(), started.end());
   }
   order_starts(committed);
-  co_return committed.size() == gang.size();
+  co_return committed.size() == gang.starts.size();
+}
+
+std::vector<Holder::CommittedStart> Holder::edit_gang_starts(const Job& job,
+                                                             const DecidedGang& gang,
+                                                             size_t committed, uint64_t attempt,
+                                                             ChunkEdits& edits) {
+  std::vector<CommittedStart> started;
+  auto all_placed = [&] { return committed + started.size() >= gang.starts.size(); };
+  for (uint32_t n = gang.tasks.first / job.chunk_size; n * job.chunk_size < gang.tasks.end(); ++n) {
+    if (all_placed()) break;
+    if (job.all_started(n)) continue;
+    auto* record = edits.edit(job, n);
+    if (!record) break;
+    const uint32_t chunk_start = n * job.chunk_size;
+    const uint32_t first = std::max(gang.tasks.first, chunk_start) - chunk_start;
+    const uint32_t end = std::min(gang.tasks.end() - chunk_start, job.size_of(n));
+    for (uint32_t index = first; index < end && !all_placed(); ++index) {
+      if (!record->startable(index)) continue;
+      if (!edits.take_entry()) break;
+      auto& place = gang.starts[committed + started.size()];
+      record->start(index, attempt, place.machine);
+      started.push_back(
+          {{job.spec.id, chunk_start + index}, attempt, place.machine, place.image_cached});
+    }
+  }
+  return started;
 }
 
 // What a long pass has decided is committed for as long as it took, rather than decided again.
@@ -296,8 +319,7 @@
   return std::max(settings_.report_s * starts_share, last_pass_s_);
 }
 
-Task<bool> Holder::commit_gang_starts(std::vector<std::vector<DecidedStart>> gangs,
-                                      std::stop_token token) {
+Task<bool> Holder::commit_gang_starts(std::vector<DecidedGang> gangs, std::stop_token token) {
   const double begun = loop_.now();
   for (auto& gang : gangs) {
     if (!holding()) break;
--- a/src/coordination/holder_gangs.cpp
+++ b/src/coordination/holder_gangs.cpp
@@ -1,71 +1,39 @@
 // The holder's care for gangs: what one task's exit means for the others, and stops as a whole.
 #include <spdlog/spdlog.h>
 
-#include <algorithm>
-
 #include "coordination/holder.hpp"
 
 namespace damsonport {
 
-Holder::GangHints& Holder::gang_hints(const Job& gang) {
-  auto& hints = hints_[gang.spec.id].gang;
-  if (const uint64_t attempt = live_attempt(gang); hints.attempt != attempt)
-    hints = {.attempt = attempt};
-  return hints;
+bool Holder::is_stopping(const PlacedTask& task) const {
+  auto stop = stopping_.find(task.name);
+  return stop != stopping_.end() && stop->second.attempt == task.attempt;
 }
 
-GangStanding Holder::gang_standing(const Job& gang) {
-  auto& hints = gang_hints(gang);
-  GangStanding standing;
-  standing.tasks = gang.spec.tasks;
-  standing.live = static_cast<uint32_t>(gang.live);
-  standing.done = static_cast<uint32_t>(gang.done);
-  standing.ran = hints.ran;
-  standing.broken = hints.broken;
-  for (auto& task : gang.live_tasks()) {
-    auto stop = stopping_.find(task.name);
-    standing.stopping |= stop != stopping_.end() && stop->second.attempt == task.attempt;
-  }
-  const bool incomplete = standing.live > 0 && standing.live < standing.tasks;
-  if (!incomplete) {
-    hints.incomplete_since = 0;
-  } else if (hints.incomplete_since == 0) {
-    hints.incomplete_since = loop_.now();
-  }
-  standing.incomplete_s = incomplete ? loop_.now() - hints.incomplete_since : 0;
-  return standing;
+bool Holder::has_ended(const PlacedTask& task) const {
+  auto exit = exits_.find(task.name);
+  return exit != exits_.end() && exit->second.attempt == task.attempt;
 }
 
-GangAction Holder::next_gang_action(const Job& gang) {
-  // Within the time for which a machine that failed a task of it is not used for it again.
-  const double patience_s =
-      std::min(settings_.gang_wait_s * tuning_.gang_replacement_share, settings_.lease_s);
-  const auto action = gang_action(gang_standing(gang), patience_s);
-  if (action != GangAction::complete) return action;
-  // Whether it runs already is not known before all its machines were heard.
-  const auto live = gang.live_tasks();
-  const bool all_heard = std::all_of(live.begin(), live.end(), [&](const PlacedTask& task) {
-    auto m = machines_.find(task.machine);
-    return m != machines_.end() && m->second.session != 0;
-  });
-  return all_heard ? GangAction::complete : GangAction::none;
+const Machine* Holder::find_machine(const std::string& id) const {
+  auto it = machines_.find(id);
+  return it == machines_.end() ? nullptr : &it->second;
 }
 
-uint32_t Holder::startable_gang_tasks(const Job& gang) {
+uint32_t Holder::startable_gang_tasks(const Job& job, TaskRange gang) {
   // An older controller that takes over would go on with it task by task.
-  if (!p_.versions.all_have(VersionRegistry::gangs)) return 0;
-  const auto action = next_gang_action(gang);
-  const bool startable = action == GangAction::start || action == GangAction::complete;
-  return startable ? static_cast<uint32_t>(gang.unstarted()) : 0;
+  const bool replicated = job.spec.replicated();
+  const uint64_t version = replicated ? VersionRegistry::replicas : VersionRegistry::gangs;
+  if (!p_.versions.all_have(version)) return 0;
+  if (replicated && !replicas_.may_start(job, gang)) return 0;
+  return gangs_.startable(job, gang);
 }
 
-void Holder::review_gang(const Job& gang) {
-  if (is_cancelled(gang) || next_gang_action(gang) != GangAction::give_up) return;
-  for (auto& task : gang.live_tasks()) {
-    auto stop = stopping_.find(task.name);
+void Holder::review_gang(const Job& job, TaskRange gang) {
+  if (is_cancelled(job) || gangs_.next_action(job, gang) != GangAction::give_up) return;
+  for (auto& task : job.live_tasks(gang)) {
     // One that was told to save goes on with it.
-    if (stop != stopping_.end() && stop->second.attempt == task.attempt) continue;
-    if (exits_.contains(task.name)) continue;
+    if (is_stopping(task) || exits_.contains(task.name)) continue;
     spdlog::info("stopping {} attempt {} on {}: its gang is not whole", task.name.text(),
                  task.attempt, task.machine);
     stop_task(task, 0);
@@ -74,10 +42,13 @@
 
 void Holder::review_gangs() {
   for (auto& [id, job] : cache_.jobs()) {
-    if (job->spec.kind != Kind::gang || job->live == 0) continue;
-    review_gang(*job);
-    if (job->unstarted() > 0) dirty_jobs_.insert(job.get());
+    if (job->live == 0) continue;
+    const uint32_t count = gang_count(job->spec);
+    for (uint32_t n = 0; n < count; ++n) review_gang(*job, gang_range(job->spec, n));
+    if (count > 0 && job->unstarted() > 0) dirty_jobs_.insert(job.get());
   }
+  replicas_.review();
+  for (auto& move : replicas_.take_moves()) stop_gang(*move.job, move.parts, 0);
 }
 
 // The tasks of a gang complete together: when one is done, all of its attempt are, whether or not
@@ -93,24 +64,25 @@
 void Holder::note_exit(const TaskName& task, PendingExit exit) {
   mark_changed(exit.machine);
   Job* job = cache_.job(task.job);
-  if (!job || job->spec.kind != Kind::gang) {
+  if (!job || job->spec.group_size() == 0) {
     exits_[task] = std::move(exit);
     return;
   }
+  const bool is_gang = job->spec.kind == Kind::gang;
   // Its machine was lost before it could say so.
-  if (job->done > 0) exit.cause = ExitCause::done;
+  if (is_gang && job->done > 0) exit.cause = ExitCause::done;
   const auto [attempt, cause, machine] = exit;
   exits_[task] = std::move(exit);
-  if (cause == ExitCause::done) return finish_gang(*job, attempt);
-  auto& hints = gang_hints(*job);
-  if (hints.attempt != attempt) return;
+  if (is_gang && cause == ExitCause::done) return finish_gang(*job, attempt);
+  const TaskRange gang = gang_range(job->spec, gang_of(job->spec, task.index));
   const bool stopped = cause == ExitCause::stopped && stopping_.contains(task);
-  hints.broken |= hints.ran || stopped || cause == ExitCause::peers || cause == ExitCause::alone;
-  review_gang(*job);
+  gangs_.note_exit(*job, gang, attempt, cause, stopped);
+  replicas_.note_exit(*job, gang, attempt, cause);
+  review_gang(*job, gang);
 }
 
-void Holder::stop_gang(const Job& gang, double grace_s) {
-  for (auto& task : gang.live_tasks()) stop_task(task, grace_s);
+void Holder::stop_gang(const Job& job, TaskRange gang, double grace_s) {
+  for (auto& task : job.live_tasks(gang)) stop_task(task, grace_s);
 }
 
 void Holder::stop_task(const PlacedTask& task, double grace_s) {
--- a/src/coordination/holder_machines.cpp
+++ b/src/coordination/holder_machines.cpp
@@ -144,6 +144,7 @@
     recall_images(m);
   }
   note_states(m);
+  note_absent_parts(m);
   auto todo = reconcile(m, expected_on(m), term_, records_current());
   for (auto& e : todo.exits) {
     if (exits_.contains(e.task)) continue;
@@ -212,13 +213,31 @@
       continue;
     }
     const bool ran = t.state == TaskState::running || t.state == TaskState::saving;
-    if (ran && s.kind == Kind::gang)
-      if (auto& gang = gang_hints(*job); gang.attempt == t.attempt) gang.ran = true;
+    if (ran && s.kind == Kind::gang) gangs_.note_ran(*job, gang_range(s, 0), t.attempt);
     if (t.state == TaskState::running) note_running(m, name, t.attempt);
   }
   if (!m.tasks.empty()) m.idle_since = now;
 }
 
+// A replica that may have been ready is never ready again under an attempt that lost a part, so the
+// part isn't started anew as any other task would be: the attempt is over.
+void Holder::note_absent_parts(const Machine& m) {
+  if (m.token < term_ || !records_current()) return;
+  std::vector<std::pair<const Job*, TaskRange>> concerned;
+  for (auto& [assignment, attempt] : cache_.assigned(m.id)) {
+    const Job& job = *assignment.job;
+    if (!job.spec.replicated()) continue;
+    const TaskName name{job.spec.id, assignment.index};
+    auto reported = m.tasks.find(name);
+    const bool there = reported != m.tasks.end() && reported->second.attempt == attempt;
+    if (there || m.start_outstanding({name, attempt}) || exits_.contains(name)) continue;
+    const TaskRange replica = gang_range(job.spec, gang_of(job.spec, assignment.index));
+    gangs_.note_absent(job, replica, attempt);
+    concerned.emplace_back(&job, replica);
+  }
+  for (auto& [job, replica] : concerned) review_gang(*job, replica);
+}
+
 void Holder::note_running(Machine& m, const TaskName& task, uint64_t attempt) {
   const double now = loop_.now();
   auto attempts = attempts_.find(task);
@@ -279,7 +298,7 @@
       spdlog::info("{} was refused by {}", task.text(), m.id);
       hints.backoff_until = now + settings_.report_s / 2;
       // Its place in the gang is filled elsewhere, under the attempt that this machine has refused.
-      if (job->spec.kind == Kind::gang) m.failed_jobs[task.job] = now;
+      if (job->spec.group_size() > 0) m.failed_jobs[task.job] = now;
       break;
     default:
       break;
@@ -398,6 +417,7 @@
     const auto session = m.session, term = term_;
     Endpoint to;
     HttpReply reply;
+    const double asked_at = loop_.now();
     if (parse_endpoint(m.address, to))
       reply = co_await p_.http.request(to, Method::post, "/commands",
                                        encode_direct(term, session, commands),
@@ -423,6 +443,7 @@
     now.failed_sends = 0;
     if (auto report = decode_report(decode_map(reply.body)); report && report->machine == id) {
       std::vector<Command> more;
+      note_direct_time(now, *report, asked_at);
       process_report(now, *report, true, more);
       // A stop whose answer still shows the task saving, and the like, wait for the next report.
       for (auto& c : more)
@@ -436,6 +457,7 @@
   Endpoint to;
   if (it == machines_.end() || !parse_endpoint(it->second.address, to)) co_return;
   auto term = term_;
+  const double asked_at = loop_.now();
   probing_.insert(id);
   auto reply = co_await p_.http.request(to, Method::get, "/show", {}, settings_.report_s);
   probing_.erase(id);
@@ -443,6 +465,7 @@
   if (reply.status != 200 || it == machines_.end() || term != term_) co_return;
   if (auto report = decode_report(decode_map(reply.body)); report && report->machine == id) {
     std::vector<Command> more;
+    note_direct_time(it->second, *report, asked_at);
     process_report(it->second, *report, true, more);
   }
 }
--- a/src/coordination/holder_view.cpp
+++ b/src/coordination/holder_view.cpp
@@ -6,20 +6,6 @@
 
 namespace damsonport {
 
-namespace {
-// A place that became free, or a new one at the end.
-template <class T>
-size_t take_slot(std::vector<size_t>& free, std::vector<T>& places) {
-  if (free.empty()) {
-    places.emplace_back();
-    return places.size() - 1;
-  }
-  const size_t slot = free.back();
-  free.pop_back();
-  return slot;
-}
-}  // namespace
-
 void Holder::reset_view() {
   view_ = {};
   view_.guarantee_within_s = settings_.guarantee_within();
@@ -27,61 +13,77 @@
   view_.gang_hold_for_s = settings_.gang_wait_s * tuning_.gang_hold_for_share;
   for (auto& t : settings_.teams)
     view_.teams.push_back({t.name, p_.budgets.guarantee(t), p_.budgets.limit(t)});
-  slot_jobs_.clear();
-  free_job_slots_.clear();
-  free_machine_slots_.clear();
   job_slots_.clear();
+  free_machine_slots_.clear();
   dirty_jobs_.clear();
   dirty_machines_.clear();
   held_back_.clear();
   over_.clear();
 }
 
+// What doesn't change as long as the job is there.
+void Holder::describe_job(const JobSpec& s, placing::JobView& v) {
+  v.id = s.id;
+  for (size_t t = 0; t < view_.teams.size(); ++t)
+    if (view_.teams[t].name == s.team) v.team = t;
+  v.image = view_.images.id(s.image);
+  v.image_gb = s.image_gb;
+  v.service = s.kind == Kind::service;
+  v.gang = s.group_size() > 0;
+  v.replica = s.replicated();
+  v.distinct_machines = s.distinct_machines;
+  v.priority = static_cast<int>(s.priority);
+  v.need = {s.cpus, s.gpus, s.memory_gb};
+  for (auto& type : s.types) v.types.push_back(view_.types.id(type));
+  v.zone = view_.zones.id(s.zone);
+  v.one_zone = s.one_zone;
+  v.spread = s.spread;
+  v.spot = s.spot;
+  v.tasks = s.tasks;
+  v.accepted_at = s.accepted_at;
+  v.due_at = s.deadline_s >= 0 ? s.accepted_at + s.deadline_s : 0;
+  v.start_within_s = settings_.start_within(s.cls);
+  v.estimate_s = s.estimate_s;
+  v.checkpoint_s = s.checkpoint_s;
+  v.grace_s = stop_grace(s);
+}
+
+uint32_t Holder::startable_tasks(const Job& job, uint32_t gang) {
+  if (job.spec.group_size() > 0) return startable_gang_tasks(job, gang_range(job.spec, gang));
+  const auto unstarted = static_cast<uint32_t>(job.unstarted());
+  if (!failures_.job_at_fault(job.spec.id)) return unstarted;
+  // One task finds out whether it still fails.
+  return job.live == 0 ? std::min(unstarted, 1U) : 0;
+}
+
 void Holder::refresh_job(Job& job) {
-  auto [it, fresh] = job_slots_.try_emplace(&job);
-  if (fresh) {
-    it->second = take_slot(free_job_slots_, view_.jobs);
-    slot_jobs_.resize(view_.jobs.size());
-    slot_jobs_[it->second] = &job;
-  }
+  bool fresh = false;
+  const auto& slots = job_slots_.take(job, view_.jobs, fresh);
   auto& s = job.spec;
-  auto& v = view_.jobs[it->second];
-  if (fresh) {
-    v.id = s.id;
-    for (size_t t = 0; t < view_.teams.size(); ++t)
-      if (view_.teams[t].name == s.team) v.team = t;
-    v.image = view_.images.id(s.image);
-    v.image_gb = s.image_gb;
-    v.service = s.kind == Kind::service;
-    v.gang = s.kind == Kind::gang;
-    v.priority = static_cast<int>(s.priority);
-    v.need = {s.cpus, s.gpus, s.memory_gb};
-    for (auto& type : s.types) v.types.push_back(view_.types.id(type));
-    v.zone = view_.zones.id(s.zone);
-    v.one_zone = s.one_zone;
-    v.spread = s.spread;
-    v.spot = s.spot;
-    v.tasks = s.tasks;
-    v.accepted_at = s.accepted_at;
-    v.due_at = s.deadline_s >= 0 ? s.accepted_at + s.deadline_s : 0;
-    v.start_within_s = settings_.start_within(s.cls);
-    v.estimate_s = s.estimate_s;
-    v.checkpoint_s = s.checkpoint_s;
-    v.grace_s = stop_grace(s);
-  }
-  v.cancelled = is_cancelled(job);
-  v.unfinished = static_cast<uint32_t>(s.tasks - job.done);
-  v.begun = job.live + job.done > 0;
+  const bool cancelled = is_cancelled(job);
   auto hint = hints_.find(s.id);
   const bool held_back = hint != hints_.end() && hint->second.backoff_until > loop_.now();
-  if (held_back) held_back_.insert(s.id);
-  v.at_fault = failures_.job_at_fault(s.id);
-  if (v.at_fault) held_back_.insert(s.id);  // looked at again until it works
-  v.waiting = v.cancelled || held_back ? 0
-              : v.gang                 ? startable_gang_tasks(job)
-                                       : static_cast<uint32_t>(job.unstarted());
-  // One task finds out whether it still fails.
-  if (v.at_fault && !v.gang) v.waiting = job.live == 0 ? std::min(v.waiting, 1U) : 0;
+  const bool at_fault = failures_.job_at_fault(s.id);
+  // Looked at again until it works.
+  if (held_back || at_fault) held_back_.insert(s.id);
+  for (uint32_t n = 0; n < slots.size(); ++n) {
+    auto& v = view_.jobs[slots[n]];
+    if (fresh) {
+      describe_job(s, v);
+      v.replica_number = n;
+      v.family = slots.front();
+    }
+    v.cancelled = cancelled;
+    v.at_fault = at_fault;
+    v.unfinished = static_cast<uint32_t>(s.tasks - job.done);
+    v.begun = job.live + job.done > 0;
+    if (s.replicated()) {
+      const RangeRecord record = job.record_of(gang_range(s, n));
+      v.unfinished = s.parts - record.done;
+      v.begun = record.live > 0;
+    }
+    v.waiting = cancelled || held_back ? 0 : startable_tasks(job, n);
+  }
 }
 
 void Holder::refresh_machine(Machine& m) {
@@ -110,7 +112,7 @@
   v.live.clear();
   for (auto& [a, attempt] : cache_.assigned(m.id)) {
     placing::LiveView l;
-    l.job = job_slots_.at(a.job);
+    l.job = job_slots_.of(a.job, a.index);
     l.index = a.index;
     l.attempt = attempt;
     const TaskName name{a.job->spec.id, a.index};
@@ -147,6 +149,8 @@
     if (Job* job = cache_.job(*it)) dirty_jobs_.insert(job);
     it = held_back_.erase(it);  // put back if its pause goes on
   }
+  for (auto& id : replicas_.offer_repairs())
+    if (Job* job = cache_.job(id)) dirty_jobs_.insert(job);
   // Jobs first: the machines' tasks refer to them.
   std::vector<Job*> dirty(dirty_jobs_.begin(), dirty_jobs_.end());
   std::sort(dirty.begin(), dirty.end(), [](Job* a, Job* b) { return a->spec.id < b->spec.id; });
--- a/src/coordination/node.hpp
+++ b/src/coordination/node.hpp
@@ -12,6 +12,8 @@
        const RegionSettings* regions = nullptr);
   // False when an address can't be had.
   bool start();
+  // Replicas of several parts, where this node holds the grant.
+  std::vector<replicas::ReplicaStatus> replica_statuses() { return holder_.replica_statuses(); }
   uint16_t port() const { return server_->port(); }
 
  private:
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -22,19 +22,36 @@
       least_urgent_(in.machines.size(), std::numeric_limits<int>::max()),
       stopped_(in.machines.size()),
       tally_of_(in.jobs.size(), nowhere),
-      booting_(in.booting) {
+      booting_(in.booting),
+      part_on_(in.machines.size()) {
   judge_guarantees();
-  for (size_t j = 0; j < in.jobs.size(); ++j) {
-    if (in.jobs[j].waiting == 0 || in.jobs[j].cancelled) continue;
-    tally_of_[j] = tallies_.size();
-    tallies_.push_back({std::vector<uint32_t>(in.zones.size()), {}});
-    order_.push_back(j);
-  }
+  prepare_tallies();
   free_.reserve(in.machines.size());
   for (size_t m = 0; m < in.machines.size(); ++m) count_machine(m);
   measure_shapes();
 }
 
+void PlacementPass::prepare_tallies() {
+  std::unordered_map<size_t, size_t> of_family;
+  for (size_t j = 0; j < in_.jobs.size(); ++j) {
+    auto& job = in_.jobs[j];
+    if (job.waiting == 0 || job.cancelled) continue;
+    order_.push_back(j);
+    if (job.replica) {
+      auto [it, fresh] = of_family.try_emplace(job.family, tallies_.size());
+      tally_of_[j] = it->second;
+      if (!fresh) continue;
+    }
+    tally_of_[j] = tallies_.size();
+    tallies_.push_back({std::vector<uint32_t>(in_.zones.size()), {}});
+  }
+  if (of_family.empty()) return;
+  // Those that run count for those that wait.
+  for (size_t j = 0; j < in_.jobs.size(); ++j)
+    if (auto it = of_family.find(in_.jobs[j].family); in_.jobs[j].replica && it != of_family.end())
+      tally_of_[j] = it->second;
+}
+
 Decisions PlacementPass::run() {
   std::sort(order_.begin(), order_.end(), [&](size_t a, size_t b) { return before(a, b); });
   for (size_t j : order_) {
@@ -44,7 +61,7 @@
     } else {
       place_job(j);
     }
-    for (size_t m : tally(j).on) replicas_[m] = 0;
+    forget_replicas(j);
   }
   return std::move(out_);
 }
@@ -70,6 +87,16 @@
 
 void PlacementPass::recall_replicas(size_t j) {
   for (size_t m : tally(j).on) ++replicas_[m];
+  parts_together_ = false;
+  parts_zone_ = 0;
+  if (in_.jobs[j].replica) bind_replica(j);
+}
+
+void PlacementPass::forget_replicas(size_t j) {
+  for (size_t m : tally(j).on) {
+    replicas_[m] = 0;
+    part_on_[m] = 0;
+  }
 }
 
 void PlacementPass::measure_shapes() {
@@ -88,8 +115,11 @@
   urgency_.assign(in_.jobs.size(), 0);
   std::vector<size_t> order(in_.jobs.size());
   std::iota(order.begin(), order.end(), 0);
-  std::sort(order.begin(), order.end(),
-            [&](size_t a, size_t b) { return in_.jobs[a].accepted_at < in_.jobs[b].accepted_at; });
+  std::sort(order.begin(), order.end(), [&](size_t a, size_t b) {
+    auto &ja = in_.jobs[a], &jb = in_.jobs[b];
+    if (ja.accepted_at != jb.accepted_at) return ja.accepted_at < jb.accepted_at;
+    return ja.replica_number < jb.replica_number;
+  });
   std::vector<Amounts> sum(in_.teams.size());
   for (size_t j : order) {
     auto& job = in_.jobs[j];
@@ -123,7 +153,8 @@
   auto &ja = in_.jobs[a], &jb = in_.jobs[b];
   double ta = turn(ja), tb = turn(jb);
   if (ta != tb) return ta < tb;
-  return ja.id < jb.id;
+  if (ja.id != jb.id) return ja.id < jb.id;
+  return ja.replica_number < jb.replica_number;
 }
 
 double PlacementPass::turn(const JobView& job) const {
@@ -146,6 +177,7 @@
 bool PlacementPass::zone_allows(size_t j, NameId zone) const {
   auto& job = in_.jobs[j];
   if (job.zone != 0 && job.zone != zone) return false;
+  if (parts_together_ && parts_zone_ != 0 && parts_zone_ != zone) return false;
   if (!job.one_zone && !job.spread) return true;
   auto& count = tally(j).in_zone;
   // A machine known only from the records, after a change of holder, has no zone yet: its tasks
@@ -168,6 +200,7 @@
 bool PlacementPass::allowed(size_t j, size_t m) const {
   auto& job = in_.jobs[j];
   auto& machine = in_.machines[m];
+  if (job.distinct_machines && part_on_[m]) return false;
   return machine.open && job.need.fits(machine.total) &&
          suits(j, machine.type, machine.zone, machine.spot) &&
          (machine.bad_jobs.empty() || !contains(machine.bad_jobs, job.id));
@@ -284,6 +317,9 @@
   ++tally(j).in_zone[in_.machines[m].zone];
   tally(j).on.push_back(m);
   ++replicas_[m];
+  if (!in_.jobs[j].replica) return;
+  part_on_[m] = 1;
+  if (parts_together_) parts_zone_ = in_.machines[m].zone;
 }
 
 bool PlacementPass::claim_coming(size_t j, std::optional<BesideImage> beside_image) {
@@ -315,6 +351,7 @@
     if (!job.need.fits(b.room) || !suits(j, b.type, b.zone, b.spot)) continue;
     b.room -= job.need;
     used_[job.team] += job.need;  // it starts there in a moment
+    if (parts_together_) parts_zone_ = b.zone;
     return true;
   }
   return false;
--- a/src/coordination/placement.hpp
+++ b/src/coordination/placement.hpp
@@ -92,12 +92,18 @@
   bool service = false;
   // All that wait start together or none. A gang that runs is stopped as a whole, too.
   bool gang = false;
-  int priority = 0;  // higher is more urgent
+  // One replica of several parts, which are a gang. The replicas of a job are a family: the place
+  // of the first one names it, and the job's rules about zones are for all of their parts together.
+  bool replica = false;
+  uint32_t replica_number = 0;
+  size_t family = 0;
+  bool distinct_machines = false;  // for the parts of a replica
+  int priority = 0;                // higher is more urgent
   Amounts need;
   std::vector<NameId> types;
   NameId zone = 0;
   bool one_zone = false, spread = false, spot = false;
-  uint32_t tasks = 1;       // in all
+  uint32_t tasks = 1;       // of the job in all
   uint32_t waiting = 0;     // may be started now
   uint32_t unfinished = 0;  // waiting, live and held back ones
   bool cancelled = false;
@@ -148,9 +154,10 @@
   size_t job;
   uint32_t count;
   bool within_guarantee;
-  bool room_coming;  // room for it is already being made
-  uint32_t missing;  // of them, those for which there is no room: a gang waits whole
-  NameId zone = 0;   // where a gang bound to one zone has the most room; 0: anywhere
+  bool room_coming;       // room for it is already being made
+  uint32_t missing;       // of them, those for which there is no room: a gang waits whole
+  NameId zone = 0;        // where a gang bound to one zone has the most room; 0: anywhere
+  bool one_zone = false;  // the gang has to be in one zone
 };
 struct Decisions {
   std::vector<Start> starts;
--- a/src/coordination/placement_gang.cpp
+++ b/src/coordination/placement_gang.cpp
@@ -67,7 +67,8 @@
     if (!job.need.fits(free_[m]) || machine.straggler || !allowed(j, m)) continue;
     if (zone != 0 && machine.zone != zone) continue;
     if (only_with_image && !holds(machine, job.image)) continue;
-    const uint32_t fits = std::min(count_fitting(job.need, free_[m]), job.waiting);
+    const uint32_t most = job.distinct_machines ? 1 : job.waiting;
+    const uint32_t fits = std::min(count_fitting(job.need, free_[m]), most);
     if (fits > 0) candidates.push_back({gang_machine_cost(j, m, fits), m, fits});
   }
   std::sort(candidates.begin(), candidates.end());
@@ -91,7 +92,7 @@
 PlacementPass::GangPlan PlacementPass::plan_gang(size_t j) const {
   auto& job = in_.jobs[j];
   std::vector<NameId> zones{0};
-  if (job.one_zone) {
+  if (job.one_zone || parts_together_) {
     zones.clear();
     for (NameId z = 1; z < in_.zones.size(); ++z)
       if (zone_allows(j, z)) zones.push_back(z);
@@ -131,6 +132,8 @@
   // What a failed try changed is put back: nothing is stopped for a gang that doesn't start.
   auto free = free_, future = future_, used = used_;
   auto replicas = replicas_;
+  auto part_on = part_on_;
+  const NameId parts_zone = parts_zone_;
   auto stopped = stopped_;
   auto coming_machines = coming_;
   auto booting = booting_;
@@ -154,6 +157,8 @@
   future_ = std::move(future);
   used_ = std::move(used);
   replicas_ = std::move(replicas);
+  part_on_ = std::move(part_on);
+  parts_zone_ = parts_zone;
   stopped_ = std::move(stopped);
   coming_ = std::move(coming_machines);
   booting_ = std::move(booting);
@@ -166,6 +171,11 @@
 void PlacementPass::place_gang(size_t j) {
   auto& job = in_.jobs[j];
   if (!team_allows_whole(j)) return;
+  if (sibling_found_no_room(j)) {
+    out_.unplaced.push_back(*family_without_room_);
+    out_.unplaced.back().job = j;
+    return;
+  }
   const GangPlan plan = plan_gang(j);
   if (plan.machines.size() == job.waiting) {
     take_gang_plan(j, plan);
@@ -178,9 +188,46 @@
     room_held_ = true;
     take_gang_plan(j, plan);
   }
+  note_unplaced_gang(j, plan);
+}
+
+void PlacementPass::note_unplaced_gang(size_t j, const GangPlan& plan) {
+  auto& job = in_.jobs[j];
   note_unplaced(j, job.waiting, 0);
-  out_.unplaced.back().missing = job.waiting - static_cast<uint32_t>(plan.machines.size());
-  out_.unplaced.back().zone = job.one_zone ? zone_of(plan) : 0;
+  Unplaced& unplaced = out_.unplaced.back();
+  unplaced.missing = job.waiting - static_cast<uint32_t>(plan.machines.size());
+  unplaced.one_zone = job.one_zone || parts_together_;
+  if (unplaced.one_zone) unplaced.zone = parts_zone_ != 0 ? parts_zone_ : zone_of(plan);
+  const bool whole = job.replica && !gang_parts_.contains(j);
+  if (whole) family_without_room_ = unplaced;
+}
+
+// Free room only shrinks during a pass.
+bool PlacementPass::sibling_found_no_room(size_t j) const {
+  if (!in_.jobs[j].replica || !family_without_room_ || gang_parts_.contains(j)) return false;
+  return in_.jobs[family_without_room_->job].family == in_.jobs[j].family;
+}
+
+void PlacementPass::bind_replica(size_t j) {
+  parts_together_ = true;
+  if (auto parts = gang_parts_.find(j); parts != gang_parts_.end())
+    for (auto& part : parts->second) {
+      const NameId zone = in_.machines[part.machine].zone;
+      parts_together_ &= parts_zone_ == 0 || parts_zone_ == zone;
+      parts_zone_ = zone;
+      part_on_[part.machine] = 1;
+    }
+  parts_together_ = parts_together_ && fits_one_zone(j);
+}
+
+// The user's spread is a rule, and parts in one zone are a wish: where no zone may take all that
+// wait, they are divided.
+bool PlacementPass::fits_one_zone(size_t j) const {
+  auto& job = in_.jobs[j];
+  if (!job.spread) return true;
+  for (NameId zone = 1; zone < in_.zones.size(); ++zone)
+    if (zone_allowance(j, zone) >= job.waiting) return true;
+  return false;
 }
 
 }  // namespace damsonport::placing
--- a/src/coordination/placement_pass.hpp
+++ b/src/coordination/placement_pass.hpp
@@ -39,6 +39,9 @@
 
   const Tally& tally(size_t j) const { return tallies_[tally_of_[j]]; }
 
+  // Gives each waiting job its tally, and the replicas of a job one together.
+  void prepare_tallies();
+
   // The one look at everything that is on the machines.
   void count_machine(size_t m);
 
@@ -48,6 +51,7 @@
 
   // Replicas of the job being placed, by machine; wiped when it is done with.
   void recall_replicas(size_t j);
+  void forget_replicas(size_t j);
 
   // The shapes that matter for keeping room whole: the most accelerators that one task asks for,
   // and the CPUs and memory that go with an accelerator. Work that may use spot machines has room
@@ -120,6 +124,13 @@
   // All of it or nothing: decided once for the whole gang.
   void place_gang(size_t j);
   bool team_allows_whole(size_t j) const;
+  // Which zone and machines the parts that run already leave to the others.
+  void bind_replica(size_t j);
+  // Whether all that wait may start in one zone, as the job's spread goes.
+  bool fits_one_zone(size_t j) const;
+  // A replica of the same job, that needs as much, found no room in this pass.
+  bool sibling_found_no_room(size_t j) const;
+  void note_unplaced_gang(size_t j, const GangPlan& plan);
   // The best among the zones that the gang may start in.
   GangPlan plan_gang(size_t j) const;
   GangPlan plan_gang_in(size_t j, NameId zone, bool only_with_image) const;
@@ -217,6 +228,13 @@
   };
   std::unordered_map<size_t, std::vector<GangPart>> gang_parts_;
   bool room_held_ = false;  // for a gang, in this pass
+  // Of the replica that is being placed: its parts have to be together in this zone (0: in any
+  // one), and by machine whether one of them is there.
+  bool parts_together_ = false;
+  NameId parts_zone_ = 0;
+  std::vector<uint8_t> part_on_;
+  // The family that found no room for a whole replica last, and what was said of it.
+  std::optional<Unplaced> family_without_room_;
   Decisions out_;
 };
 
--- a/src/coordination/sizing.cpp
+++ b/src/coordination/sizing.cpp
@@ -121,7 +121,8 @@
   uint32_t take_room(Room& room, const Demand& d, uint32_t count) {
     ++out_.examined;
     if (!suits(d, room.type->name, room.zone, room.spot)) return 0;
-    const uint32_t taken = std::min(count, placing::count_fitting(d.need, room.free));
+    const uint32_t most = d.distinct_machines ? std::min(count, 1U) : count;
+    const uint32_t taken = std::min(most, placing::count_fitting(d.need, room.free));
     room.free -= d.need * taken;
     return taken;
   }
--- a/src/coordination/sizing.hpp
+++ b/src/coordination/sizing.hpp
@@ -39,8 +39,9 @@
   std::vector<std::string> types;
   std::string zone;
   bool spot = false;
-  bool gang = false;      // all of it or nothing
-  bool one_zone = false;  // all of it in the same zone
+  bool distinct_machines = false;  // of a gang, one task a machine
+  bool gang = false;               // all of it or nothing
+  bool one_zone = false;           // all of it in the same zone
 };
 
 struct Offer {  // one kind of machine that the cloud may have
--- a/src/coordination/user_api.cpp
+++ b/src/coordination/user_api.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 
+#include "coordination/gangs.hpp"
+
 namespace damsonport {
 
 namespace {
@@ -51,11 +53,24 @@
 
 HttpResponse UserApi::busy() const { return {503, {}, come_back_s}; }
 
+namespace {
+// Of replicas of several parts only those count that have all of them.
+uint64_t serving_tasks(const Job& job) {
+  if (!job.spec.replicated()) return job.live;
+  uint64_t serving = 0;
+  for (uint32_t n = 0; n < gang_count(job.spec); ++n) {
+    const RangeRecord record = job.record_of(gang_range(job.spec, n));
+    if (record.live == job.spec.parts && !record.mixed_attempts) serving += record.live;
+  }
+  return serving;
+}
+
+std::string_view status_of(const Job& job) { return serving_tasks(job) > 0 ? "running" : "queued"; }
+}  // namespace
+
 HttpResponse UserApi::progress(const Job& job) const {
   if (job.cancelled) return {200, encode_job_progress(job.spec.id, "aborted", job.done, 0), 0};
-  return {200,
-          encode_job_progress(job.spec.id, job.live > 0 ? "running" : "queued", job.done, job.live),
-          0};
+  return {200, encode_job_progress(job.spec.id, status_of(job), job.done, serving_tasks(job)), 0};
 }
 
 // What is final can't change and is answered at once. Anything else may be older than what another
@@ -106,10 +121,9 @@
     co_return HttpResponse{200, encode_job_status(id, "aborted"), 0};
   }
   Job* cached = cache_.job(id);
-  co_return HttpResponse{200,
-                         encode_job_progress(id, cached && cached->live ? "running" : "queued",
-                                             cached ? cached->done : 0, cached ? cached->live : 0),
-                         0};
+  if (!cached) co_return HttpResponse{200, encode_job_progress(id, "queued", 0, 0), 0};
+  co_return HttpResponse{
+      200, encode_job_progress(id, status_of(*cached), cached->done, serving_tasks(*cached)), 0};
 }
 
 Task<HttpResponse> UserApi::poll(std::string id) {
@@ -167,6 +181,14 @@
   }
 }
 
+// From the operators' file; it stays as it is for this job, whatever the file says later.
+void UserApi::set_parts(JobSpec& spec) const {
+  const ReplicaPolicy* policy = settings_.replicas.find(spec.cls);
+  if (!policy || spec.kind != Kind::service) return;
+  spec.parts = policy->parts;
+  spec.distinct_machines = policy->distinct_machines;
+}
+
 Task<HttpResponse> UserApi::submit(std::string body) {
   const auto message = decode_map(body);
   body.clear();
@@ -176,19 +198,22 @@
   const std::string id = spec->id;
   if (!cache_.loaded() || !catalog_.known()) co_return busy();
   if (cache_.job(id) || cache_.final_state(id)) co_return co_await state_of(id);
+  set_parts(*spec);
   auto verdict = judge_job(*spec, settings_, catalog_.types());
   if (verdict != Verdict::ok) {
     // A job that was accepted once stays accepted, whatever the check would say now.
     auto known = co_await state_of(id);
     if (known.status == 404) {
       static constexpr const char* reasons[] = {
-          "", "unknown team", "a task fits no allowed machine type", "more than the team's limit"};
+          "", "unknown team", "a task fits no allowed machine type", "more than the team's limit",
+          "the tasks don't divide into whole replicas of this class"};
       co_return HttpResponse{422, encode({{"error", reasons[static_cast<size_t>(verdict)]}}), 0};
     }
     co_return known;
   }
   // An older controller would run a gang's tasks one by one.
   if (spec->kind == Kind::gang && !versions_.all_have(VersionRegistry::gangs)) co_return busy();
+  if (spec->replicated() && !versions_.all_have(VersionRegistry::replicas)) co_return busy();
   write_arrivals_.note(loop_.now());
   // Nobody is held beyond what can be written soon; whoever comes later is told when to come back.
   const double rate = state_.limit().writes_per_s();
--- a/src/coordination/version_registry.hpp
+++ b/src/coordination/version_registry.hpp
@@ -16,7 +16,9 @@
   static constexpr uint64_t gangs = 1;
   // The first version that divides the teams' limits among regions.
   static constexpr uint64_t budgets = 2;
-  static constexpr uint64_t current = budgets;
+  // The first version that starts and repairs replicas of several parts as a whole.
+  static constexpr uint64_t replicas = 3;
+  static constexpr uint64_t current = replicas;
 
   VersionRegistry(Loop& loop, const Settings& settings, StateClient& state, Cache& cache)
       : loop_(loop), settings_(settings), state_(state), cache_(cache) {}
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -57,11 +57,13 @@
 int main(int argc, char** argv) {
   CLI::App app{
       "damsonport: schedules the replicas and batches of language models on rented fleets"};
-  std::string config, regions_file;
+  std::string config, regions_file, replicas_file;
   bool check = false;
   app.add_option("--config", config, "settings file (TOML) of this controller")->required();
   app.add_option("--regions", regions_file,
                  "file that names the regions among which the teams' limits are divided");
+  app.add_option("--replicas", replicas_file,
+                 "file that names the classes whose replicas span several machines");
   app.add_flag("--check", check, "check the settings and end");
   app.set_version_flag("--version", DAMSONPORT_VERSION);
   try {
@@ -75,6 +77,14 @@
     log_problems(settings.error());
     return exit_bad_settings;
   }
+  if (!replicas_file.empty()) {
+    auto loaded = damsonport::load_replicas(replicas_file);
+    if (!loaded) {
+      log_problems(loaded.error());
+      return exit_bad_settings;
+    }
+    settings->replicas = std::move(*loaded);
+  }
   std::optional<damsonport::RegionSettings> regions;
   if (!regions_file.empty()) {
     auto loaded = damsonport::load_regions(regions_file, settings->zone);
--- a/src/protocol/messages.cpp
+++ b/src/protocol/messages.cpp
@@ -7,6 +7,10 @@
 
 namespace {
 
+// Fields of a job's record that a user's message doesn't have.
+constexpr const char* parts_key = "parts";
+constexpr const char* distinct_key = "distinct_machines";
+
 const Json* field(const Json& m, const char* key) {
   auto it = m.find(key);
   return it == m.end() || it->is_null() ? nullptr : &*it;
@@ -154,6 +158,10 @@
   if (field(m, "due_s") && (!get(m, "due_s", s.deadline_s) || s.deadline_s < 0))
     return bad("due_s");
   optional(m, "accepted_at", s.accepted_at);
+  uint64_t parts = 1;
+  if (optional(m, parts_key, parts) && parts > 1 && parts <= s.tasks)
+    s.parts = static_cast<uint32_t>(parts);
+  optional(m, distinct_key, s.distinct_machines);
   return s;
 }
 
@@ -163,7 +171,11 @@
     if (!field(m, needed)) return Error{std::string(needed) + " is missing or invalid"};
   auto spec = decode_job(m);
   // Ours alone.
-  if (spec) spec->accepted_at = 0;
+  if (spec) {
+    spec->accepted_at = 0;
+    spec->parts = 1;
+    spec->distinct_machines = false;
+  }
   return spec;
 }
 
@@ -189,6 +201,8 @@
   if (s.checkpoint_s > 0) m["moor_s"] = s.checkpoint_s;
   if (s.save_s > 0) m["stow_s"] = s.save_s;
   if (s.deadline_s >= 0) m["due_s"] = s.deadline_s;
+  if (s.parts > 1) m[parts_key] = s.parts;
+  if (s.distinct_machines) m[distinct_key] = true;
   return m;
 }
 
--- a/src/protocol/messages.hpp
+++ b/src/protocol/messages.hpp
@@ -36,6 +36,17 @@
   double deadline_s = -1;  // negative: none
   // Time of day of the acceptance; ours, not in the user's message.
   double accepted_at = 0;
+  // Tasks that make one replica of a service; ours too, from the operators' file at the acceptance.
+  uint32_t parts = 1;
+  bool distinct_machines = false;  // no two parts of a replica on one machine
+
+  // A service whose replicas have several parts.
+  bool replicated() const { return kind == Kind::service && parts > 1; }
+  // Tasks that start and end as one: all of a gang, or the parts of a replica; 0: each for itself.
+  uint32_t group_size() const {
+    if (kind == Kind::gang) return tasks;
+    return replicated() ? parts : 0;
+  }
 };
 
 // A job's record, which leaves out what is nothing.
--- /dev/null
+++ b/src/protocol/replica_settings.cpp
@@ -0,0 +1,146 @@
+#include "protocol/replica_settings.hpp"
+
+#include <charconv>
+#include <optional>
+#include <set>
+
+#include "protocol/sexp_document.hpp"
+#include "protocol/text_file.hpp"
+
+namespace damsonport {
+
+namespace {
+
+constexpr uint32_t least_parts = 2, most_parts = 1024, most_at_once = 100000;
+constexpr double most_leases = 1000;
+
+template <class Number>
+std::optional<Number> read_number(const sexp_t* entry) {
+  const std::string word = SexpDocument::atom(entry);
+  Number value{};
+  auto [end, error] = std::from_chars(word.data(), word.data() + word.size(), value);
+  if (word.empty() || error != std::errc{} || end != word.data() + word.size()) return std::nullopt;
+  return value;
+}
+
+// Reads one class; all its problems are kept, one a line.
+class ClassReader {
+ public:
+  explicit ClassReader(const SexpDocument& document) : document_(document) {}
+
+  Result<ReplicaPolicy> read(const sexp_t* entry) {
+    if (!SexpDocument::is_list(entry) || SexpDocument::atom(entry->list) != "class")
+      return Error{document_.at_line(SexpDocument::atom(entry)) + "expected (class NAME ...)"};
+    const sexp_t* name = entry->list->next;
+    policy_.cls = SexpDocument::atom(name);
+    if (policy_.cls.empty()) return Error{document_.at_line("class") + "a class needs a name"};
+    for (const sexp_t* part = name->next; part; part = part->next) read_entry(part);
+    if (!seen_.contains("parts")) fail(policy_.cls, "parts is missing");
+    if (policy_.first_backoff_leases > policy_.longest_backoff_leases)
+      fail(policy_.cls, "the first backoff is longer than the longest");
+    if (!problems_.text.empty()) return problems_;
+    return policy_;
+  }
+
+ private:
+  void fail(const std::string& word, const std::string& what) {
+    problems_.add(document_.at_line(word, policy_.cls) + "class " + policy_.cls + ": " + what);
+  }
+
+  void read_entry(const sexp_t* entry) {
+    const std::string what =
+        SexpDocument::is_list(entry) ? SexpDocument::atom(entry->list) : std::string();
+    const sexp_t* value = what.empty() ? nullptr : entry->list->next;
+    if (!what.empty() && !seen_.insert(what).second) return fail(what, what + " stands twice");
+    if (what == "parts") {
+      read_count(what, value, least_parts, most_parts, policy_.parts);
+    } else if (what == "repairs") {
+      read_count(what, value, 1, most_at_once, policy_.repairs);
+    } else if (what == "moves") {
+      read_count(what, value, 0, most_at_once, policy_.moves);
+    } else if (what == "distinct-machines") {
+      read_flag(what, value, policy_.distinct_machines);
+    } else if (what == "backoff-leases") {
+      read_backoff(what, value);
+    } else {
+      fail(what.empty() ? SexpDocument::atom(entry) : what, "unknown entry '" + what + "'");
+    }
+  }
+
+  void read_count(const std::string& name, const sexp_t* value, uint32_t least, uint32_t most,
+                  uint32_t& out) {
+    const auto count = read_number<uint32_t>(value);
+    if (!count || *count < least || *count > most || value->next)
+      return fail(name, name + " must be a whole number from " + std::to_string(least) + " to " +
+                            std::to_string(most));
+    out = *count;
+  }
+
+  void read_flag(const std::string& name, const sexp_t* value, bool& out) {
+    const std::string word = SexpDocument::atom(value);
+    if ((word != "yes" && word != "no") || value->next)
+      return fail(name, name + " must be yes or no");
+    out = word == "yes";
+  }
+
+  void read_backoff(const std::string& name, const sexp_t* value) {
+    const auto first = read_number<double>(value);
+    const auto longest = read_number<double>(value ? value->next : nullptr);
+    auto valid = [](std::optional<double> leases) {
+      return leases && *leases > 0 && *leases <= most_leases;
+    };
+    if (!valid(first) || !valid(longest) || value->next->next)
+      return fail(name, name + " must be two numbers of leases, above 0 and up to " +
+                            std::to_string(static_cast<int>(most_leases)));
+    policy_.first_backoff_leases = *first;
+    policy_.longest_backoff_leases = *longest;
+  }
+
+  const SexpDocument& document_;
+  ReplicaPolicy policy_;
+  std::set<std::string> seen_;
+  Error problems_;
+};
+
+}  // namespace
+
+const ReplicaPolicy* ReplicaSettings::find(const std::string& cls) const {
+  for (auto& policy : classes)
+    if (policy.cls == cls) return &policy;
+  return nullptr;
+}
+
+const ReplicaPolicy& ReplicaSettings::policy(const std::string& cls) const {
+  static const ReplicaPolicy defaults;
+  const ReplicaPolicy* named = find(cls);
+  return named ? *named : defaults;
+}
+
+Result<ReplicaSettings> parse_replicas(const std::string& text) {
+  auto document = SexpDocument::parse(text, "replicas");
+  if (!document) return Error{document.error()};
+  ReplicaSettings settings;
+  Error problems;
+  for (const sexp_t* entry = document->entries(); entry; entry = entry->next) {
+    auto policy = ClassReader(*document).read(entry);
+    if (!policy) {
+      problems.add(policy.error());
+    } else if (settings.find(policy->cls)) {
+      problems.add(document->at_line(policy->cls) + "class " + policy->cls + " is named twice");
+    } else {
+      settings.classes.push_back(std::move(*policy));
+    }
+  }
+  if (!problems.text.empty()) return problems;
+  return settings;
+}
+
+Result<ReplicaSettings> load_replicas(const std::string& path) {
+  auto text = read_text_file(path);
+  if (!text) return Error{text.error()};
+  auto settings = parse_replicas(*text);
+  if (!settings) return settings.error_in(path);
+  return settings;
+}
+
+}  // namespace damsonport
--- a/src/protocol/settings.hpp
+++ b/src/protocol/settings.hpp
@@ -3,6 +3,7 @@
 #include <string>
 #include <vector>
 
+#include "protocol/replica_settings.hpp"
 #include "protocol/result.hpp"
 #include "protocol/state_limits.hpp"
 #include "protocol/tuning.hpp"
@@ -46,6 +47,7 @@
   double cloud_rps = 0, list_lag_s = 0;
   int max_sockets = 0;
   Tuning tuning;
+  ReplicaSettings replicas;
 
   const TeamSettings* team(const std::string& name) const;
   // Within how many seconds tasks of this class, or work within a guarantee, should start; 0: none
--- a/src/protocol/sexp_document.cpp
+++ b/src/protocol/sexp_document.cpp
@@ -48,8 +48,9 @@
   return document;
 }
 
-std::string SexpDocument::at_line(const std::string& word) const {
-  auto at = text_.find(word);
+std::string SexpDocument::at_line(const std::string& word, const std::string& after) const {
+  const auto from = text_.find(after);
+  auto at = text_.find(word, from == std::string::npos ? 0 : from);
   if (at == std::string::npos) at = text_.size();
   int line = 1;
   for (size_t i = 0; i < at; ++i) line += text_[i] == '\n';
--- a/src/protocol/sexp_document.hpp
+++ b/src/protocol/sexp_document.hpp
@@ -19,7 +19,9 @@
   const sexp_t* entries() const { return root_->list->next; }
   // "line N: " of the first place where the word stands. The parser keeps no positions, so it is
   // found in the text again.
-  std::string at_line(const std::string& word) const;
+  std::string at_line(const std::string& word) const { return at_line(word, {}); }
+  // Behind the first place of `after`.
+  std::string at_line(const std::string& word, const std::string& after) const;
 
   // The word, or nothing where it is a list or absent.
   static std::string atom(const sexp_t* entry);
--- a/src/storage/cache.cpp
+++ b/src/storage/cache.cpp
@@ -2,6 +2,9 @@
 
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
+#include <span>
+
 namespace damsonport {
 
 namespace {
@@ -20,12 +23,56 @@
   return record.next == size_of(chunk) && record.waiting.empty();
 }
 
-std::vector<PlacedTask> Job::live_tasks() const {
+namespace {
+// The entries of a record whose tasks lie in [first, end), by their index within the chunk.
+template <class Entry>
+std::span<const Entry> entries_within(const std::vector<Entry>& entries, uint32_t first,
+                                      uint32_t end) {
+  auto before = [](const Entry& entry, uint32_t index) { return entry.index < index; };
+  auto from = std::lower_bound(entries.begin(), entries.end(), first, before);
+  return {from, std::lower_bound(from, entries.end(), end, before)};
+}
+
+// Calls `use` with each written chunk that has tasks of the range, the chunk's number, and the part
+// of the range that lies in it.
+template <class Use>
+void for_each_chunk(const Job& job, TaskRange range, Use use) {
+  for (auto it = job.chunks.lower_bound(range.first / job.chunk_size); it != job.chunks.end();
+       ++it) {
+    const uint32_t start = it->first * job.chunk_size;
+    if (start >= range.end()) return;
+    const uint32_t first = std::max(range.first, start) - start;
+    const uint32_t end = std::min(range.end() - start, job.chunk_size);
+    use(it->second.record, it->first, TaskRange{first, end - first});
+  }
+}
+}  // namespace
+
+std::vector<PlacedTask> Job::live_tasks(TaskRange range) const {
   std::vector<PlacedTask> out;
-  out.reserve(live);
-  for (auto& [n, chunk] : chunks)
-    for (auto& task : chunk.record.live)
+  for_each_chunk(*this, range, [&](const ChunkRecord& record, uint32_t n, TaskRange within) {
+    for (auto& task : entries_within(record.live, within.first, within.end()))
       out.push_back({{spec.id, n * chunk_size + task.index}, task.attempt, task.machine});
+  });
+  return out;
+}
+
+RangeRecord Job::record_of(TaskRange range) const {
+  RangeRecord out;
+  for_each_chunk(*this, range, [&](const ChunkRecord& record, uint32_t, TaskRange within) {
+    const auto running = entries_within(record.live, within.first, within.end());
+    const auto waiting = entries_within(record.waiting, within.first, within.end());
+    for (auto& task : running) {
+      out.mixed_attempts |= out.live_attempt != 0 && out.live_attempt != task.attempt;
+      out.live_attempt = std::max(out.live_attempt, task.attempt);
+    }
+    for (auto& task : waiting) out.last_attempt = std::max(out.last_attempt, task.attempt);
+    const uint32_t started = std::clamp(record.next, within.first, within.end()) - within.first;
+    const auto unfinished = static_cast<uint32_t>(running.size() + waiting.size());
+    out.live += static_cast<uint32_t>(running.size());
+    out.done += started - unfinished;
+  });
+  out.last_attempt = std::max(out.last_attempt, out.live_attempt);
   return out;
 }
 
--- a/src/storage/cache.hpp
+++ b/src/storage/cache.hpp
@@ -11,6 +11,7 @@
 #include "storage/budget_record.hpp"
 #include "storage/records.hpp"
 #include "storage/state_client.hpp"
+#include "storage/task_range.hpp"
 #include "transport/warning_limiter.hpp"
 
 namespace damsonport {
@@ -22,6 +23,14 @@
   std::string machine;
 };
 
+// What the records say of some neighbouring tasks of a job.
+struct RangeRecord {
+  uint32_t live = 0, done = 0;
+  uint64_t live_attempt = 0;    // the highest of the live ones; 0: none is live
+  uint64_t last_attempt = 0;    // the highest that any of them has had; 0: none was started
+  bool mixed_attempts = false;  // live ones differ in their attempts
+};
+
 struct Job {
   JobSpec spec;
   uint64_t version = 0;
@@ -44,7 +53,9 @@
   }
   // Every task of the chunk was started at least once, and none waits to be started again.
   bool all_started(uint32_t chunk) const;
-  std::vector<PlacedTask> live_tasks() const;
+  std::vector<PlacedTask> live_tasks() const { return live_tasks({0, spec.tasks}); }
+  std::vector<PlacedTask> live_tasks(TaskRange range) const;
+  RangeRecord record_of(TaskRange range) const;
   bool finished() const { return done == spec.tasks; }
   // Tasks neither live nor done.
   uint64_t unstarted() const { return spec.tasks - live - done; }
--- a/src/storage/records.cpp
+++ b/src/storage/records.cpp
@@ -29,6 +29,13 @@
   return true;
 }
 
+bool ChunkRecord::startable(uint32_t index) const {
+  if (index >= next) return true;
+  auto at = std::lower_bound(waiting.begin(), waiting.end(), index,
+                             [](const WaitingTask& t, uint32_t i) { return t.index < i; });
+  return at != waiting.end() && at->index == index;
+}
+
 void ChunkRecord::start(uint32_t index, uint64_t attempt, const std::string& machine) {
   std::erase_if(waiting, [&](const WaitingTask& w) { return w.index == index; });
   // Untouched tasks that are passed over become waiting ones that never ran.
--- a/src/storage/records.hpp
+++ b/src/storage/records.hpp
@@ -67,6 +67,8 @@
   LiveTask* find_live(uint32_t index);
   // Index of the next task to start, and its next attempt; false when none is left.
   bool peek_startable(uint32_t size, uint32_t skip, uint32_t& index, uint64_t& attempt) const;
+  // The task is neither live nor done.
+  bool startable(uint32_t index) const;
   void start(uint32_t index, uint64_t attempt, const std::string& machine);
   // The attempt is proven gone: to be started again, or done.
   void end(uint32_t index, bool done);
--- /dev/null
+++ b/src/storage/task_range.hpp
@@ -0,0 +1,14 @@
+// Neighbouring tasks of a job.
+#pragma once
+#include <cstdint>
+
+namespace damsonport {
+
+struct TaskRange {
+  uint32_t first = 0, count = 0;
+  uint32_t end() const { return first + count; }
+  bool contains(uint32_t index) const { return index >= first && index < end(); }
+  auto operator<=>(const TaskRange&) const = default;
+};
+
+}  // namespace damsonport
--- a/tests/gangs_test.cpp
+++ b/tests/gangs_test.cpp
@@ -54,22 +54,22 @@
 
 TEST(Gang, AllTasksOfAnAttemptShareItsNumber) {
   auto gang = gang_of(4, 2);
-  EXPECT_EQ(next_attempt(gang), 1u);
+  EXPECT_EQ(next_attempt(gang, gang_range(gang.spec, 0)), 1u);
   auto& first = gang.chunks[0].record;
   first.start(0, 1, "i-1");
   first.start(1, 1, "i-2");
   // Halfway through a start, or with a task missing: the rest joins the attempt.
-  EXPECT_EQ(live_attempt(gang), 1u);
-  EXPECT_EQ(next_attempt(gang), 1u);
+  EXPECT_EQ(live_attempt(gang, gang_range(gang.spec, 0)), 1u);
+  EXPECT_EQ(next_attempt(gang, gang_range(gang.spec, 0)), 1u);
   first.end(0, false);
-  EXPECT_EQ(next_attempt(gang), 1u);
+  EXPECT_EQ(next_attempt(gang, gang_range(gang.spec, 0)), 1u);
   first.end(1, false);
-  EXPECT_EQ(live_attempt(gang), 0u);
-  EXPECT_EQ(next_attempt(gang), 2u);
+  EXPECT_EQ(live_attempt(gang, gang_range(gang.spec, 0)), 0u);
+  EXPECT_EQ(next_attempt(gang, gang_range(gang.spec, 0)), 2u);
   // Attempts that an older version counted task by task.
   gang.chunks[1].record.start(0, 7, "i-1");
   gang.chunks[1].record.end(0, false);
-  EXPECT_EQ(next_attempt(gang), 8u);
+  EXPECT_EQ(next_attempt(gang, gang_range(gang.spec, 0)), 8u);
 }
 
 }  // namespace
