--- a/simulation/fleet.cpp
+++ b/simulation/fleet.cpp
@@ -239,7 +239,7 @@
   if (fleet_.rules_.is_done(a.first)) return exit(t, ExitCause::done);
   // On the machine from now on: the checker counts it as well.
   t.report.state = TaskState::running;
-  fleet_.rules_.starts(id, a.first);
+  fleet_.rules_.starts(id, a.first, a.second);
   if (spec.kind == Kind::gang) return wait_for_gang(a);
   t.progress = fleet_.saved_[a.first];
   const double run = fleet_.run_s_[a.first.job];
--- a/simulation/fleet.hpp
+++ b/simulation/fleet.hpp
@@ -6,6 +6,7 @@
 #include "protocol/messages.hpp"
 #include "protocol/settings.hpp"
 #include "simulation/gang_runs.hpp"
+#include "simulation/replica_checker.hpp"
 #include "simulation/world.hpp"
 
 namespace damsonport::simulation {
@@ -19,15 +20,19 @@
 class RuleChecker {
  public:
   RuleChecker(World& world, const Settings& settings, const Fleet& fleet)
-      : world_(world), settings_(settings), fleet_(fleet) {}
+      : world_(world),
+        settings_(settings),
+        fleet_(fleet),
+        replicas_(world, [this](auto& rule, auto& what) { broke(rule, what); }) {}
   void submitted(const JobSpec& spec) { specs_.emplace(spec.id, spec); }
   const JobSpec* spec(const std::string& job) const;
   // A user got this answer to a question asked at `asked`.
   void told(const std::string& job, int status, const std::string& state, double asked);
   void asked_to_cancel(const std::string& job) { asked_to_cancel_.insert(job); }
   // A task has its image and begins; it counts until it leaves.
-  void starts(const std::string& machine, const TaskName& task);
+  void starts(const std::string& machine, const TaskName& task, uint64_t attempt);
   void leaves(const std::string& machine, const TaskName& task);
+  ReplicaChecker& replicas() { return replicas_; }
   void done(const TaskName& task) { done_.insert(task); }
   bool is_done(const TaskName& task) const { return done_.contains(task); }
   // Called after the rules were checked for a task that starts.
@@ -65,6 +70,7 @@
   };
   std::map<std::string, Use> used_;  // by team
   int starts_after_cancellation_ = 0;
+  ReplicaChecker replicas_;
 };
 
 class Worker {
--- /dev/null
+++ b/simulation/replica_checker.cpp
@@ -0,0 +1,91 @@
+#include "simulation/replica_checker.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace damsonport::simulation {
+
+namespace {
+constexpr double still_there = std::numeric_limits<double>::infinity();
+// Clocks that run fast, and messages between a machine and its controller.
+constexpr double tolerance_s = 0.05;
+}  // namespace
+
+bool ReplicaChecker::is_whole(const Replica& replica, uint32_t parts) {
+  if (replica.parts.size() != parts) return false;
+  const uint64_t attempt = replica.parts.begin()->second.attempt;
+  return std::all_of(replica.parts.begin(), replica.parts.end(), [&](auto& entry) {
+    return entry.second.until == still_there && entry.second.attempt == attempt;
+  });
+}
+
+void ReplicaChecker::part_starts(const JobSpec& spec, const TaskName& task, uint64_t attempt,
+                                 const std::string& machine) {
+  if (!spec.replicated()) return;
+  Replica& replica = replicas_[{spec.id, task.index / spec.parts}];
+  for (auto& [index, part] : replica.parts) {
+    if (index == task.index || part.until != still_there) continue;
+    if (part.attempt != attempt)
+      broke_("replica_mixed",
+             fmt::format("{} starts under attempt {} beside {}/{} under attempt {}", task.text(),
+                         attempt, task.job, index, part.attempt));
+    if (spec.distinct_machines && part.machine == machine)
+      broke_("replica_machines", task.text() + " starts on the machine of another part");
+  }
+  if (replica.claimed_attempt >= attempt)
+    broke_("replica_attempt",
+           fmt::format("{} starts under attempt {}, which was ready before", task.text(), attempt));
+  replica.parts[task.index] = {machine, attempt, world_.now(), still_there};
+  if (!is_whole(replica, spec.parts) || replica.broken_since < 0) return;
+  Repairs& repairs = repairs_[spec.id];
+  ++repairs.count;
+  repairs.longest_s = std::max(repairs.longest_s, world_.now() - replica.broken_since);
+  replica.broken_since = -1;
+}
+
+void ReplicaChecker::part_leaves(const JobSpec& spec, const TaskName& task,
+                                 const std::string& machine) {
+  if (!spec.replicated()) return;
+  Replica& replica = replicas_[{spec.id, task.index / spec.parts}];
+  const bool was_whole = is_whole(replica, spec.parts);
+  auto it = replica.parts.find(task.index);
+  if (it == replica.parts.end() || it->second.machine != machine) return;
+  it->second.until = world_.now();
+  if (was_whole) replica.broken_since = world_.now();
+}
+
+void ReplicaChecker::claimed_ready(const std::string& controller, const JobSpec& spec,
+                                   uint32_t number, uint64_t attempt, double age_s) {
+  ++claims_;
+  Replica& replica = replicas_[{spec.id, number}];
+  replica.claimed_attempt = std::max(replica.claimed_attempt, attempt);
+  const double as_of = world_.now() - age_s - tolerance_s;
+  const bool true_claim = replica.parts.size() == spec.parts &&
+                          std::all_of(replica.parts.begin(), replica.parts.end(), [&](auto& entry) {
+                            return entry.second.attempt == attempt && entry.second.until >= as_of;
+                          });
+  if (!true_claim)
+    broke_("replica_ready", fmt::format("{} says that {}:{} is ready under attempt {}, as of {} s",
+                                        controller, spec.id, number, attempt, age_s));
+}
+
+uint32_t ReplicaChecker::whole(const JobSpec& spec) const {
+  uint32_t count = 0;
+  for (auto it = replicas_.lower_bound({spec.id, 0});
+       it != replicas_.end() && it->first.first == spec.id; ++it)
+    count += is_whole(it->second, spec.parts);
+  return count;
+}
+
+int ReplicaChecker::repairs(const std::string& job) const {
+  auto it = repairs_.find(job);
+  return it == repairs_.end() ? 0 : it->second.count;
+}
+
+double ReplicaChecker::longest_repair_s(const std::string& job) const {
+  auto it = repairs_.find(job);
+  return it == repairs_.end() ? 0 : it->second.longest_s;
+}
+
+}  // namespace damsonport::simulation
--- /dev/null
+++ b/simulation/replica_checker.hpp
@@ -0,0 +1,62 @@
+// What replicas of several parts did in truth, against what controllers say of them.
+#pragma once
+#include <functional>
+#include <limits>
+#include <map>
+#include <string>
+#include <utility>
+
+#include "protocol/messages.hpp"
+#include "simulation/world.hpp"
+
+namespace damsonport::simulation {
+
+class ReplicaChecker {
+ public:
+  using Broke = std::function<void(const std::string& rule, const std::string& what)>;
+  ReplicaChecker(World& world, Broke broke) : world_(world), broke_(std::move(broke)) {}
+
+  // A part is on its machine from now on, and until it leaves.
+  void part_starts(const JobSpec& spec, const TaskName& task, uint64_t attempt,
+                   const std::string& machine);
+  void part_leaves(const JobSpec& spec, const TaskName& task, const std::string& machine);
+  // A controller says that the replica is ready under this attempt, by messages up to `age_s` old.
+  void claimed_ready(const std::string& controller, const JobSpec& spec, uint32_t number,
+                     uint64_t attempt, double age_s);
+
+  // Replicas of the job all of whose parts run under one attempt.
+  uint32_t whole(const JobSpec& spec) const;
+  // Claims that were looked at.
+  int claims() const { return claims_; }
+  // Replicas of the job that were whole again after they had lost a part, and the longest time that
+  // this took.
+  int repairs(const std::string& job) const;
+  double longest_repair_s(const std::string& job) const;
+
+ private:
+  struct Part {
+    std::string machine;
+    uint64_t attempt = 0;
+    double since = 0;
+    double until = 0;  // infinite: it is still there
+  };
+  using Key = std::pair<std::string, uint32_t>;  // job, number
+  struct Replica {
+    std::map<uint32_t, Part> parts;  // by task: the last that was there
+    double broken_since = -1;        // it was whole before; negative: it is whole, or never was
+    uint64_t claimed_attempt = 0;    // the newest that was claimed to be ready
+  };
+  struct Repairs {
+    int count = 0;
+    double longest_s = 0;
+  };
+  static bool is_whole(const Replica& replica, uint32_t parts);
+
+  World& world_;
+  Broke broke_;
+  std::map<Key, Replica> replicas_;
+  std::map<std::string, Repairs> repairs_;
+  int claims_ = 0;
+};
+
+}  // namespace damsonport::simulation
--- a/simulation/rule_checker.cpp
+++ b/simulation/rule_checker.cpp
@@ -85,7 +85,7 @@
   if (on_use) on_use(spec.team, sign * spec.cpus, sign * spec.gpus);
 }
 
-void RuleChecker::starts(const std::string& machine, const TaskName& task) {
+void RuleChecker::starts(const std::string& machine, const TaskName& task, uint64_t attempt) {
   auto* s = spec(task.job);
   if (!s) return broke("ran_unknown", task.text());
   if (auto over = over_.find(task.job); over != over_.end() && over->second.second == "aborted") {
@@ -102,6 +102,7 @@
   machines.push_back(machine);
   count(*s, w.zone, 1);
   check_place(*s, w, task);
+  replicas_.part_starts(*s, task, attempt, machine);
   const auto& use = used_[s->team];
   if (auto* team = settings_.team(s->team))
     if ((team->cpus_max > 0 && use.cpus > team->cpus_max + 1e-6) ||
@@ -132,6 +133,7 @@
   auto at = std::find(it->second.begin(), it->second.end(), machine);
   if (at == it->second.end()) return broke("checker", task.text() + " leaves a machine twice");
   it->second.erase(at);
+  replicas_.part_leaves(*s, task, machine);
   if (it->second.empty()) machines_of_.erase(it);
   count(*s, fleet_.workers().at(machine)->zone, -1);
   auto zones = in_zone_.find(task.job);
--- a/simulation/virtual_controller.cpp
+++ b/simulation/virtual_controller.cpp
@@ -29,6 +29,14 @@
   node_->start();
 }
 
+std::vector<VirtualController::ReplicaClaim> VirtualController::replica_claims() {
+  if (!node_ || loop_->stalled()) return {};
+  std::vector<ReplicaClaim> claims;
+  for (auto& status : node_->replica_statuses())
+    claims.push_back({status, loop_->now() - status.readiness.as_of});
+  return claims;
+}
+
 void VirtualController::crash(double for_s) {
   if (!node_) return;
   network_->end();
--- a/simulation/virtual_controller.hpp
+++ b/simulation/virtual_controller.hpp
@@ -27,6 +27,13 @@
     if (loop_) loop_->stall(seconds);
   }
 
+  // Of the process that runs, on its own clock: what it says of replicas of several parts.
+  struct ReplicaClaim {
+    replicas::ReplicaStatus status;
+    double age_s;  // of what it rests on
+  };
+  std::vector<ReplicaClaim> replica_claims();
+
   const std::string& name() const { return settings_.node_name; }
   const std::string& host() const { return settings_.listen.host; }
   const std::string& zone() const { return settings_.zone; }
--- a/tests/scenarios/fault_scenario.cpp
+++ b/tests/scenarios/fault_scenario.cpp
@@ -1,5 +1,7 @@
 #include "scenarios/fault_scenario.hpp"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <fstream>
 #include <sstream>
@@ -112,6 +114,12 @@
     auto tuning = parse_tuning("(damsonport " + entries + ")");
     if (!tuning) return tuning.error();
     settings_.tuning = *tuning;
+  } else if (verb == "replicas") {  // replicas ENTRIES, as in the operators' file
+    std::string entries;
+    std::getline(in, entries);
+    auto replicas = parse_replicas("(replicas " + entries + ")");
+    if (!replicas) return replicas.error();
+    settings_.replicas = *replicas;
   } else if (verb == "jobs") {  // jobs NAMES tasks=N cpus=N run=S ...
     in >> name;
     auto w = words(in);
@@ -137,6 +145,10 @@
       run_s_[id] = num(w, "run", 60);
       if (w.contains("broken")) broken_jobs_.insert(id);
       s.estimate_s = s.kind == Kind::service ? 0 : run_s_[id];
+      if (auto* policy = settings_.replicas.find(s.cls); policy && s.kind == Kind::service) {
+        s.parts = policy->parts;
+        s.distinct_machines = policy->distinct_machines;
+      }
       jobs_[id] = s;
     }
   } else if (verb == "stored") {  // stored FILE: what an earlier version has left
@@ -188,7 +200,10 @@
   for (int i = 0; i < node_count_; ++i)
     nodes.emplace_back("n" + std::to_string(i), "10.0.0." + std::to_string(i + 1));
   state_ = std::make_unique<StateService>(world_, state_host, limits_);
-  state_->on_change = [this](const std::string& key, const Json&) { ++writes_[key]; };
+  state_->on_change = [this](const std::string& key, const Json&) {
+    ++writes_[key];
+    crash_on_write(key);
+  };
   fleet_ = std::make_unique<Fleet>(world_, settings_, types_, nodes);
   fleet_->set_capacity(capacity_);
   fleet_->set_boot(boot_s_);
@@ -218,6 +233,25 @@
   }
 }
 
+void FaultScenario::watch_replicas() {
+  constexpr double every_s = 0.2;
+  for (auto& controller : controllers_)
+    for (auto& claim : controller->replica_claims())
+      if (claim.status.readiness.ready)
+        fleet_->rules().replicas().claimed_ready(controller->name(), jobs_.at(claim.status.job),
+                                                 claim.status.number,
+                                                 claim.status.readiness.attempt, claim.age_s);
+  world_.in(every_s, [this] { watch_replicas(); });
+}
+
+void FaultScenario::crash_on_write(const std::string& key) {
+  if (crash_on_write_.times == 0 || !key.starts_with(crash_on_write_.key_start)) return;
+  --crash_on_write_.times;
+  world_.in(crash_on_write_.after_s, [this, for_s = crash_on_write_.for_s] {
+    for (auto* c : controllers("leader")) c->crash(for_s);
+  });
+}
+
 void FaultScenario::store_records(const std::string& file) {
   std::ifstream in(file);
   for (std::string text; std::getline(in, text);) {
@@ -274,7 +308,8 @@
       bool takes = part == "machines" || part == name || part == "zone:" + w->zone;
       if (part.starts_with("with:"))
         for (auto& [a, t] : w->tasks())
-          takes = takes || (a.first.job == part.substr(5) && t.report.state != TaskState::exited);
+          takes = takes || ((a.first.job == part.substr(5) || a.first.text() == part.substr(5)) &&
+                            t.report.state != TaskState::exited);
       if (takes) out.push_back(w.get());
     }
   }
@@ -368,6 +403,11 @@
     world_.in(for_s, [this] { state_->set_delay(0.004); });
   } else if (h.verb == "crash") {
     for (auto* c : controllers(h.name)) c->crash(num(w, "for", 6));
+  } else if (h.verb == "crash_on_write") {  // crash_on_write JOB times=N after=S for=S
+    crash_on_write_ = {keys::chunks + h.name + "/", static_cast<int>(num(w, "times", 1)),
+                       num(w, "after"), num(w, "for", 6)};
+  } else if (h.verb == "old_version") {  // old_version NODE: as if it ran an older program
+    for (auto* c : controllers(h.name)) state_->store(keys::version(c->name()), {{"v", 2}});
   } else if (h.verb == "stall") {  // stall NODES for=S: their clocks run on
     for (auto* c : controllers(h.name)) c->stall(for_s);
   } else if (h.verb == "cloud_outage") {  // cloud_outage for=S
@@ -467,6 +507,8 @@
           world_.now() - fleet_->rules().last_answered(id) > forgotten_after_s)
         complain("nobody answers about " + id);
     }
+  } else if (what.starts_with("replicas_")) {
+    out = unmet_replicas(h);
   } else if (what == "gang_starts") {  // expect gang_starts run-1 times=N
     for (auto& id : jobs(h.name))
       if (const int times = fleet_->gangs().starts(id);
@@ -504,6 +546,35 @@
   return out;
 }
 
+// expect replicas_ready JOBS count=N   by the word of the controller that holds
+// expect replicas_whole JOBS count=N   in truth
+// expect replicas_repaired JOBS within=S [count=FROM..TO]
+std::string FaultScenario::unmet_replicas(const Event& h) {
+  const auto what = h.verb.substr(7);
+  auto& truth = fleet_->rules().replicas();
+  std::string out;
+  for (auto& id : jobs(h.name)) {
+    if (what == "replicas_repaired") {
+      const auto [least, most] = range(str(h.words, "count", "1..1000"));
+      const int repairs = truth.repairs(id);
+      if (repairs < least || repairs > most) out += fmt::format("{}: {} repairs; ", id, repairs);
+      if (truth.longest_repair_s(id) > num(h.words, "within"))
+        out += fmt::format("{}: a repair took {:.1f} s; ", id, truth.longest_repair_s(id));
+      continue;
+    }
+    uint32_t count = truth.whole(jobs_.at(id));
+    if (what == "replicas_ready") {
+      count = 0;
+      for (auto& controller : controllers_)
+        for (auto& claim : controller->replica_claims())
+          count += claim.status.job == id && claim.status.readiness.ready;
+    }
+    if (count != static_cast<uint32_t>(num(h.words, "count", 1)))
+      out += fmt::format("{} of {}: {}; ", what, id, count);
+  }
+  return out;
+}
+
 // --- users
 
 size_t FaultScenario::pick(const std::string& via) {
@@ -618,6 +689,7 @@
   set_up();
   std::stable_sort(events_.begin(), events_.end(), [](auto& a, auto& b) { return a.at < b.at; });
   for (auto& h : events_) world_.at(std::min(h.at, until_ - 1e-6), [this, &h] { apply(h); });
+  if (!settings_.replicas.classes.empty()) watch_replicas();
   world_.run_until(until_);
   auto out = fleet_->rules().broken();
   out.insert(out.end(), unmet_.begin(), unmet_.end());
--- a/tests/scenarios/fault_scenario.hpp
+++ b/tests/scenarios/fault_scenario.hpp
@@ -38,6 +38,16 @@
   std::vector<VirtualController*> controllers(const std::string& word);
   std::vector<Worker*> machines(const std::string& word) const;
   std::vector<std::string> jobs(const std::string& word) const;
+  // Holds what controllers say of replicas against the truth, again and again.
+  void watch_replicas();
+  // The next changes of the job's tasks end the leader.
+  struct CrashOnWrite {
+    std::string key_start;
+    int times = 0;
+    double after_s = 0, for_s = 0;
+  };
+  void crash_on_write(const std::string& key);
+  std::string unmet_replicas(const Event& h);
   void cut(const std::string& a, const std::string& b, const Words& w);
 
   // --- users
@@ -65,6 +75,7 @@
   std::vector<Start> at_start_;
   std::map<std::string, JobSpec> jobs_;
   std::map<std::string, double> run_s_;
+  CrashOnWrite crash_on_write_;
   std::set<std::string> broken_jobs_;  // submitted with a mistake: they fail on every machine
   std::vector<Event> events_;
   double until_ = 100, boot_s_ = 0, drift_ = 0.0005;
