--- a/src/coordination/replicas/replica_manager.cpp
+++ b/src/coordination/replicas/replica_manager.cpp
@@ -90,13 +90,15 @@
   const ReplicaStatus status = judge(job, number);
   const RangeRecord record = job.record_of(gang_range(job.spec, number));
   const double now = loop_.now();
-  if (history.state != status.state) note_state(key, history, status);
-  history.attempt = record.last_attempt;
+  const bool next_attempt =
+      record.last_attempt > std::exchange(history.attempt, record.last_attempt);
   auto& repair = history.repair;
   if (repair.not_ready > 0) {
-    if (record.live == 0 && repair.gone == 0) repair.gone = now;
+    // Between two looks it may be gone and started anew.
+    if ((record.live == 0 || next_attempt) && repair.gone == 0) repair.gone = now;
     if (record.live > 0 && repair.gone > 0 && repair.started == 0) repair.started = now;
   }
+  if (history.state != status.state) note_state(key, history, status);
   if (status.state != ReplicaState::ready) return;
   history.ready_as_of = status.readiness.as_of;
   if (now - history.ready_since > stable_leases * settings_.lease_s) history.failures = 0;
--- a/src/protocol/replica_settings.cpp
+++ b/src/protocol/replica_settings.cpp
@@ -28,9 +28,13 @@
  public:
   explicit ClassReader(const SexpDocument& document) : document_(document) {}
 
+  // The class's name, as far as it was read.
+  const std::string& name() const { return policy_.cls; }
+
   Result<ReplicaPolicy> read(const sexp_t* entry) {
-    if (!SexpDocument::is_list(entry) || SexpDocument::atom(entry->list) != "class")
-      return Error{document_.at_line(SexpDocument::atom(entry)) + "expected (class NAME ...)"};
+    const std::string word = SexpDocument::atom(SexpDocument::is_list(entry) ? entry->list : entry);
+    if (!SexpDocument::is_list(entry) || word != "class")
+      return Error{document_.at_line(word) + "expected (class NAME ...)"};
     const sexp_t* name = entry->list->next;
     policy_.cls = SexpDocument::atom(name);
     if (policy_.cls.empty()) return Error{document_.at_line("class") + "a class needs a name"};
@@ -120,16 +124,15 @@
   auto document = SexpDocument::parse(text, "replicas");
   if (!document) return Error{document.error()};
   ReplicaSettings settings;
+  std::set<std::string> names;
   Error problems;
   for (const sexp_t* entry = document->entries(); entry; entry = entry->next) {
-    auto policy = ClassReader(*document).read(entry);
-    if (!policy) {
-      problems.add(policy.error());
-    } else if (settings.find(policy->cls)) {
-      problems.add(document->at_line(policy->cls) + "class " + policy->cls + " is named twice");
-    } else {
-      settings.classes.push_back(std::move(*policy));
-    }
+    ClassReader reader(*document);
+    auto policy = reader.read(entry);
+    if (!policy) problems.add(policy.error());
+    if (!reader.name().empty() && !names.insert(reader.name()).second)
+      problems.add(document->at_line(reader.name()) + "class " + reader.name() + " is named twice");
+    if (policy) settings.classes.push_back(std::move(*policy));
   }
   if (!problems.text.empty()) return problems;
   return settings;
--- /dev/null
+++ b/tests/replicas/replicas_test.cpp
@@ -0,0 +1,246 @@
+// The pure parts of replicas that span several machines: settings, records, readiness, states,
+// repairs.
+#include <gtest/gtest.h>
+
+#include "coordination/catalog.hpp"
+#include "coordination/fleet.hpp"
+#include "coordination/replicas/repair_policy.hpp"
+#include "coordination/replicas/replica_state.hpp"
+#include "protocol/replica_settings.hpp"
+#include "simulation/submission.hpp"
+
+namespace damsonport::replicas {
+namespace {
+
+TEST(ReplicaSettings, AClassHasItsPolicyAndDefaults) {
+  auto settings = parse_replicas(R"(; a comment
+(replicas
+  (class big (parts 2) (distinct-machines yes) (repairs 7) (moves 0) (backoff-leases 0.25 8))
+  (class huge (parts 4)))
+)");
+  ASSERT_TRUE(settings) << settings.error();
+  const ReplicaPolicy* big = settings->find("big");
+  ASSERT_NE(big, nullptr);
+  EXPECT_EQ(big->parts, 2u);
+  EXPECT_TRUE(big->distinct_machines);
+  EXPECT_EQ(big->repairs, 7u);
+  EXPECT_EQ(big->moves, 0u);
+  EXPECT_EQ(big->first_backoff_leases, 0.25);
+  EXPECT_EQ(big->longest_backoff_leases, 8);
+  EXPECT_EQ(settings->find("huge")->parts, 4u);
+  EXPECT_FALSE(settings->find("huge")->distinct_machines);
+  EXPECT_EQ(settings->find("small"), nullptr);
+  EXPECT_EQ(settings->policy("small").parts, 1u);
+}
+
+TEST(ReplicaSettings, AllErrorsAreNamedAtOnceWithTheirLines) {
+  auto settings = parse_replicas(
+      "(replicas\n"
+      "  (class one (parts 1))\n"
+      "  (class two (parts 2) (repairs 0)\n"
+      "    (moves x) (colour red))\n"
+      "  (class three (distinct-machines perhaps) (backoff-leases 3 1) (parts 2))\n"
+      "  (class two (parts 2))\n"
+      "  (class four (backoff-leases 1))\n"
+      "  (rack a))");
+  ASSERT_FALSE(settings);
+  for (const char* complaint :
+       {"line 2: class one: parts must be a whole number from 2 to 1024",
+        "line 3: class two: repairs must be", "line 4: class two: moves must be",
+        "line 4: class two: unknown entry 'colour'",
+        "line 5: class three: distinct-machines must be yes or no",
+        "line 5: class three: the first backoff is longer than the longest",
+        "class two is named twice", "line 7: class four: parts is missing",
+        "line 7: class four: backoff-leases must be two numbers",
+        "line 8: expected (class NAME ...)"})
+    EXPECT_NE(settings.error().find(complaint), std::string::npos) << complaint << "\nin\n"
+                                                                   << settings.error();
+  EXPECT_FALSE(parse_replicas("(replicas (class a (parts 2))"));
+  EXPECT_FALSE(parse_replicas("(gangs)"));
+}
+
+JobSpec replicated_job() {
+  JobSpec spec;
+  spec.id = "run-1";
+  spec.cls = "big";
+  spec.team = "t";
+  spec.image = "img";
+  spec.kind = Kind::service;
+  spec.tasks = 6;
+  spec.parts = 2;
+  spec.distinct_machines = true;
+  return spec;
+}
+
+TEST(ReplicaRecord, ThePartsAreKeptInTheJobsRecord) {
+  auto again = decode_job(encode_job(replicated_job()));
+  ASSERT_TRUE(again) << again.error();
+  EXPECT_EQ(again->parts, 2u);
+  EXPECT_TRUE(again->distinct_machines);
+  JobSpec plain = replicated_job();
+  plain.parts = 1;
+  plain.distinct_machines = false;
+  EXPECT_FALSE(encode_job(plain).contains("parts")) << "no cost without the file";
+}
+
+// Unknown fields of users' messages are ignored, and these are the operators' alone.
+TEST(ReplicaRecord, AUsersMessageDoesNotSetTheParts) {
+  Json message = simulation::submission_of(replicated_job());
+  message["parts"] = 3;
+  message["distinct_machines"] = true;
+  auto spec = decode_submission(message);
+  ASSERT_TRUE(spec) << spec.error();
+  EXPECT_EQ(spec->parts, 1u);
+  EXPECT_FALSE(spec->distinct_machines);
+  message["parts"] = "many";
+  message["distinct_machines"] = 7;
+  EXPECT_TRUE(decode_submission(message));
+}
+
+TEST(ReplicaRecord, TasksThatDoNotDivideAreRefused) {
+  Settings settings;
+  settings.teams.push_back({"t", 0, 0, 0, 0});
+  MachineType type;
+  type.name = "g";
+  JobSpec spec = replicated_job();
+  EXPECT_EQ(judge_job(spec, settings, {type}), Verdict::ok);
+  spec.tasks = 5;
+  EXPECT_EQ(judge_job(spec, settings, {type}), Verdict::indivisible);
+  spec.kind = Kind::batch;
+  EXPECT_EQ(judge_job(spec, settings, {type}), Verdict::ok) << "services alone have replicas";
+}
+
+TEST(ReplicaRecord, ARangeIsReadAcrossItsRecords) {
+  Job job;
+  job.spec = replicated_job();
+  job.chunk_size = 3;  // replica 1 is tasks 2 and 3, in two records
+  EXPECT_EQ(job.record_of({2, 2}).last_attempt, 0u);
+  job.chunks[0].record.start(2, 4, "i-1");
+  auto record = job.record_of({2, 2});
+  EXPECT_EQ(record.live, 1u);
+  EXPECT_EQ(record.live_attempt, 4u);
+  EXPECT_EQ(next_attempt(job, {2, 2}), 4u);
+  EXPECT_EQ(next_attempt(job, {0, 2}), 1u) << "passed over, and never started";
+  job.chunks[1].record.start(0, 5, "i-2");
+  record = job.record_of({2, 2});
+  EXPECT_TRUE(record.mixed_attempts);
+  EXPECT_EQ(job.live_tasks({2, 2}).size(), 2u);
+  EXPECT_EQ(job.live_tasks({2, 2})[1].name.index, 3u);
+  EXPECT_TRUE(job.live_tasks({0, 2}).empty());
+  EXPECT_TRUE(job.live_tasks({4, 2}).empty());
+  job.chunks[0].record.end(2, false);
+  job.chunks[1].record.end(0, false);
+  EXPECT_EQ(job.record_of({2, 2}).last_attempt, 5u);
+  EXPECT_EQ(next_attempt(job, {2, 2}), 6u);
+}
+
+TEST(Readiness, IsAllPartsUnderOneAttemptByRecentReports) {
+  constexpr double now = 100, most_age = 6;
+  const PartStatus first{true, 3, true, 97}, second{true, 3, true, 99};
+  const auto ready = judge_readiness({first, second}, now, most_age);
+  EXPECT_TRUE(ready.ready);
+  EXPECT_EQ(ready.attempt, 3u);
+  EXPECT_EQ(ready.as_of, 97);
+  PartStatus other = second;
+  other.attempt = 4;
+  EXPECT_FALSE(judge_readiness({first, other}, now, most_age).ready) << "of another attempt";
+  other = second;
+  other.running = false;
+  EXPECT_FALSE(judge_readiness({first, other}, now, most_age).ready) << "not running";
+  other = second;
+  other.as_of = 93.9;
+  EXPECT_FALSE(judge_readiness({first, other}, now, most_age).ready) << "not heard of lately";
+  EXPECT_FALSE(judge_readiness({first, {}}, now, most_age).ready) << "not placed";
+  EXPECT_FALSE(judge_readiness({}, now, most_age).ready);
+}
+
+TEST(ReplicaState, FollowsFromRecordsAndReports) {
+  ReplicaStanding s;
+  s.gang.tasks = 2;
+  EXPECT_EQ(replica_state(s), ReplicaState::queued);
+  s.gang.live = 1, s.last_attempt = 1;
+  EXPECT_EQ(replica_state(s), ReplicaState::starting);
+  s.gang.live = 2;
+  EXPECT_EQ(replica_state(s), ReplicaState::starting);
+  s.ready = s.gang.ran = true;
+  EXPECT_EQ(replica_state(s), ReplicaState::ready);
+  s.ready = false;
+  EXPECT_EQ(replica_state(s), ReplicaState::degraded);
+  s.gang.broken = true;
+  EXPECT_EQ(replica_state(s), ReplicaState::stopping);
+  s = {};
+  s.gang.tasks = 2, s.last_attempt = 1;
+  EXPECT_EQ(replica_state(s), ReplicaState::repairing) << "gone, and to be started anew";
+  s.gang.live = 2, s.last_attempt = 2;
+  EXPECT_EQ(replica_state(s), ReplicaState::repairing);
+  s.gang.stopping = true;
+  EXPECT_EQ(replica_state(s), ReplicaState::stopping);
+}
+
+TEST(Backoff, DoublesUpToItsLimitWithJitter) {
+  ReplicaPolicy policy;
+  policy.first_backoff_leases = 0.5;
+  policy.longest_backoff_leases = 3;
+  constexpr double lease = 10;
+  EXPECT_EQ(backoff_s(policy, 0, lease, 1), 0);
+  EXPECT_EQ(backoff_s(policy, 1, lease, 1), 5);
+  EXPECT_EQ(backoff_s(policy, 2, lease, 1), 10);
+  EXPECT_EQ(backoff_s(policy, 3, lease, 1), 20);
+  EXPECT_EQ(backoff_s(policy, 4, lease, 1), 30);
+  EXPECT_EQ(backoff_s(policy, 1000, lease, 1), 30);
+  EXPECT_EQ(backoff_s(policy, 1, lease, 0), 2.5);
+}
+
+TEST(Repairs, AreBoundedAndTakeTurns) {
+  constexpr double now = 100, turn = 3;
+  std::vector<RepairCandidate> waiting(4);
+  EXPECT_EQ(choose_repairs(waiting, 0, 2, now, turn), (std::vector<size_t>{0, 1}));
+  EXPECT_EQ(choose_repairs(waiting, 1, 2, now, turn), (std::vector<size_t>{0}));
+  EXPECT_TRUE(choose_repairs(waiting, 2, 2, now, turn).empty());
+  EXPECT_TRUE(choose_repairs(waiting, 5, 2, now, turn).empty());
+  // Those that have their turn keep it; afterwards the others have theirs.
+  waiting[2] = {0, 98, true};
+  waiting[3] = {0, 98, true};
+  EXPECT_EQ(choose_repairs(waiting, 0, 2, now, turn), (std::vector<size_t>{2, 3}));
+  EXPECT_EQ(choose_repairs(waiting, 0, 2, now + turn, turn), (std::vector<size_t>{0, 1}));
+  waiting[0].backoff_until = now + 1;
+  waiting[2] = waiting[3] = {0, 50, false};
+  EXPECT_EQ(choose_repairs(waiting, 0, 2, now, turn), (std::vector<size_t>{1, 2}))
+      << "one that pauses is passed over";
+}
+
+Report report(uint64_t session, uint64_t sequence) {
+  Report r;
+  r.machine = "i-1";
+  r.session = session;
+  r.seq = sequence;
+  return r;
+}
+
+// A worker whose report isn't answered in time sends the next one elsewhere, so what follows
+// directly was made after the answer.
+TEST(ReportTime, IsKnownWhereAReportFollowsTheLastOneDirectly) {
+  Machine m;
+  auto take = [&](uint64_t session, uint64_t sequence, double now) {
+    note_report_time(m, session, sequence, now);
+    ASSERT_TRUE(take_report(m, report(session, sequence), now, false));
+  };
+  take(1, 5, 100);
+  EXPECT_EQ(m.state_as_of, 0) << "it may have been held up for minutes";
+  take(1, 6, 102);
+  EXPECT_EQ(m.state_as_of, 100);
+  take(1, 8, 130);
+  EXPECT_EQ(m.state_as_of, 100) << "one between them went elsewhere: the last wasn't answered";
+  take(1, 9, 131);
+  EXPECT_EQ(m.state_as_of, 130);
+  note_direct_time(m, report(1, 10), 131.5);
+  ASSERT_TRUE(take_report(m, report(1, 10), 132, true));
+  EXPECT_EQ(m.state_as_of, 131.5) << "asked for then, so made later";
+  note_direct_time(m, report(1, 7), 140);
+  EXPECT_EQ(m.state_as_of, 131.5) << "an old copy";
+  take(2, 11, 145);
+  EXPECT_EQ(m.state_as_of, 0) << "another session";
+}
+
+}  // namespace
+}  // namespace damsonport::replicas
--- a/tests/trace_test.cpp
+++ b/tests/trace_test.cpp
@@ -99,6 +99,11 @@
       j.zone = input_.zones.id(str(w, "zone"));
       for (auto& type : list(w, "types")) j.types.push_back(input_.types.id(type));
       j.gang = w.contains("gang");
+      // replica=N [family=PLACE of the job's first] [distinct]
+      j.replica = w.contains("replica");
+      j.replica_number = static_cast<uint32_t>(num(w, "replica"));
+      j.family = static_cast<size_t>(num(w, "family", static_cast<double>(input_.jobs.size())));
+      j.distinct_machines = w.contains("distinct");
       j.one_zone = w.contains("one_zone"), j.spread = w.contains("spread");
       j.spot = w.contains("spot"), j.cancelled = w.contains("cancelled");
       j.tasks = static_cast<uint32_t>(num(w, "tasks", 1));
@@ -209,6 +214,7 @@
                        str(w, "zone"),
                        w.contains("spot")};
       d.gang = w.contains("gang"), d.one_zone = w.contains("one_zone");
+      d.distinct_machines = w.contains("distinct");
       fleet_.demand.push_back(d);
     } else if (verb == "replace") {  // replace TYPE zone=Z [spot]
       fleet_.replacements.push_back({name, str(w, "zone"), w.contains("spot")});
