--- a/src/coordination/holder_gangs.cpp
+++ b/src/coordination/holder_gangs.cpp
@@ -47,7 +47,7 @@
     for (uint32_t n = 0; n < count; ++n) review_gang(*job, gang_range(job->spec, n));
     if (count > 0 && job->unstarted() > 0) dirty_jobs_.insert(job.get());
   }
-  replicas_.review();
+  if (replicas_.review()) place_again_ = true;
   for (auto& move : replicas_.take_moves()) stop_gang(*move.job, move.parts, 0);
 }
 
--- a/src/coordination/replicas/replica_manager.cpp
+++ b/src/coordination/replicas/replica_manager.cpp
@@ -80,9 +80,16 @@
   return out;
 }
 
-void ReplicaManager::review() {
-  for (auto& [key, history] : replicas_)
-    if (const Job* job = cache_.job(key.first)) update(*job, key.second, history);
+bool ReplicaManager::review() {
+  bool any_waits = false;
+  for (auto& [key, history] : replicas_) {
+    const Job* job = cache_.job(key.first);
+    if (!job) continue;
+    update(*job, key.second, history);
+    any_waits |= history.state == ReplicaState::repairing &&
+                 job->record_of(gang_range(job->spec, key.second)).live == 0;
+  }
+  return any_waits;
 }
 
 void ReplicaManager::update(const Job& job, uint32_t number, History& history) {
--- a/src/coordination/replicas/replica_manager.hpp
+++ b/src/coordination/replicas/replica_manager.hpp
@@ -40,8 +40,9 @@
 
   // A part is proven gone.
   void note_exit(const Job& job, TaskRange replica, uint64_t attempt, ExitCause cause);
-  // Looks at every replica, and logs what has changed.
-  void review();
+  // Looks at every replica, and logs what has changed. True: some wait for their repair, whose turn
+  // may come with time alone.
+  bool review();
   // Ready replicas that are to be stopped now, to be started elsewhere: as many as the class's
   // policy allows to be down for it.
   std::vector<Replica> take_moves();
--- a/tests/fault_scenario_test.cpp
+++ b/tests/fault_scenario_test.cpp
@@ -10,6 +10,7 @@
 #include <fstream>
 #include <sstream>
 
+#include "scenarios/random_replica_scenario.hpp"
 #include "scenarios/random_scenario.hpp"
 
 namespace damsonport::simulation {
@@ -105,18 +106,17 @@
 // Groups of three. SCENARIO_FIRST and SCENARIO_COUNT play others than those of the suite.
 constexpr uint64_t drawn_groups = 8, drawn_in_a_group = 3;
 
-class DrawnScenarios : public testing::TestWithParam<uint64_t> {};
-
-TEST_P(DrawnScenarios, BreakNoRule) {
+// Those of the group, by what `draw` makes of their seeds.
+void play_drawn(uint64_t group, std::vector<std::string> (*draw)(uint64_t seed)) {
   const char* first = std::getenv("SCENARIO_FIRST");
   const char* count = std::getenv("SCENARIO_COUNT");
   const uint64_t n = count ? std::stoull(count) : drawn_in_a_group;
-  const uint64_t from = (first ? std::stoull(first) : 1) + GetParam() * n;
+  const uint64_t from = (first ? std::stoull(first) : 1) + group * n;
   for (uint64_t seed = from; seed < from + n; ++seed) {
     FaultScenario scenario(seed);
     shown = &scenario.world();
     spdlog::info("--- seed {}", seed);
-    for (auto& text : random_scenario(seed)) {
+    for (auto& text : draw(seed)) {
       spdlog::info("{}", text);
       auto complaint = scenario.line(text);
       ASSERT_TRUE(complaint.empty()) << complaint;
@@ -126,8 +126,18 @@
   }
 }
 
+class DrawnScenarios : public testing::TestWithParam<uint64_t> {};
+
+TEST_P(DrawnScenarios, BreakNoRule) { play_drawn(GetParam(), random_scenario); }
+
 INSTANTIATE_TEST_SUITE_P(Suite, DrawnScenarios, testing::Range(uint64_t{0}, drawn_groups));
 
+class DrawnReplicaScenarios : public testing::TestWithParam<uint64_t> {};
+
+TEST_P(DrawnReplicaScenarios, BreakNoRule) { play_drawn(GetParam(), random_replica_scenario); }
+
+INSTANTIATE_TEST_SUITE_P(Suite, DrawnReplicaScenarios, testing::Range(uint64_t{0}, drawn_groups));
+
 std::vector<std::string> scenario_names() {
   std::vector<std::string> out;
   for (auto& f : std::filesystem::directory_iterator(std::string(TRACE_DIR) + "/scenarios"))
--- a/tests/scenarios/random_scenario.cpp
+++ b/tests/scenarios/random_scenario.cpp
@@ -2,30 +2,10 @@
 
 #include <fmt/format.h>
 
-#include <random>
+#include "scenarios/draw.hpp"
 
 namespace damsonport::simulation {
 
-namespace {
-class Draw {
- public:
-  explicit Draw(uint64_t seed) : random_(seed) {}
-  double between(double low, double high) {
-    return std::uniform_real_distribution<double>(low, high)(random_);
-  }
-  int upto(int n) { return std::uniform_int_distribution<int>(0, n - 1)(random_); }
-  bool chance(double p) { return between(0, 1) < p; }
-  template <class... T>
-  std::string of(T... words) {
-    const char* all[] = {words...};
-    return all[upto(static_cast<int>(sizeof...(words)))];
-  }
-
- private:
-  std::mt19937_64 random_;
-};
-}  // namespace
-
 std::vector<std::string> random_scenario(uint64_t seed) {
   Draw draw(seed);
   std::vector<std::string> out;
