--- a/simulation/replica_checker.cpp
+++ b/simulation/replica_checker.cpp
@@ -12,32 +12,31 @@
 constexpr double tolerance_s = 0.05;
 }  // namespace
 
-bool ReplicaChecker::is_whole(const Replica& replica, uint32_t parts) {
-  if (replica.parts.size() != parts) return false;
-  const uint64_t attempt = replica.parts.begin()->second.attempt;
-  return std::all_of(replica.parts.begin(), replica.parts.end(), [&](auto& entry) {
-    return entry.second.until == still_there && entry.second.attempt == attempt;
-  });
+bool ReplicaChecker::is_whole(const Attempt& attempt, uint32_t parts) {
+  return attempt.size() == parts && std::all_of(attempt.begin(), attempt.end(), [](auto& entry) {
+           return entry.second.until == still_there;
+         });
 }
 
 void ReplicaChecker::part_starts(const JobSpec& spec, const TaskName& task, uint64_t attempt,
                                  const std::string& machine) {
   if (!spec.replicated()) return;
   Replica& replica = replicas_[{spec.id, task.index / spec.parts}];
-  for (auto& [index, part] : replica.parts) {
-    if (index == task.index || part.until != still_there) continue;
-    if (part.attempt != attempt)
-      broke_("replica_mixed",
-             fmt::format("{} starts under attempt {} beside {}/{} under attempt {}", task.text(),
-                         attempt, task.job, index, part.attempt));
-    if (spec.distinct_machines && part.machine == machine)
-      broke_("replica_machines", task.text() + " starts on the machine of another part");
-  }
+  for (auto& [number, other] : replica.attempts)
+    for (auto& [index, part] : other) {
+      if (index == task.index || part.until != still_there) continue;
+      if (number != attempt)
+        broke_("replica_mixed",
+               fmt::format("{} starts under attempt {} beside {}/{} under attempt {}", task.text(),
+                           attempt, task.job, index, number));
+      if (spec.distinct_machines && part.machine == machine)
+        broke_("replica_machines", task.text() + " starts on the machine of another part");
+    }
   if (replica.claimed_attempt >= attempt)
     broke_("replica_attempt",
            fmt::format("{} starts under attempt {}, which was ready before", task.text(), attempt));
-  replica.parts[task.index] = {machine, attempt, world_.now(), still_there};
-  if (!is_whole(replica, spec.parts) || replica.broken_since < 0) return;
+  replica.attempts[attempt][task.index] = {machine, still_there};
+  if (!is_whole(replica.attempts[attempt], spec.parts) || replica.broken_since < 0) return;
   Repairs& repairs = repairs_[spec.id];
   ++repairs.count;
   repairs.longest_s = std::max(repairs.longest_s, world_.now() - replica.broken_since);
@@ -48,11 +47,13 @@
                                  const std::string& machine) {
   if (!spec.replicated()) return;
   Replica& replica = replicas_[{spec.id, task.index / spec.parts}];
-  const bool was_whole = is_whole(replica, spec.parts);
-  auto it = replica.parts.find(task.index);
-  if (it == replica.parts.end() || it->second.machine != machine) return;
-  it->second.until = world_.now();
-  if (was_whole) replica.broken_since = world_.now();
+  for (auto& [number, attempt] : replica.attempts) {
+    auto it = attempt.find(task.index);
+    if (it == attempt.end() || it->second.machine != machine || it->second.until != still_there)
+      continue;
+    if (is_whole(attempt, spec.parts)) replica.broken_since = world_.now();
+    it->second.until = world_.now();
+  }
 }
 
 void ReplicaChecker::claimed_ready(const std::string& controller, const JobSpec& spec,
@@ -61,10 +62,10 @@
   Replica& replica = replicas_[{spec.id, number}];
   replica.claimed_attempt = std::max(replica.claimed_attempt, attempt);
   const double as_of = world_.now() - age_s - tolerance_s;
-  const bool true_claim = replica.parts.size() == spec.parts &&
-                          std::all_of(replica.parts.begin(), replica.parts.end(), [&](auto& entry) {
-                            return entry.second.attempt == attempt && entry.second.until >= as_of;
-                          });
+  const Attempt& parts = replica.attempts[attempt];
+  const bool true_claim = parts.size() == spec.parts &&
+                          std::all_of(parts.begin(), parts.end(),
+                                      [&](auto& entry) { return entry.second.until >= as_of; });
   if (!true_claim)
     broke_("replica_ready", fmt::format("{} says that {}:{} is ready under attempt {}, as of {} s",
                                         controller, spec.id, number, attempt, age_s));
@@ -73,8 +74,11 @@
 uint32_t ReplicaChecker::whole(const JobSpec& spec) const {
   uint32_t count = 0;
   for (auto it = replicas_.lower_bound({spec.id, 0});
-       it != replicas_.end() && it->first.first == spec.id; ++it)
-    count += is_whole(it->second, spec.parts);
+       it != replicas_.end() && it->first.first == spec.id; ++it) {
+    auto& attempts = it->second.attempts;
+    count += std::any_of(attempts.begin(), attempts.end(),
+                         [&](auto& entry) { return is_whole(entry.second, spec.parts); });
+  }
   return count;
 }
 
--- a/simulation/replica_checker.hpp
+++ b/simulation/replica_checker.hpp
@@ -36,21 +36,20 @@
  private:
   struct Part {
     std::string machine;
-    uint64_t attempt = 0;
-    double since = 0;
     double until = 0;  // infinite: it is still there
   };
+  using Attempt = std::map<uint32_t, Part>;      // by task: the last that was there
   using Key = std::pair<std::string, uint32_t>;  // job, number
   struct Replica {
-    std::map<uint32_t, Part> parts;  // by task: the last that was there
-    double broken_since = -1;        // it was whole before; negative: it is whole, or never was
-    uint64_t claimed_attempt = 0;    // the newest that was claimed to be ready
+    std::map<uint64_t, Attempt> attempts;
+    double broken_since = -1;      // it was whole before; negative: it is whole, or never was
+    uint64_t claimed_attempt = 0;  // the newest that was claimed to be ready
   };
   struct Repairs {
     int count = 0;
     double longest_s = 0;
   };
-  static bool is_whole(const Replica& replica, uint32_t parts);
+  static bool is_whole(const Attempt& attempt, uint32_t parts);
 
   World& world_;
   Broke broke_;
