--- a/src/coordination/holder_view.cpp
+++ b/src/coordination/holder_view.cpp
@@ -31,6 +31,9 @@
   v.service = s.kind == Kind::service;
   v.gang = s.group_size() > 0;
   v.replica = s.replicated();
+  // Also zones of which no machine was heard yet.
+  if (v.replica)
+    for (auto& zone : settings_.zones) view_.zones.id(zone);
   v.distinct_machines = s.distinct_machines;
   v.priority = static_cast<int>(s.priority);
   v.need = {s.cpus, s.gpus, s.memory_gb};
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -188,7 +188,9 @@
     for (NameId z = 0; z < count.size(); ++z)
       if (count[z] > 0 && z != zone) return false;
   }
-  return !job.spread || count[zone] + unknown + 1 <= (job.tasks + 1) / 2;
+  // A replica that is to lie in one zone needs a zone that may take all of it.
+  const uint32_t needed = parts_together_ && parts_zone_ == 0 ? job.waiting : 1;
+  return !job.spread || count[zone] + unknown + needed <= (job.tasks + 1) / 2;
 }
 
 bool PlacementPass::suits(size_t j, NameId type, NameId zone, bool spot) const {
--- a/src/coordination/placement_gang.cpp
+++ b/src/coordination/placement_gang.cpp
@@ -197,11 +197,29 @@
   Unplaced& unplaced = out_.unplaced.back();
   unplaced.missing = job.waiting - static_cast<uint32_t>(plan.machines.size());
   unplaced.one_zone = job.one_zone || parts_together_;
-  if (unplaced.one_zone) unplaced.zone = parts_zone_ != 0 ? parts_zone_ : zone_of(plan);
+  if (unplaced.one_zone) unplaced.zone = zone_of(plan);
+  if (unplaced.zone == 0 && job.replica) unplaced.zone = only_zone_for(j, plan);
   const bool whole = job.replica && !gang_parts_.contains(j);
   if (whole) family_without_room_ = unplaced;
 }
 
+// Room in another zone would be rented in vain.
+NameId PlacementPass::only_zone_for(size_t j, const GangPlan& plan) const {
+  auto& job = in_.jobs[j];
+  const auto missing = job.waiting - static_cast<uint32_t>(plan.machines.size());
+  std::vector<uint32_t> planned(in_.zones.size());
+  for (size_t m : plan.machines) ++planned[in_.machines[m].zone];
+  NameId only = 0;
+  for (NameId zone = 1; zone < in_.zones.size(); ++zone) {
+    const uint32_t allowance = zone_allowance(j, zone);
+    const uint32_t left = allowance - std::min(allowance, planned[zone]);
+    if (left < (parts_together_ ? missing : 1)) continue;
+    if (only != 0) return 0;
+    only = zone;
+  }
+  return only;
+}
+
 // Free room only shrinks during a pass.
 bool PlacementPass::sibling_found_no_room(size_t j) const {
   if (!in_.jobs[j].replica || !family_without_room_ || gang_parts_.contains(j)) return false;
--- a/src/coordination/placement_pass.hpp
+++ b/src/coordination/placement_pass.hpp
@@ -131,6 +131,8 @@
   // A replica of the same job, that needs as much, found no room in this pass.
   bool sibling_found_no_room(size_t j) const;
   void note_unplaced_gang(size_t j, const GangPlan& plan);
+  // The only zone that the rest of the gang may go to; 0: there are several, or none.
+  NameId only_zone_for(size_t j, const GangPlan& plan) const;
   // The best among the zones that the gang may start in.
   GangPlan plan_gang(size_t j) const;
   GangPlan plan_gang_in(size_t j, NameId zone, bool only_with_image) const;
--- a/tests/trace_test.cpp
+++ b/tests/trace_test.cpp
@@ -255,7 +255,14 @@
     }
     for (auto& u : d.unplaced)
       actual_.push_back("wait " + input_.jobs[u.job].id + " " + std::to_string(u.count) +
-                        (u.room_coming ? " (room coming)" : ""));
+                        (u.room_coming ? " (room coming)" : "") +
+                        (u.zone != 0 ? " in " + zone_name(u.zone) : ""));
+  }
+  // Of those that the trace names.
+  std::string zone_name(placing::NameId zone) {
+    for (const char* name : {"a", "b", "c"})
+      if (input_.zones.id(name) == zone) return name;
+    return "?";
   }
   void run_plan() {
     auto plan = sizing::plan(fleet_);
