A replicated job that a new holder finds with nothing running is not suspected for its attempts

Cause: three attempts with nothing done made a new holder suspect the job, for which nothing is rented; the attempts of replicas grow with every machine that is lost. Change: such jobs are left out.

--- a/src/coordination/holder_machines.cpp
+++ b/src/coordination/holder_machines.cpp
@@ -350,6 +350,8 @@
 
 bool Holder::failed_before(const Job& job) {
   if (job.live > 0 || job.done > 0) return false;
+  // Their attempts grow with every machine that is lost.
+  if (job.spec.replicated()) return false;
   return std::any_of(job.chunks.begin(), job.chunks.end(), [](auto& chunk) {
     return chunk.second.record.last_attempt() >= attempts_in_vain;
   });
