How old a report may be is known from its connection or our own question

Change: a request says when the last one on its connection was answered, and a report is as old as that at the most, since requests are not pipelined; answers to our own messages are as old as these. Machines with parts whose reports come on ever new connections are asked.

--- a/simulation/fleet.cpp
+++ b/simulation/fleet.cpp
@@ -118,7 +118,7 @@
   });
   auto body = encode(report());
   if (mute) return;
-  world_.ask(host, fleet_.nodes[node_].second, Method::post, "/hello", std::move(body),
+  world_.ask(connection(), fleet_.nodes[node_].second, Method::post, "/hello", std::move(body),
              [this, flight, session, sent, give_up](const HttpReply& reply) {
                if (gone || deaf || hung() || flight != flight_ || !in_flight_) return;
                world_.cancel(give_up);
@@ -128,6 +128,7 @@
 
 void Worker::answered(int status, const Json& body, uint64_t session, double sent) {
   in_flight_ = false;
+  if (status == 0) ++connection_;  // closed: what is late on it is not read any more
   double next = fleet_.settings.report_s * world_.uniform(0.75, 1.25);
   if (status == 200) {
     const bool has = body.is_object() && body.contains("helm");
--- a/simulation/fleet.hpp
+++ b/simulation/fleet.hpp
@@ -107,6 +107,10 @@
  private:
   Json report();
   void send_report();
+  // To the node that it reports to; one that wasn't answered in time is not used again.
+  std::string connection() const {
+    return host + "#" + std::to_string(node_) + "." + std::to_string(connection_);
+  }
   void schedule(double seconds);
   void changed();
   void answered(int status, const Json& body, uint64_t session, double sent);
@@ -132,6 +136,7 @@
   uint64_t session_ = 1, seq_ = 0, token_ = 0;
   double acknowledged_ = 0, last_report_ = -1e9, hung_until_ = -1;
   size_t node_ = 0;
+  uint64_t connection_ = 0;
   bool in_flight_ = false;
   uint64_t flight_ = 0;
   World::Key next_report_{}, lease_{};
--- a/simulation/world.cpp
+++ b/simulation/world.cpp
@@ -114,18 +114,20 @@
         handler_(std::move(handler)),
         alive_(std::move(alive)) {}
   bool bind(const Endpoint&) override {
-    loop_.world().serve(host_, [this](auto&, Method method, auto& target, auto& body, auto answer) {
-      if (body.size() > max_body_) return answer({413, {}});
-      const auto question = target.find('?');
-      HttpRequest request{
-          method, target.substr(0, question),
-          question == std::string::npos ? std::string() : target.substr(question + 1), body};
-      loop_.when_awake([this, alive = alive_, request, answer = std::move(answer)] {
-        if (!*alive) return;
-        loop_.enter();
-        loop_.spawn("request", handle(request, answer, alive));
-      });
-    });
+    loop_.world().serve(
+        host_, [this](auto& from, Method method, auto& target, auto& body, auto answer) {
+          if (body.size() > max_body_) return answer({413, {}});
+          const auto question = target.find('?');
+          HttpRequest request{
+              method, target.substr(0, question),
+              question == std::string::npos ? std::string() : target.substr(question + 1), body,
+              previous_answer(from)};
+          loop_.when_awake([this, alive = alive_, from, request, answer = std::move(answer)] {
+            if (!*alive) return;
+            loop_.enter();
+            loop_.spawn("request", handle(from, request, answer, alive));
+          });
+        });
     return true;
   }
   uint16_t port() const override { return 0; }
@@ -133,10 +135,19 @@
   size_t open() const override { return 0; }
 
  private:
-  Task<void> handle(HttpRequest request, World::Answer answer, std::shared_ptr<bool> alive) {
+  // Of the connection that `from` names; 0: it names none, or none was given.
+  double previous_answer(const std::string& from) const {
+    auto it = answered_at_.find(from);
+    return it == answered_at_.end() ? 0 : it->second;
+  }
+  Task<void> handle(std::string from, HttpRequest request, World::Answer answer,
+                    std::shared_ptr<bool> alive) {
     auto response = co_await handler_(std::move(request));
-    if (*alive) answer({response.status, std::move(response.body)});
+    if (!*alive) co_return;
+    if (from.find('#') != std::string::npos) answered_at_[from] = loop_.now();
+    answer({response.status, std::move(response.body)});
   }
+  std::map<std::string, double> answered_at_;  // by connection
   VirtualLoop& loop_;
   std::string host_;
   size_t max_body_;
@@ -225,10 +236,11 @@
 
 void World::ask(const std::string& from, const std::string& to, Method method, std::string target,
                 std::string body, const Answer& answer) {
-  send(from, to,
-       [this, from, to, method, target = std::move(target), body = std::move(body), answer] {
-         Answer back = [this, from, to, answer](const HttpReply& reply) {
-           send(to, from, [answer, reply] { answer(reply); });
+  const std::string host = host_of(from);
+  send(host, to,
+       [this, from, host, to, method, target = std::move(target), body = std::move(body), answer] {
+         Answer back = [this, host, to, answer](const HttpReply& reply) {
+           send(to, host, [answer, reply] { answer(reply); });
          };
          auto it = servers_.find(to);
          if (it == servers_.end()) return back({0, {}});
--- a/simulation/world.hpp
+++ b/simulation/world.hpp
@@ -35,6 +35,7 @@
   uint64_t random64() { return random_(); }
 
   // --- the network between hosts, named by their address
+  static std::string host_of(const std::string& from) { return from.substr(0, from.find('#')); }
   using Answer = std::function<void(HttpReply)>;
   using Serve =
       std::function<void(const std::string& from, Method method, const std::string& target,
@@ -51,7 +52,8 @@
     return cuts_.contains({from, to});
   }
   void send(const std::string& from, const std::string& to, std::function<void()> arrive);
-  // Both messages of an exchange; a host that isn't there refuses.
+  // Both messages of an exchange; a host that isn't there refuses. `from` may name a connection
+  // behind the host, "10.1.0.2#7": a server tells it from others.
   virtual void ask(const std::string& from, const std::string& to, Method method,
                    std::string target, std::string body, const Answer& answer);
 
--- a/src/coordination/fleet.cpp
+++ b/src/coordination/fleet.cpp
@@ -17,7 +17,7 @@
   }
 }
 
-bool take_report(Machine& m, const Report& r, double now, bool direct) {
+bool take_report(Machine& m, const Report& r, double now, bool direct, double as_of) {
   // Late copies, from seconds to more than a lease, prove nothing.
   if (!r.newer_than(m.session, m.seq)) return false;
   if (r.session != m.session) {
@@ -36,6 +36,7 @@
   m.zone = r.zone;
   m.spot = r.spot;
   (direct ? m.last_direct : m.last_heard) = now;
+  m.state_as_of = std::max(m.state_as_of, as_of);
   if (m.first_heard == 0) m.first_heard = now;
   if (r.notice_s) {
     m.notice_at = now + *r.notice_s;
@@ -52,19 +53,4 @@
   return true;
 }
 
-// A report can be held up for minutes and doesn't say when it was made. But a worker whose report
-// isn't answered in time sends the next one to another controller. So where a message follows the
-// last one directly, that one was answered in time, and this one was made after its answer.
-void note_report_time(Machine& m, uint64_t session, uint64_t sequence, double now) {
-  const bool follows = session == m.session && sequence == m.seq + 1;
-  if (session != m.session) m.state_as_of = 0;
-  if (follows && m.answered_at > 0) m.state_as_of = m.answered_at;
-  m.answered_at = now;
-}
-
-void note_direct_time(Machine& m, const Report& r, double asked_at) {
-  if (!r.newer_than(m.session, m.seq)) return;
-  m.state_as_of = m.answered_at = asked_at;
-}
-
 }  // namespace damsonport
--- a/src/coordination/fleet.hpp
+++ b/src/coordination/fleet.hpp
@@ -64,8 +64,6 @@
   int lost_sessions = 0;
   // `tasks` was so at this time or later; 0: it isn't known how late the messages came.
   double state_as_of = 0;
-  // The worker makes its next message after this: when its newest was answered, or asked for.
-  double answered_at = 0;
   double idle_since = 0;
   // When a report that only repeated the last one came after it; 0: none did.
   double repeated_at = 0;
@@ -75,13 +73,10 @@
   }
 };
 
-// The next message of the worker has come: what its tasks were as of. `now`: when it is answered.
-void note_report_time(Machine& m, uint64_t session, uint64_t sequence, double now);
-// Likewise, for the answer to a message of ours that was sent at `asked_at`.
-void note_direct_time(Machine& m, const Report& r, double asked_at);
-
 // Takes a worker's message if it is newer than what is known. False: an old copy, to be ignored.
 // `direct`: it came as the answer to a message of ours.
-bool take_report(Machine& m, const Report& r, double now, bool direct);
+// `as_of`: it was made at this time or later, as its connection or our own question says; 0: it may
+// have been held up for any time.
+bool take_report(Machine& m, const Report& r, double now, bool direct, double as_of = 0);
 
 }  // namespace damsonport
--- a/src/coordination/holder.cpp
+++ b/src/coordination/holder.cpp
@@ -292,32 +292,32 @@
   return holding() ? replicas_.statuses() : std::vector<replicas::ReplicaStatus>{};
 }
 
-HttpResponse Holder::on_report(const std::string& body) {
-  if (auto answer = answer_repeated(body)) return *answer;
-  const auto report = decode_report(decode_map(body));
+HttpResponse Holder::on_report(const HttpRequest& request) {
+  if (auto answer = answer_repeated(request)) return *answer;
+  const auto report = decode_report(decode_map(request.body));
   if (!report) return {400, encode({{"error", report.error()}}), 0};
-  return on_decoded_report(*report, body);
+  return on_decoded_report(*report, request);
 }
 
 // Only what the holder itself took last is remembered, so its token is known to be ours.
-std::optional<HttpResponse> Holder::answer_repeated(const std::string& body) {
+std::optional<HttpResponse> Holder::answer_repeated(const HttpRequest& request) {
   if (!holding() || superseded()) return std::nullopt;
-  const auto repeat = repeated_reports_.find(body);
+  const auto repeat = repeated_reports_.find(request.body);
   if (!repeat || failures_.any() || given_up_.contains(repeat->machine)) return std::nullopt;
   auto it = machines_.find(repeat->machine);
   if (it == machines_.end() || repeat->sequence <= it->second.seq) return std::nullopt;
   Machine& m = it->second;
   if (auto no = refusal(m.id, m.token)) return no;
   const double now = loop_.now();
-  note_report_time(m, m.session, repeat->sequence, now);
   m.seq = repeat->sequence;
   m.last_heard = m.repeated_at = now;
+  m.state_as_of = std::max(m.state_as_of, request.previous_answer_at);
   if (!m.tasks.empty()) m.idle_since = now;
   m.in_answer.clear();
   return HttpResponse{200, encode_report_answer(term_, {}), 0};
 }
 
-HttpResponse Holder::on_decoded_report(const Report& r, const std::string& body) {
+HttpResponse Holder::on_decoded_report(const Report& r, const HttpRequest& request) {
   // Gone, as the cloud said: this is a late copy.
   if (returned_.contains(r.machine)) return {421, encode_report_to({}), 0};
   if (!holding() || superseded()) return lease_renewal_.answer(r);
@@ -325,10 +325,10 @@
   std::vector<Command> commands;
   Machine& m = machine(r.machine);
   if (r.newer_than(m.session, m.seq)) {
-    note_report_time(m, r.session, r.seq, loop_.now());
     // One report is in flight at a time, so the answer to the one before was taken or dropped.
     m.in_answer.clear();
-    if (process_report(m, r, false, commands)) repeated_reports_.remember(m.id, body, r.seq);
+    if (process_report(m, r, false, request.previous_answer_at, commands))
+      repeated_reports_.remember(m.id, request.body, r.seq);
     std::erase_if(commands, [&](const Command& c) { return !still_wanted(m, c); });
     for (auto& c : commands)
       if (c.op == Command::Op::start) m.in_answer.insert({c.task, c.attempt});
--- a/src/coordination/holder.hpp
+++ b/src/coordination/holder.hpp
@@ -62,7 +62,7 @@
   Task<void> follow_machine_list(std::stop_token token);
 
   // The answer to a report in the form in which it came.
-  HttpResponse on_report(const std::string& body);
+  HttpResponse on_report(const HttpRequest& request);
   bool holding() const;
   // Of the grant held; 0: none.
   uint64_t term() const { return holding() ? term_ : 0; }
@@ -225,13 +225,15 @@
 
   // --- machines (holder_machines.cpp)
   Machine& machine(const std::string& id);
-  HttpResponse on_decoded_report(const Report& r, const std::string& body);
+  HttpResponse on_decoded_report(const Report& r, const HttpRequest& request);
   // Why a machine that has seen this token isn't answered now; nothing: it is.
   std::optional<HttpResponse> refusal(const std::string& machine, uint64_t token);
   // Answers a report that repeats the last one, without looking into it; nothing: it doesn't.
-  std::optional<HttpResponse> answer_repeated(const std::string& body);
+  std::optional<HttpResponse> answer_repeated(const HttpRequest& request);
   // True: a report that says the same again need not be looked into.
-  bool process_report(Machine& m, const Report& r, bool direct, std::vector<Command>& commands);
+  // `as_of`: see take_report().
+  bool process_report(Machine& m, const Report& r, bool direct, double as_of,
+                      std::vector<Command>& commands);
   bool may_repeat(const Machine& m, const Report& r, const Reconciled& outcome) const;
   // What placement sees of the machine, or what is expected of it, has changed.
   void mark_changed(const std::string& machine);
@@ -269,6 +271,8 @@
   double stop_grace(const JobSpec& s) const;
   placing::Amounts free_of(const Machine& m) const;
   Task<void> probe(std::string id);
+  // Unless it is being asked already, or too many are.
+  void start_probe(const std::string& id);
 
   // --- cloud (holder_cloud.cpp)
   // Leader and holder, so that the cloud is this controller's to deal with.
--- a/src/coordination/holder_cloud.cpp
+++ b/src/coordination/holder_cloud.cpp
@@ -108,9 +108,7 @@
     double quiet = silence(m);
     if (!in_doubt(m)) continue;
     place_again_ = true;
-    if (!probing_.contains(id) &&
-        probing_.size() < static_cast<size_t>(direct_sockets(settings_)) / 2)
-      loop_.spawn("probe", probe(id));
+    start_probe(id);
     double direct = loop_.now() - std::max(m.last_direct, quiet_base_);
     double limit = patience;
     // Never heard at all: it may be booting, or still be looking for the new holder, past
--- a/src/coordination/holder_gangs.cpp
+++ b/src/coordination/holder_gangs.cpp
@@ -48,6 +48,7 @@
     if (count > 0 && job->unstarted() > 0) dirty_jobs_.insert(job.get());
   }
   if (replicas_.review()) place_again_ = true;
+  for (auto& machine : replicas_.machines_to_ask()) start_probe(machine);
   for (auto& move : replicas_.take_moves()) stop_gang(*move.job, move.parts, 0);
 }
 
--- a/src/coordination/holder_machines.cpp
+++ b/src/coordination/holder_machines.cpp
@@ -125,13 +125,13 @@
          p_.catalog.type(m.type);
 }
 
-bool Holder::process_report(Machine& m, const Report& r, bool direct,
+bool Holder::process_report(Machine& m, const Report& r, bool direct, double as_of,
                             std::vector<Command>& commands) {
   const auto session_before = m.session;
   // What ran until the last repetition of the report before this one used its images until then.
   const double repeated_at = std::exchange(m.repeated_at, 0);
   if (repeated_at > 0) note_images(m, repeated_at);
-  if (!take_report(m, r, loop_.now(), direct)) return false;
+  if (!take_report(m, r, loop_.now(), direct, as_of)) return false;
   mark_changed(m.id);
   // Back before the return was marked: what runs there is kept.
   if (given_up_.erase(m.id) && !cache_.leaving(m.id) && to_return_.erase(m.id))
@@ -445,8 +445,7 @@
     now.failed_sends = 0;
     if (auto report = decode_report(decode_map(reply.body)); report && report->machine == id) {
       std::vector<Command> more;
-      note_direct_time(now, *report, asked_at);
-      process_report(now, *report, true, more);
+      process_report(now, *report, true, asked_at, more);
       // A stop whose answer still shows the task saving, and the like, wait for the next report.
       for (auto& c : more)
         if (reply.status == 200 && c.op == Command::Op::forget) now.outbox.push_back(c);
@@ -454,6 +453,11 @@
   }
 }
 
+void Holder::start_probe(const std::string& id) {
+  const auto most = static_cast<size_t>(direct_sockets(settings_)) / 2;
+  if (!probing_.contains(id) && probing_.size() < most) loop_.spawn("probe", probe(id));
+}
+
 Task<void> Holder::probe(std::string id) {
   auto it = machines_.find(id);
   Endpoint to;
@@ -467,8 +471,7 @@
   if (reply.status != 200 || it == machines_.end() || term != term_) co_return;
   if (auto report = decode_report(decode_map(reply.body)); report && report->machine == id) {
     std::vector<Command> more;
-    note_direct_time(it->second, *report, asked_at);
-    process_report(it->second, *report, true, more);
+    process_report(it->second, *report, true, asked_at, more);
   }
 }
 
--- a/src/coordination/node.cpp
+++ b/src/coordination/node.cpp
@@ -199,7 +199,7 @@
   std::string_view path = r.path;
   if (path == reports_path) {
     if (r.method != Method::post) co_return wrong_method;
-    co_return holder_.on_report(r.body);
+    co_return holder_.on_report(r);
   }
   if (path == "/healthz") {
     if (r.method != Method::get) co_return wrong_method;
--- a/src/coordination/replicas/replica_manager.cpp
+++ b/src/coordination/replicas/replica_manager.cpp
@@ -7,9 +7,10 @@
 namespace damsonport::replicas {
 
 namespace {
-// A report rests on the answer to the one before, so what it says is up to two periods old when
+// A report says what was so at the answer to the one before, so that is up to two periods old when
 // the next one is due; each is up to a quarter longer.
 constexpr double readiness_reports = 4;
+constexpr double asked_after_reports = 2.6;
 // A replica that was ready for so long has not failed.
 constexpr double stable_leases = 1;
 // How long a replica that waits for its repair has its turn.
@@ -191,6 +192,21 @@
   return moves;
 }
 
+std::set<std::string> ReplicaManager::machines_to_ask() const {
+  const double before = loop_.now() - asked_after_reports * settings_.report_s;
+  std::set<std::string> out;
+  for (auto& [key, history] : replicas_) {
+    const Job* job = cache_.job(key.first);
+    if (!job || job->cancelled) continue;
+    for (auto& part : job->live_tasks(gang_range(job->spec, key.second))) {
+      const Machine* machine = facts_.find_machine(part.machine);
+      if (machine && machine->session != 0 && machine->state_as_of < before)
+        out.insert(part.machine);
+    }
+  }
+  return out;
+}
+
 std::set<std::string> ReplicaManager::offer_repairs() {
   struct OfClass {
     const ReplicaPolicy* policy = nullptr;
--- a/src/coordination/replicas/replica_manager.hpp
+++ b/src/coordination/replicas/replica_manager.hpp
@@ -46,6 +46,9 @@
   // Ready replicas that are to be stopped now, to be started elsewhere: as many as the class's
   // policy allows to be down for it.
   std::vector<Replica> take_moves();
+  // Machines with parts of which too little is known for readiness: their reports come on ever new
+  // connections, so that they may be old.
+  std::set<std::string> machines_to_ask() const;
   // Gives turns to replicas that wait for their repair; yields the jobs concerned.
   std::set<std::string> offer_repairs();
   // The replica may be started now, or its missing parts.
--- a/src/transport/event_http.hpp
+++ b/src/transport/event_http.hpp
@@ -41,8 +41,11 @@
   Handler handler_;
   evhttp* http_;
   evhttp_bound_socket* socket_ = nullptr;
-  // What each open connection is being answered, null between requests.
-  std::unordered_map<evhttp_connection*, std::shared_ptr<Exchange>> open_;
+  struct Connection {
+    std::shared_ptr<Exchange> exchange;  // null between requests
+    double answered_at = 0;              // the last one
+  };
+  std::unordered_map<evhttp_connection*, Connection> open_;
 };
 
 class EventHttpClient : public HttpClient {
--- a/src/transport/event_http_server.cpp
+++ b/src/transport/event_http_server.cpp
@@ -85,14 +85,14 @@
 }
 
 void EventHttpServer::note_connection(evhttp_connection* connection) {
-  if (!open_.emplace(connection, nullptr).second) return;
+  if (!open_.emplace(connection, Connection{}).second) return;
   if (!silent_since_.empty()) silent_since_.pop_front();
   evhttp_connection_set_closecb(
       connection,
       [](evhttp_connection* c, void* arg) {
         auto* self = static_cast<EventHttpServer*>(arg);
         if (auto it = self->open_.find(c); it != self->open_.end()) {
-          if (it->second) it->second->request = nullptr;
+          if (it->second.exchange) it->second.exchange->request = nullptr;
           self->open_.erase(it);
         }
         self->bound_connections();
@@ -152,7 +152,9 @@
   evbuffer_remove(input, request.body.data(), request.body.size());
   note_connection(evhttp_request_get_connection(req));
   auto exchange = std::make_shared<Exchange>(Exchange{req});
-  open_[evhttp_request_get_connection(req)] = exchange;
+  Connection& connection = open_[evhttp_request_get_connection(req)];
+  connection.exchange = exchange;
+  request.previous_answer_at = connection.answered_at;
   loop_.spawn("request", answer(std::move(exchange), std::move(request)));
 }
 
@@ -166,7 +168,7 @@
   }
   evhttp_request* req = exchange->request;
   if (!req) co_return;
-  open_[evhttp_request_get_connection(req)] = nullptr;
+  open_[evhttp_request_get_connection(req)] = {nullptr, loop_.now()};
   auto* headers = evhttp_request_get_output_headers(req);
   if (!response.body.empty()) evhttp_add_header(headers, "Content-Type", "application/cbor");
   if (response.retry_after_s > 0) {
--- a/src/transport/http.hpp
+++ b/src/transport/http.hpp
@@ -24,6 +24,9 @@
   std::string path;   // without the query
   std::string query;  // what stands behind the question mark
   std::string body;
+  // When the last request on this connection was answered, on the loop's clock: this one was sent
+  // after that answer had come, since requests are not pipelined. 0: it is the connection's first.
+  double previous_answer_at = 0;
 };
 
 struct HttpResponse {
--- a/tools/fleet/real_time_world.cpp
+++ b/tools/fleet/real_time_world.cpp
@@ -119,7 +119,7 @@
 
 void RealTimeWorld::ask(const std::string& from, const std::string& to, Method method,
                         std::string target, std::string body, const Answer& answer) {
-  auto& client = clients_[from];
+  auto& client = clients_[host_of(from)];
   if (!client) client = std::make_unique<EventHttpClient>(loop_);
   loop_.spawn("ask",
               exchange(*client, endpoint(to), method, std::move(target), std::move(body), answer));
