Division of records and the edits of starts leave the holder

Change: RecordDivision is a component of its own (holder_layout.cpp moved), the structures of decided and committed starts and their edits stand in start_edits; a test of what a request says of its connection.

--- a/src/coordination/holder.cpp
+++ b/src/coordination/holder.cpp
@@ -18,7 +18,11 @@
                       contact_, machine_list_, direct_sockets(settings_)),
       gangs_(loop_, settings_, *this),
       replicas_(loop_, settings_, cache_, *this, gangs_),
-      rentals_(loop_, settings_, parts.state, cache_, parts.http, parts.incarnation) {
+      rentals_(loop_, settings_, parts.state, cache_, parts.http, parts.incarnation),
+      division_(loop_, settings_, cache_, parts.state, parts.versions,
+                [this](Txn txn, std::stop_token token) {
+                  return commit_and_apply(std::move(txn), std::move(token));
+                }) {
   rentals_.on_rented = [this](auto& machines, const MachineKind& kind) {
     for (auto& id : machines)
       if (!machines_.contains(id) && !cache_.leaving(id))
@@ -72,8 +76,7 @@
   returned_.clear();
   given_up_.clear();
   lost_.clear();
-  to_divide_.clear();
-  dividing_ = {};
+  division_.clear();
   uncommitted_starts_ = 0;
   send_queue_.clear();
   returning_.clear();
@@ -202,7 +205,7 @@
       if (holding()) take_relayed_exits();
       busy = co_await commit_exits(token);
       if (holding()) busy = co_await commit_finals(token) || busy;
-      if (holding()) busy = co_await commit_layouts(token) || busy;
+      if (holding() && records_current()) busy = co_await division_.commit_next(token) || busy;
       if (holding()) busy = co_await commit_budgets(token) || busy;
       if (holding()) busy = co_await commit_starts(token) || busy;
     }
--- a/src/coordination/holder.hpp
+++ b/src/coordination/holder.hpp
@@ -9,7 +9,6 @@
 
 #include "coordination/budgets/region_network.hpp"
 #include "coordination/catalog.hpp"
-#include "coordination/chunk_edits.hpp"
 #include "coordination/election.hpp"
 #include "coordination/exit_relay.hpp"
 #include "coordination/failure_evidence.hpp"
@@ -22,12 +21,14 @@
 #include "coordination/peer_network.hpp"
 #include "coordination/placement.hpp"
 #include "coordination/reconcile.hpp"
+#include "coordination/record_division.hpp"
 #include "coordination/rentals.hpp"
 #include "coordination/repeated_reports.hpp"
 #include "coordination/replicas/replica_manager.hpp"
 #include "coordination/silence_timeout.hpp"
 #include "coordination/sizing.hpp"
 #include "coordination/spending.hpp"
+#include "coordination/start_edits.hpp"
 #include "coordination/straggler.hpp"
 #include "coordination/version_registry.hpp"
 
@@ -133,40 +134,12 @@
   Task<bool> commit_exits(std::stop_token token);
   Task<bool> commit_finals(std::stop_token token);
   Task<bool> commit_starts(std::stop_token token);
-  // A start that was decided, or committed and not ordered yet.
-  struct DecidedStart {
-    std::string job, machine;
-    bool image_cached;
-  };
-  struct CommittedStart {
-    TaskName task;
-    uint64_t attempt;
-    std::string machine;
-    bool image_cached;
-  };
   void order_stops(const placing::Decisions& decided);
   void note_unplaced(const placing::Decisions& decided);
   DecidedStart by_name(size_t job, size_t machine) const;
-  // All tasks of a gang that are to be started now.
-  struct DecidedGang {
-    TaskRange tasks;
-    std::vector<DecidedStart> starts;
-  };
   DecidedGang gang_by_name(const placing::GangStart& decided) const;
   Task<bool> commit_gang_starts(std::vector<DecidedGang> gangs, std::stop_token token);
   Task<bool> commit_gang_start(const DecidedGang& gang, std::stop_token token);
-  // Takes as many of the remaining starts as the transaction has room for.
-  std::vector<CommittedStart> edit_gang_starts(const Job& job, const DecidedGang& gang,
-                                               size_t committed, uint64_t attempt,
-                                               ChunkEdits& edits);
-  // The next task of a job to be started, in a record among the edits.
-  struct Startable {
-    ChunkRecord* record = nullptr;  // null: there is none
-    uint32_t chunk = 0, index = 0;  // `index`: within the chunk
-    uint64_t attempt = 0;
-    bool full = false;  // the transaction has no room for another record
-  };
-  Startable find_startable(const Job& job, ChunkEdits& edits);
   Task<bool> commit_single_starts(std::vector<DecidedStart> decided, std::stop_token token);
   // How long the starts of one pass may be committed before the next pass.
   double starts_may_take_s() const;
@@ -180,20 +153,9 @@
   void finish_exits(const std::vector<TaskName>& tasks);
   Task<void> reread(std::vector<std::string> failed);
   bool records_current() const;
-  static constexpr double pause_after_refusal_s = 0.2;
-  static bool is_over(const Job& job) { return job.cancelled ? job.live == 0 : job.finished(); }
-
-  // --- jobs whose records are too large for the announced limits (holder_layout.cpp)
   // What every write has to fit.
-  const StateLimits& limits() const;
-  // The record must not grow, or not be written at all, before its job's tasks are divided anew.
-  bool waits_for_layout(const Job& job, const ChunkRecord& record);
-  bool must_wait_for_layout(const Job& job, uint32_t chunk);
-  bool gang_waits_for_layout(const Job& gang);
-  void divide_refused(const std::vector<Write>& writes);
-  Task<bool> commit_layouts(std::stop_token token);
-  Task<bool> commit_divided_chunks(std::string id, std::stop_token token);
-  Task<bool> commit_new_layout(std::string id, std::stop_token token);
+  const StateLimits& limits() const { return settings_.state_limits.always(); }
+  static bool is_over(const Job& job) { return job.cancelled ? job.live == 0 : job.finished(); }
 
   // --- the teams' limits among regions (holder_budgets.cpp)
   Task<bool> commit_budgets(std::stop_token token);
@@ -340,20 +302,14 @@
   std::set<std::string> returning_;
   std::map<std::string, Booting> booting_;
   Rentals rentals_;
+  RecordDivision division_;
   SpendingAccount spending_;
   std::deque<std::string> send_queue_;  // machines with orders
   std::set<std::string> probing_;
   int sends_ = 0;
   std::vector<sizing::Demand> unplaced_;
   uint64_t waiting_tasks_ = 0;
-  size_t uncommitted_starts_ = 0;    // jobs whose starts the last pass decided and put off
-  std::set<std::string> to_divide_;  // jobs
-  struct Dividing {
-    std::string job;
-    uint64_t job_version = 0;
-    std::map<uint32_t, ChunkRecord> to_write;
-  };
-  Dividing dividing_;
+  size_t uncommitted_starts_ = 0;  // jobs whose starts the last pass decided and put off
   bool budget_news_ = false, unmet_told_ = false;
   double next_budgets_ = 0;
   double next_list_ = 0, next_sizing_ = 0;
--- a/src/coordination/holder_commit.cpp
+++ b/src/coordination/holder_commit.cpp
@@ -12,6 +12,7 @@
 
 // Share of a report period that one pass may go on committing starts.
 constexpr double starts_share = 0.05;
+constexpr double pause_after_refusal_s = 0.2;
 
 }  // namespace
 
@@ -46,7 +47,7 @@
     // Definite: nothing of it was written, and the same again would be refused again.
     spdlog::error("the state service takes no transaction with {}",
                   writes.empty() ? "no writes" : writes.front().key);
-    divide_refused(writes);
+    division_.note_refused(writes);
     co_await Sleep(loop_, pause_after_refusal_s, token);
   }
   co_return false;
@@ -107,7 +108,7 @@
       it = exits_.erase(it);  // the records are past it
       continue;
     }
-    if (must_wait_for_layout(*job, chunk)) {
+    if (division_.exit_must_wait(*job, chunk)) {
       ++it;
       continue;
     }
@@ -249,13 +250,13 @@
   }
 }
 
-Holder::DecidedStart Holder::by_name(size_t job, size_t machine) const {
+DecidedStart Holder::by_name(size_t job, size_t machine) const {
   auto& m = view_.machines[machine];
   auto& j = view_.jobs[job];
   return {j.id, m.id, placing::holds(m, j.image)};
 }
 
-Holder::DecidedGang Holder::gang_by_name(const placing::GangStart& decided) const {
+DecidedGang Holder::gang_by_name(const placing::GangStart& decided) const {
   const auto& owner = job_slots_.owner(decided.job);
   DecidedGang gang{gang_range(owner.job->spec, owner.gang), {}};
   for (size_t machine : decided.machines) gang.starts.push_back(by_name(decided.job, machine));
@@ -278,7 +279,7 @@
       if (job->spec.replicated() && gangs_.startable(*job, gang.tasks) == 0) break;
       attempt = next_attempt(*job, gang.tasks);
     }
-    if (gang_waits_for_layout(*job)) break;
+    if (division_.gang_must_wait(*job)) break;
     ChunkEdits edits(cache_, limits());
     edits.require_unchanged(*job);
     const auto started = edit_gang_starts(*job, gang, committed.size(), attempt, edits);
@@ -291,32 +292,6 @@
   co_return committed.size() == gang.starts.size();
 }
 
-std::vector<Holder::CommittedStart> Holder::edit_gang_starts(const Job& job,
-                                                             const DecidedGang& gang,
-                                                             size_t committed, uint64_t attempt,
-                                                             ChunkEdits& edits) {
-  std::vector<CommittedStart> started;
-  auto all_placed = [&] { return committed + started.size() >= gang.starts.size(); };
-  for (uint32_t n = gang.tasks.first / job.chunk_size; n * job.chunk_size < gang.tasks.end(); ++n) {
-    if (all_placed()) break;
-    if (job.all_started(n)) continue;
-    auto* record = edits.edit(job, n);
-    if (!record) break;
-    const uint32_t chunk_start = n * job.chunk_size;
-    const uint32_t first = std::max(gang.tasks.first, chunk_start) - chunk_start;
-    const uint32_t end = std::min(gang.tasks.end() - chunk_start, job.size_of(n));
-    for (uint32_t index = first; index < end && !all_placed(); ++index) {
-      if (!record->startable(index)) continue;
-      if (!edits.take_entry()) break;
-      auto& place = gang.starts[committed + started.size()];
-      record->start(index, attempt, place.machine);
-      started.push_back(
-          {{job.spec.id, chunk_start + index}, attempt, place.machine, place.image_cached});
-    }
-  }
-  return started;
-}
-
 // What a long pass has decided is committed for as long as it took, rather than decided again.
 double Holder::starts_may_take_s() const {
   return std::max(settings_.report_s * starts_share, last_pass_s_);
@@ -335,22 +310,6 @@
   co_return !gangs.empty();
 }
 
-Holder::Startable Holder::find_startable(const Job& job, ChunkEdits& edits) {
-  Startable found;
-  for (; found.chunk < job.chunk_count(); ++found.chunk) {
-    if (job.all_started(found.chunk)) continue;
-    ChunkRecord* record = edits.edit(job, found.chunk);
-    found.full = record == nullptr;
-    if (found.full) return found;
-    const uint32_t size = job.size_of(found.chunk);
-    if (!record->peek_startable(size, 0, found.index, found.attempt)) continue;
-    if (waits_for_layout(job, *record)) continue;
-    found.record = record;
-    return found;
-  }
-  return found;
-}
-
 Task<bool> Holder::commit_single_starts(std::vector<DecidedStart> planned, std::stop_token token) {
   const double begun = loop_.now();
   size_t next = 0;
@@ -371,7 +330,9 @@
       Job* job = cache_.job(s.job);
       // Changed while an earlier part was being committed: the next pass sees it as it is.
       if (!job || is_cancelled(*job)) continue;
-      const auto found = find_startable(*job, edits);
+      const auto found = find_startable(*job, edits, [&](const ChunkRecord& record) {
+        return division_.must_wait(*job, record);
+      });
       if (found.full || (found.record && !edits.take_entry())) break;
       if (!found.record) continue;
       found.record->start(found.index, found.attempt, s.machine);
--- a/src/coordination/holder_layout.cpp
+++ b/src/coordination/record_division.cpp
@@ -1,39 +1,40 @@
-// Jobs accepted under larger limits: their tasks are divided anew into records that fit the
-// announced ones.
-//
-// The chunks of the new layout are written first, a few in each transaction, while nothing else of
-// the job is written. The job's record then names the new layout, in one transaction; until then
-// nobody reads them, and whoever takes over begins again. Records of the old layout are removed as
-// orphans. An older version would remove the new ones, so it begins only when there is none.
+#include "coordination/record_division.hpp"
+
 #include <spdlog/spdlog.h>
 
-#include "coordination/holder.hpp"
 #include "storage/layout.hpp"
 
 namespace damsonport {
 
-const StateLimits& Holder::limits() const { return settings_.state_limits.always(); }
+namespace {
+constexpr double pause_after_refusal_s = 0.2;
+}  // namespace
+
+void RecordDivision::clear() {
+  to_divide_.clear();
+  dividing_ = {};
+}
 
-bool Holder::waits_for_layout(const Job& job, const ChunkRecord& record) {
+bool RecordDivision::must_wait(const Job& job, const ChunkRecord& record) {
   if (to_divide_.contains(job.spec.id)) return true;
   if (job.chunk_size <= chunk_size(limits().value_kb)) return false;
   if (chunk_fits(record, limits().value_kb)) return false;
-  if (p_.versions.all_have(VersionRegistry::current)) to_divide_.insert(job.spec.id);
+  if (versions_.all_have(VersionRegistry::current)) to_divide_.insert(job.spec.id);
   return true;
 }
 
-bool Holder::must_wait_for_layout(const Job& job, uint32_t chunk) {
+bool RecordDivision::exit_must_wait(const Job& job, uint32_t chunk) {
   // Before all are upgraded the present limits hold, and an end has to be written.
-  return waits_for_layout(job, job.chunks.at(chunk).record) && to_divide_.contains(job.spec.id);
+  return must_wait(job, job.chunks.at(chunk).record) && to_divide_.contains(job.spec.id);
 }
 
-bool Holder::gang_waits_for_layout(const Job& gang) {
+bool RecordDivision::gang_must_wait(const Job& gang) {
   const uint32_t most = chunk_size(limits().value_kb);
   if (gang.chunk_size > most && gang.size_of(0) > most) to_divide_.insert(gang.spec.id);
   return to_divide_.contains(gang.spec.id);
 }
 
-void Holder::divide_refused(const std::vector<Write>& writes) {
+void RecordDivision::note_refused(const std::vector<Write>& writes) {
   for (auto& write : writes) {
     if (!write.key.starts_with(keys::chunks)) continue;
     const auto name = parse_chunk_name(std::string_view(write.key).substr(keys::chunks.size()));
@@ -42,8 +43,8 @@
   }
 }
 
-Task<bool> Holder::commit_layouts(std::stop_token token) {
-  if (to_divide_.empty() || !records_current()) co_return false;
+Task<bool> RecordDivision::commit_next(std::stop_token token) {
+  if (to_divide_.empty()) co_return false;
   const std::string id = *to_divide_.begin();
   Job* job = cache_.job(id);
   if (!job || job->chunk_size <= chunk_size(limits().value_kb)) {
@@ -61,7 +62,7 @@
   co_return true;
 }
 
-Task<bool> Holder::commit_divided_chunks(std::string id, std::stop_token token) {
+Task<bool> RecordDivision::commit_divided_chunks(std::string id, std::stop_token token) {
   const Job& job = *cache_.job(id);
   Txn txn;
   txn.conditions[keys::blocks] = cache_.blocks_version();
@@ -74,13 +75,13 @@
     txn.writes.push_back({key, encode_chunk(record), 0});
     written.push_back(n);
   }
-  if (!co_await commit_and_apply(std::move(txn), token)) co_return false;
+  if (!co_await commit_(std::move(txn), token)) co_return false;
   for (uint32_t n : written) dividing_.to_write.erase(n);
   co_return true;
 }
 
-Task<bool> Holder::commit_new_layout(std::string id, std::stop_token token) {
-  auto read = co_await p_.state.read(keys::job(id), Importance::placing);
+Task<bool> RecordDivision::commit_new_layout(std::string id, std::stop_token token) {
+  auto read = co_await state_.read(keys::job(id), Importance::placing);
   Job* job = cache_.job(id);
   if (!read.ok || !read.found || !job || read.item.version != dividing_.job_version)
     co_return false;
@@ -90,11 +91,10 @@
   read.item.value[fields::chunk_size] = chunk_size(limits().value_kb);
   read.item.value[fields::layout] = job->layout + 1;
   txn.writes.push_back({keys::job(id), std::move(read.item.value), 0});
-  if (!co_await commit_and_apply(std::move(txn), token)) co_return false;
+  if (!co_await commit_(std::move(txn), token)) co_return false;
   spdlog::info("the tasks of {} are divided into records of {}", id, chunk_size(limits().value_kb));
   to_divide_.erase(id);
   dividing_ = {};
-  place_again_ = true;
   co_return true;
 }
 
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -83,6 +83,33 @@
   EXPECT_EQ(f.server.open(), 0u);
 }
 
+// How old a report may be rests on it.
+TEST(Http, ARequestSaysWhenTheLastOneOnItsConnectionWasAnswered) {
+  EventLoop loop;
+  std::vector<double> previous, answered;
+  EventHttpServer server(loop, 1000, 16, 10, [&](HttpRequest r) -> Task<HttpResponse> {
+    previous.push_back(r.previous_answer_at);
+    answered.push_back(loop.now());
+    co_return HttpResponse{200, {}, 0, r.path == "/last"};
+  });
+  ASSERT_TRUE(server.bind({"127.0.0.1", 0}));
+  EventHttpClient client(loop);
+  const Endpoint at{"127.0.0.1", server.port()};
+  auto ask_thrice = [&]() -> Task<void> {
+    co_await client.request(at, Method::post, "/", "x", 5.0);
+    co_await client.request(at, Method::post, "/last", "x", 5.0);
+    co_await client.request(at, Method::post, "/", "x", 5.0);
+    loop.stop();
+  };
+  loop.spawn("ask", ask_thrice());
+  loop.run();
+  ASSERT_EQ(previous.size(), 3u);
+  EXPECT_EQ(previous[0], 0);
+  EXPECT_GE(previous[1], answered[0]);
+  EXPECT_LE(previous[1], answered[1]);
+  EXPECT_EQ(previous[2], 0) << "on a connection of its own";
+}
+
 TEST(Http, NobodyThereIsNoAnswer) {
   Fixture f;
   f.at.port = 1;
