The load tool plays replicas of several parts, with machines lost at random

Need: repairs were measured on virtual time only. Change: plans name the classes of the replicas file, by region in force or not; the fault kill_machines; the checker measures repairs and the time of halves.

--- a/simulation/replica_checker.hpp
+++ b/simulation/replica_checker.hpp
@@ -5,6 +5,7 @@
 #include <map>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "protocol/messages.hpp"
 #include "simulation/world.hpp"
@@ -24,6 +25,17 @@
   void claimed_ready(const std::string& controller, const JobSpec& spec, uint32_t number,
                      uint64_t attempt, double age_s);
 
+  // Rules are not judged: controllers don't know of replicas, and their parts are only measured.
+  void only_measure() { only_measure_ = true; }
+  // Over all replicas that were whole and lost a part, until now.
+  struct Figures {
+    std::vector<double> whole_again_s;     // until all parts ran under one attempt again
+    std::vector<double> complete_again_s;  // until all parts ran, under whatever attempts
+    double half_s = 0;                     // replicas' time with some parts there, and not whole
+    size_t not_whole = 0;                  // replicas that are not whole again
+  };
+  Figures figures() const;
+
   // Replicas of the job all of whose parts run under one attempt.
   uint32_t whole(const JobSpec& spec) const;
   // Claims that were looked at.
@@ -43,6 +55,8 @@
   struct Replica {
     std::map<uint64_t, Attempt> attempts;
     double broken_since = -1;      // it was whole before; negative: it is whole, or never was
+    bool complete = false;         // all parts are there, under whatever attempts
+    double half_since = -1;        // broken, with some part there; negative: it isn't
     uint64_t claimed_attempt = 0;  // the newest that was claimed to be ready
   };
   struct Repairs {
@@ -50,12 +64,18 @@
     double longest_s = 0;
   };
   static bool is_whole(const Attempt& attempt, uint32_t parts);
+  void judge_start(const Replica& replica, const JobSpec& spec, const TaskName& task,
+                   uint64_t attempt, const std::string& machine);
+  // Notes what a part that came or left means for a replica that was whole before.
+  void measure(Replica& replica, const JobSpec& spec, bool whole);
 
   World& world_;
   Broke broke_;
   std::map<Key, Replica> replicas_;
   std::map<std::string, Repairs> repairs_;
   int claims_ = 0;
+  bool only_measure_ = false;
+  Figures figures_;
 };
 
 }  // namespace damsonport::simulation
--- a/tools/fleet/controllers.cpp
+++ b/tools/fleet/controllers.cpp
@@ -56,6 +56,7 @@
 
 Controllers::Controllers(const Experiment& plan, std::string directory, std::string program)
     : plan_(plan), directory_(std::move(directory)), program_(std::move(program)) {
+  if (!plan.settings.replicas.classes.empty()) write_replicas();
   for (size_t r = 0; r < plan.regions; ++r) {
     if (plan.regions > 1 && plan.divide_limits) write_regions(r);
     for (size_t n = 0; n < plan.controllers[r]; ++n) {
@@ -117,6 +118,24 @@
   std::ofstream(path(one, ".toml")) << root << "\n";
 }
 
+bool Controllers::knows_replicas(size_t region) const {
+  return plan_.replicas_in_force[region] && !plan_.settings.replicas.classes.empty();
+}
+
+std::string Controllers::replicas_path() const { return directory_ + "/replicas.sexp"; }
+
+void Controllers::write_replicas() const {
+  std::ofstream out(replicas_path());
+  out << "(replicas";
+  for (auto& policy : plan_.settings.replicas.classes)
+    out << fmt::format(
+        "\n  (class {} (parts {}) (distinct-machines {}) (repairs {}) (moves {}) "
+        "(backoff-leases {} {}))",
+        policy.cls, policy.parts, policy.distinct_machines ? "yes" : "no", policy.repairs,
+        policy.moves, policy.first_backoff_leases, policy.longest_backoff_leases);
+  out << ")\n";
+}
+
 // Controllers of other regions are found by way of the link.
 void Controllers::write_regions(size_t region) const {
   std::ofstream out(fmt::format("{}/{}.regions", directory_, addresses::region_name(region)));
@@ -145,12 +164,13 @@
     prctl(PR_SET_PDEATHSIG, SIGKILL);
     const int fd = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     dup2(fd, STDERR_FILENO);
-    if (plan_.regions > 1 && plan_.divide_limits) {
-      execl(program_.c_str(), program_.c_str(), "--regions", regions.c_str(), "--config",
-            settings.c_str(), nullptr);
-    } else {
-      execl(program_.c_str(), program_.c_str(), "--config", settings.c_str(), nullptr);
-    }
+    std::vector<std::string> words{program_, "--config", settings};
+    if (plan_.regions > 1 && plan_.divide_limits) words.insert(words.end(), {"--regions", regions});
+    if (knows_replicas(one.region)) words.insert(words.end(), {"--replicas", replicas_path()});
+    std::vector<char*> arguments;
+    for (auto& word : words) arguments.push_back(word.data());
+    arguments.push_back(nullptr);
+    execv(program_.c_str(), arguments.data());
     _exit(127);
   }
   one.pid = pid;
--- a/tools/fleet/controllers.hpp
+++ b/tools/fleet/controllers.hpp
@@ -46,6 +46,9 @@
  private:
   void write_settings(const One& one, size_t n) const;
   void write_regions(size_t region) const;
+  bool knows_replicas(size_t region) const;
+  std::string replicas_path() const;
+  void write_replicas() const;
   std::string path(const One& one, const char* ending) const;
 
   const Experiment& plan_;
--- a/tools/fleet/experiment.hpp
+++ b/tools/fleet/experiment.hpp
@@ -17,6 +17,7 @@
   uint32_t tasks = 1;       // of a job on average
   double tasks_spread = 0;  // a job's number lies within this share of it
   double cpus = 0, gpus = 0, memory_gb = 0;
+  double image_gb = 1;
   double run_s = 0;       // of a task, give or take a quarter; 0 for services
   double jobs_per_s = 0;  // in each region
   double from_s = 0, until_s = 0;
@@ -32,7 +33,8 @@
   cut_regions,   // nothing passes between two regions' controllers
   hang_zone,     // the workers of one zone stand still
   state_outage,  // of a region's state service
-  cancel_jobs    // users call off so many running services within a second
+  cancel_jobs,   // users call off so many running services within a second
+  kill_machines  // so many, drawn from those with parts of replicas, are lost
 };
 
 struct Fault {
@@ -64,6 +66,9 @@
   std::vector<double> machine_share;  // of the workers, by type
   std::vector<Load> loads;
   std::vector<Fault> faults;
+  // By region: whether the controllers are told of the classes whose replicas have several parts.
+  // Where they aren't, what becomes of the parts is only measured.
+  std::vector<bool> replicas_in_force;
 
   int processes() const;
   // A generous estimate, from the sizes measured.
--- a/tools/fleet/experiment_run.cpp
+++ b/tools/fleet/experiment_run.cpp
@@ -72,6 +72,8 @@
                          fault.for_s);
     case FaultKind::state_outage:
       return fmt::format("state service of region {} out for {:.0f} s", fault.region, fault.for_s);
+    case FaultKind::kill_machines:
+      return fmt::format("{} machines of region {} lost", fault.count, fault.region);
     case FaultKind::cancel_jobs:
       return fmt::format("{} jobs of region {} cancelled", fault.count, fault.region);
   }
@@ -122,6 +124,9 @@
     case FaultKind::hang_zone:
       sites_[fault.region]->tell({{"do", "hang"}, {"zone", fault.zone}, {"for", fault.for_s}});
       return note();
+    case FaultKind::kill_machines:
+      sites_[fault.region]->tell({{"do", "kill_machines"}, {"count", fault.count}});
+      return note();
     case FaultKind::cancel_jobs:
       sites_[fault.region]->tell({{"do", "cancel"}, {"count", fault.count}});
       return note();
--- a/tools/fleet/results.cpp
+++ b/tools/fleet/results.cpp
@@ -143,6 +143,27 @@
   return out;
 }
 
+namespace {
+// Of replicas that lost a part, over all regions whose controllers know of them, or don't.
+Json replicas_json(const Experiment& plan, const Results& results, bool in_force) {
+  std::vector<float> whole, complete;
+  double half_s = 0;
+  size_t not_whole = 0;
+  for (size_t r = 0; r < results.sites.size(); ++r) {
+    if (!results.sites[r].contains("replicas") || plan.replicas_in_force[r] != in_force) continue;
+    auto& of_site = results.sites[r]["replicas"];
+    for (auto& seconds : of_site["whole_again_s"]) whole.push_back(seconds.get<float>());
+    for (auto& seconds : of_site["complete_again_s"]) complete.push_back(seconds.get<float>());
+    half_s += of_site["half_s"].get<double>();
+    not_whole += of_site["not_whole"].get<size_t>();
+  }
+  return {{"whole_again_s", quantiles_json(quantiles(whole))},
+          {"complete_again_s", quantiles_json(quantiles(complete))},
+          {"half_s", half_s},
+          {"not_whole", not_whole}};
+}
+}  // namespace
+
 Json results_json(const Experiment& plan, const Results& results) {
   Json out = {{"title", plan.title},
               {"seconds", plan.seconds},
@@ -171,6 +192,8 @@
   for (auto& site : results.sites)
     for (auto& value : site.at("accept_times")) accepts.push_back(value.get<float>());
   out["accept_s"] = quantiles_json(quantiles(std::move(accepts)));
+  for (bool in_force : {true, false})
+    out[in_force ? "replicas" : "replicas_not_in_force"] = replicas_json(plan, results, in_force);
   for (auto& c : results.holder_changes)
     out["holder_changes"].push_back({{"region", c.region}, {"node", c.node}, {"at_s", c.at_s}});
   for (auto& f : results.faults)
@@ -178,7 +201,7 @@
         {{"what", f.what}, {"at_s", f.at_s}, {"without_holder_s", f.without_holder_s}});
   for (size_t r = 0; r < results.sites.size(); ++r) {
     Json site = results.sites[r];
-    for (auto* large : {"waits", "accept_times", "broken_rules"}) site.erase(large);
+    for (auto* large : {"waits", "accept_times", "broken_rules", "replicas"}) site.erase(large);
     Json state = results.states[r];
     state.erase("budgets");
     out["regions"].push_back({{"site", std::move(site)},
@@ -223,6 +246,10 @@
        fmt::format("{:.0f} bytes a second", all["worker_bytes_per_s"].get<double>()));
   line("state writes a second", fmt::format("{:.1f}", all["state_writes_per_s"].get<double>()));
   line("workers' leases lost", fmt::format("{:.0f}", total_of(results.sites, "sessions_lost")));
+  if (!plan.settings.replicas.classes.empty()) {
+    line("replicas", all["replicas"].dump());
+    line("replicas, controllers not told of them", all["replicas_not_in_force"].dump());
+  }
   for (auto& f : results.faults)
     line(
         fmt::format("{} at {:.0f} s", f.what, f.at_s),
--- a/tools/fleet/site_process.cpp
+++ b/tools/fleet/site_process.cpp
@@ -39,6 +39,7 @@
     rules.on_use = [this](const std::string& team, double cpus, double gpus) {
       count_use(team, cpus, gpus);
     };
+    if (!plan.replicas_in_force[region]) rules.replicas().only_measure();
     add_workers();
     users_->begin();
   }
@@ -83,6 +84,27 @@
                                          " accelerators over all regions");
   }
 
+  // Drawn from those with parts of replicas.
+  void kill_machines(size_t count) {
+    std::vector<simulation::Worker*> candidates;
+    for (auto& [id, worker] : fleet_->workers()) {
+      if (worker->gone) continue;
+      const bool has_part =
+          std::any_of(worker->tasks().begin(), worker->tasks().end(), [&](const auto& entry) {
+            const JobSpec* spec = fleet_->rules().spec(entry.first.first.job);
+            return spec && spec->replicated() && simulation::on_machine(entry.second.report);
+          });
+      if (has_part) candidates.push_back(worker.get());
+    }
+    world_.act([&] {
+      for (; count > 0 && !candidates.empty(); --count) {
+        const auto drawn = static_cast<std::ptrdiff_t>(world_.random64() % candidates.size());
+        candidates[static_cast<size_t>(drawn)]->vanish();
+        candidates.erase(candidates.begin() + drawn);
+      }
+    });
+  }
+
   void obey(const Json& command) {
     const std::string what = command.at("do");
     if (what == "hang") {
@@ -92,6 +114,7 @@
           if (!worker->gone && worker->zone == zone) worker->hang(command.at("for").get<double>());
       });
     }
+    if (what == "kill_machines") kill_machines(command.at("count").get<size_t>());
     if (what == "cancel") users_->cancel_services(command.at("count").get<size_t>());
     if (what != "finish") return;
     Json waits = Json::object();
@@ -107,6 +130,11 @@
     message["asked"] = traffic_json(world_.asked());
     message["served"] = traffic_json(world_.served());
     message["broken_rules"] = fleet_->rules().broken();
+    const auto replicas = fleet_->rules().replicas().figures();
+    message["replicas"] = {{"whole_again_s", replicas.whole_again_s},
+                           {"complete_again_s", replicas.complete_again_s},
+                           {"half_s", replicas.half_s},
+                           {"not_whole", replicas.not_whole}};
     parent_.tell(message);
     emulator_.finish();
   }
