Orders to workers leave holder_machines.cpp; a job that goes while its replica is committed

Cause: what is done between a commit and its taking effect looked at the job as it was before the wait. Change: it is looked up again; a replica that became ready has no turn any more; orders and probes stand in holder_orders.cpp (moved only).

--- a/src/coordination/holder.hpp
+++ b/src/coordination/holder.hpp
@@ -214,12 +214,6 @@
   void review_failures();
   // A job whose tasks were started again and again by earlier holders and of which nothing is done.
   static bool failed_before(const Job& job);
-  void order(Machine& m, Command command);
-  void flush(const std::string& id);
-  void start_sends();
-  Task<void> send(std::string id);
-  Task<void> send_orders(std::string id);
-  bool still_wanted(const Machine& m, const Command& c) const;
   bool open_for_work(const Machine& m) const;
   // Zones none of whose machines was heard for a time in which several should have been: cut off,
   // most likely, long before each machine alone is in doubt.
@@ -232,6 +226,14 @@
   // Enough for a task that saves, with some room for the message; 0 for one that never does.
   double stop_grace(const JobSpec& s) const;
   placing::Amounts free_of(const Machine& m) const;
+
+  // --- orders (holder_orders.cpp)
+  void order(Machine& m, Command command);
+  void flush(const std::string& id);
+  void start_sends();
+  Task<void> send(std::string id);
+  Task<void> send_orders(std::string id);
+  bool still_wanted(const Machine& m, const Command& c) const;
   Task<void> probe(std::string id);
   // Unless it is being asked already, or too many are.
   void start_probe(const std::string& id);
--- a/src/coordination/holder_commit.cpp
+++ b/src/coordination/holder_commit.cpp
@@ -284,7 +284,10 @@
     edits.require_unchanged(*job);
     const auto started = edit_gang_starts(*job, gang, committed.size(), attempt, edits);
     if (started.empty()) break;
-    std::function<void()> begun = [&] { gangs_.note_begun(*job, gang.tasks, attempt); };
+    // The job may go while this is committed.
+    std::function<void()> begun = [&] {
+      if (const Job* now = cache_.job(id)) gangs_.note_begun(*now, gang.tasks, attempt);
+    };
     if (!co_await commit_and_apply(edits.finish(), token, true, std::move(begun))) break;
     committed.insert(committed.end(), started.begin(), started.end());
   }
--- a/src/coordination/replicas/replica_manager.cpp
+++ b/src/coordination/replicas/replica_manager.cpp
@@ -126,6 +126,7 @@
     log_ready(key, history, status.readiness);
     history.ready_since = now;
     history.moving = false;
+    history.turn.offered = false;
     history.repair = {};
     unready_.erase(key);
     return;
