Replicas: a halted roll with an old controller that stays, tests of the gang tracker

Change: its record is set back while it runs; jobs are refused and repairs wait until it has the version. The tracker has tests of its own, mixed attempts among them.

--- a/simulation/state_service.cpp
+++ b/simulation/state_service.cpp
@@ -72,6 +72,12 @@
   if (on_change) on_change(key, value);
 }
 
+void StateService::write(const std::string& key, const Json& value) {
+  ++revision_;
+  put(key, value, 0);
+  changed();
+}
+
 void StateService::remove(const std::string& key) {
   keys_.erase(key);
   lease_of_.erase(key);
--- a/simulation/state_service.hpp
+++ b/simulation/state_service.hpp
@@ -26,6 +26,8 @@
 
   // As if it had been written before the beginning.
   void store(const std::string& key, Json value) { keys_[key] = {std::move(value), revision_}; }
+  // As if somebody wrote it now.
+  void write(const std::string& key, const Json& value);
   const Json* value(const std::string& key) const;
   const std::map<std::string, std::pair<Json, uint64_t>>& all() const { return keys_; }
   // Told of each change.
--- /dev/null
+++ b/tests/replicas/gang_tracker_test.cpp
@@ -0,0 +1,110 @@
+// What a holder concludes about attempts that it began, and about those it found.
+#include "coordination/gang_tracker.hpp"
+
+#include <gtest/gtest.h>
+
+#include "simulation/world.hpp"
+
+namespace damsonport {
+namespace {
+
+class KnownMachines : public TaskFacts {
+ public:
+  bool is_stopping(const PlacedTask&) const override { return false; }
+  bool has_ended(const PlacedTask&) const override { return false; }
+  const Machine* find_machine(const std::string& id) const override {
+    auto it = machines.find(id);
+    return it == machines.end() ? nullptr : &it->second;
+  }
+  std::map<std::string, Machine> machines;
+};
+
+struct Fixture {
+  simulation::World world{1};
+  simulation::VirtualLoop loop{world, "n0", std::seed_seq{1}, 1, 0};
+  Settings settings;
+  KnownMachines facts;
+  GangTracker tracker{loop, settings, facts};
+  Job job;
+  const TaskRange replica{0, 2};
+
+  Fixture() {
+    settings.gang_wait_s = 40;
+    settings.lease_s = 12;
+    job.spec.id = "run-1";
+    job.spec.kind = Kind::service;
+    job.spec.tasks = job.spec.parts = 2;
+    job.chunk_size = 2;
+    for (const char* id : {"i-1", "i-2", "i-3"}) facts.machines[id].session = 1;
+  }
+  ChunkRecord& record() { return job.chunks[0].record; }
+  // By this holder, or by an earlier one.
+  void start_both(uint64_t attempt, bool begun_here) {
+    if (begun_here) tracker.note_begun(job, replica, attempt);
+    record().start(0, attempt, "i-1");
+    record().start(1, attempt, "i-2");
+  }
+  void lose_one(ExitCause cause = ExitCause::stopped) {
+    tracker.note_exit(job, replica, record().live.back().attempt, cause, false);
+    record().end(1, false);
+  }
+};
+
+TEST(GangTracker, APartLostBeforeReadinessIsReplacedUnderTheSameAttempt) {
+  Fixture f;
+  f.start_both(1, true);
+  EXPECT_EQ(f.tracker.next_action(f.job, f.replica), GangAction::none);
+  f.lose_one();
+  EXPECT_EQ(f.tracker.next_action(f.job, f.replica), GangAction::complete);
+  EXPECT_EQ(f.tracker.startable(f.job, f.replica), 1u);
+  f.facts.machines["i-1"].session = 0;
+  EXPECT_EQ(f.tracker.next_action(f.job, f.replica), GangAction::none) << "it isn't heard yet";
+}
+
+TEST(GangTracker, APartLostAfterReadinessEndsTheAttempt) {
+  Fixture f;
+  f.start_both(1, true);
+  f.tracker.note_ran(f.job, f.replica, 1);
+  f.lose_one();
+  EXPECT_EQ(f.tracker.next_action(f.job, f.replica), GangAction::give_up);
+  f.record().end(0, false);
+  EXPECT_EQ(f.tracker.next_action(f.job, f.replica), GangAction::start);
+  EXPECT_EQ(next_attempt(f.job, f.replica), 2u);
+}
+
+TEST(GangTracker, AnAttemptOfAnEarlierHolderMayHaveBeenReady) {
+  Fixture f;
+  f.start_both(3, false);
+  EXPECT_EQ(f.tracker.next_action(f.job, f.replica), GangAction::none);
+  f.tracker.note_absent(f.job, f.replica, 3);
+  EXPECT_EQ(f.tracker.next_action(f.job, f.replica), GangAction::give_up);
+}
+
+TEST(GangTracker, APartThatIsAbsentBeforeReadinessMayBeOnItsWay) {
+  Fixture f;
+  f.start_both(1, true);
+  f.tracker.note_absent(f.job, f.replica, 1);
+  EXPECT_EQ(f.tracker.next_action(f.job, f.replica), GangAction::none);
+}
+
+// As an older program leaves them, which starts tasks one by one.
+TEST(GangTracker, PartsOfTwoAttemptsAreABrokenOne) {
+  Fixture f;
+  f.record().start(0, 1, "i-1");
+  f.record().start(1, 4, "i-2");
+  EXPECT_TRUE(f.tracker.standing(f.job, f.replica).broken);
+  EXPECT_EQ(f.tracker.next_action(f.job, f.replica), GangAction::give_up);
+}
+
+TEST(GangTracker, ASecondFailureEndsTheAttempt) {
+  Fixture f;
+  f.start_both(1, true);
+  f.lose_one(ExitCause::error);
+  EXPECT_EQ(f.tracker.next_action(f.job, f.replica), GangAction::complete);
+  f.record().start(1, 1, "i-3");
+  f.lose_one(ExitCause::error);
+  EXPECT_EQ(f.tracker.next_action(f.job, f.replica), GangAction::give_up);
+}
+
+}  // namespace
+}  // namespace damsonport
--- a/tests/scenarios/fault_scenario.cpp
+++ b/tests/scenarios/fault_scenario.cpp
@@ -406,8 +406,12 @@
   } else if (h.verb == "crash_on_write") {  // crash_on_write JOB times=N after=S for=S
     crash_on_write_ = {keys::chunks + h.name + "/", static_cast<int>(num(w, "times", 1)),
                        num(w, "after"), num(w, "for", 6)};
-  } else if (h.verb == "old_version") {  // old_version NODE: as if it ran an older program
-    for (auto* c : controllers(h.name)) state_->store(keys::version(c->name()), {{"v", 2}});
+  } else if (h.verb == "old_version") {  // old_version NODE for=S: as if it ran an older program
+    for (auto* c : controllers(h.name)) {
+      const auto key = keys::version(c->name());
+      state_->write(key, {{"v", VersionRegistry::replicas - 1}});
+      world_.in(for_s, [this, key] { state_->write(key, {{"v", VersionRegistry::current}}); });
+    }
   } else if (h.verb == "stall") {  // stall NODES for=S: their clocks run on
     for (auto* c : controllers(h.name)) c->stall(for_s);
   } else if (h.verb == "cloud_outage") {  // cloud_outage for=S
@@ -528,7 +532,8 @@
   } else if (what == "late_starts") {
     if (std::to_string(fleet_->rules().starts_after_cancellation()) != h.name)
       complain(h.name + ", but " + std::to_string(fleet_->rules().starts_after_cancellation()));
-  } else if (what == "running" || what == "gone" || what == "told" || what == "accepted") {
+  } else if (what == "running" || what == "gone" || what == "told" || what == "accepted" ||
+             what == "unaccepted") {
     for (auto& id : jobs(h.name)) {
       int running = 0, present = 0;
       count_tasks(id, running, present);
@@ -538,6 +543,7 @@
         complain(id + ", but " + std::to_string(present) + " are there");
       if (what == "told" && !fleet_->rules().was_told(id, h.words.begin()->first))
         complain(id + " " + h.words.begin()->first + ", but it was not");
+      if (what == "unaccepted" && fleet_->rules().accepted(id)) complain(id + ", but it was");
       if (what == "accepted" && !fleet_->rules().accepted(id)) complain(id + ", but it was not");
     }
   } else {
--- a/tools/fleet/controllers.cpp
+++ b/tools/fleet/controllers.cpp
@@ -168,6 +168,7 @@
     if (plan_.regions > 1 && plan_.divide_limits) words.insert(words.end(), {"--regions", regions});
     if (knows_replicas(one.region)) words.insert(words.end(), {"--replicas", replicas_path()});
     std::vector<char*> arguments;
+    arguments.reserve(words.size() + 1);
     for (auto& word : words) arguments.push_back(word.data());
     arguments.push_back(nullptr);
     execv(program_.c_str(), arguments.data());
