Replicas of a job lie apart from one another

Change: a part of another replica of the job on a machine counts two seconds, as replicas of one part do.

--- a/src/coordination/placement_gang.cpp
+++ b/src/coordination/placement_gang.cpp
@@ -8,6 +8,8 @@
 namespace {
 // Seconds that each further machine of a gang counts for: the loss of any one stops all of it.
 constexpr double machine_cost = 2;
+// Seconds that a part of another replica of the job counts for: one machine's loss would take both.
+constexpr double sibling_cost = 2;
 // Seconds that a CPU task on a machine with accelerators counts for, and an accelerator that loses
 // the CPUs or memory beside it.
 constexpr double accelerator_machine_cost = 15, lost_accelerator_cost = 10;
@@ -41,6 +43,7 @@
   double c = image_delay(job, machine);
   c += (1.0 - std::min(machine.speed, 1.0)) * slow_machine_cost;
   c += machine_cost * std::ceil(static_cast<double>(job.waiting) / tasks);
+  if (job.replica) c += sibling_cost * replicas_[m];
   if (machine.total.gpus > 0 && job.need.gpus <= 0) {
     Amounts left = free_[m];
     for (uint32_t i = 0; i < tasks; ++i) left -= job.need;
