--- a/tests/scenarios/fault_scenario.cpp
+++ b/tests/scenarios/fault_scenario.cpp
@@ -553,12 +553,13 @@
 }
 
 // expect replicas_ready JOBS count=N   by the word of the controller that holds
-// expect replicas_whole JOBS count=N   in truth
+// expect replicas_whole JOBS count=N   in truth; total=N: of all the jobs together
 // expect replicas_repaired JOBS within=S [count=FROM..TO]
 std::string FaultScenario::unmet_replicas(const Event& h) {
   const auto what = h.verb.substr(7);
   auto& truth = fleet_->rules().replicas();
   std::string out;
+  uint32_t total = 0;
   for (auto& id : jobs(h.name)) {
     if (what == "replicas_repaired") {
       const auto [least, most] = range(str(h.words, "count", "1..1000"));
@@ -569,6 +570,8 @@
       continue;
     }
     uint32_t count = truth.whole(jobs_.at(id));
+    total += count;
+    if (h.words.contains("total")) continue;
     if (what == "replicas_ready") {
       count = 0;
       for (auto& controller : controllers_)
@@ -578,6 +581,8 @@
     if (count != static_cast<uint32_t>(num(h.words, "count", 1)))
       out += fmt::format("{} of {}: {}; ", what, id, count);
   }
+  if (h.words.contains("total") && total != static_cast<uint32_t>(num(h.words, "total")))
+    out += fmt::format("{} of {}: {} in all; ", what, h.name, total);
   return out;
 }
 
