--- a/tests/scenarios/fault_scenario.cpp
+++ b/tests/scenarios/fault_scenario.cpp
@@ -350,6 +350,7 @@
 void FaultScenario::apply(const Event& h) {
   auto& w = h.words;
   const double for_s = num(w, "for", 1e6);
+  if (h.verb == "expect shown") return expect_shown(h);
   if (h.verb.starts_with("expect")) {
     if (auto text = unmet(h); !text.empty())
       unmet_.push_back("at " + std::to_string(world_.now()) + " " + text);
@@ -552,6 +553,19 @@
   return out;
 }
 
+// expect shown JOB status=S running=N   to a user who asks the leader now
+void FaultScenario::expect_shown(const Event& h) {
+  for (auto* c : controllers("leader"))
+    ask(static_cast<size_t>(c->name()[1] - '0'), Method::get, "/api/jobs/" + h.name, {},
+        poll_patience_s, [this, h](const HttpReply& reply, double) {
+          const Json m = decode_map(reply.body);
+          const bool as_expected =
+              m.is_object() && m.value("status", "") == h.words.at("status") &&
+              m.value("running", 0) == static_cast<int>(num(h.words, "running"));
+          if (!as_expected) unmet_.push_back(fmt::format("{} is shown as {}", h.name, m.dump()));
+        });
+}
+
 // expect replicas_ready JOBS count=N   by the word of the controller that holds
 // expect replicas_whole JOBS count=N   in truth; total=N: of all the jobs together
 // expect replicas_repaired JOBS within=S [count=FROM..TO]
--- a/tests/scenarios/fault_scenario.hpp
+++ b/tests/scenarios/fault_scenario.hpp
@@ -47,6 +47,8 @@
     double after_s = 0, for_s = 0;
   };
   void crash_on_write(const std::string& key);
+  // What the leader's answer to a poll should say.
+  void expect_shown(const Event& h);
   std::string unmet_replicas(const Event& h);
   void cut(const std::string& a, const std::string& b, const Words& w);
 
