--- a/tests/replicas/replicas_test.cpp
+++ b/tests/replicas/replicas_test.cpp
@@ -59,6 +59,12 @@
   EXPECT_FALSE(parse_replicas("(gangs)"));
 }
 
+TEST(ReplicaSettings, TheExampleIsValid) {
+  auto settings = load_replicas(std::string(FIXTURES_DIR) + "/../../deploy/replicas.example.sexp");
+  ASSERT_TRUE(settings) << settings.error();
+  EXPECT_EQ(settings->classes.size(), 1u);
+}
+
 JobSpec replicated_job() {
   JobSpec spec;
   spec.id = "run-1";
