--- a/src/coordination/holder_view.cpp
+++ b/src/coordination/holder_view.cpp
@@ -77,7 +77,9 @@
       v.family = slots.front();
     }
     v.cancelled = cancelled;
-    v.at_fault = at_fault;
+    // What is left over is hardly ever enough for a whole replica, and its tries are spaced out and
+    // bounded by its class.
+    v.at_fault = at_fault && !s.replicated();
     v.unfinished = static_cast<uint32_t>(s.tasks - job.done);
     v.begun = job.live + job.done > 0;
     if (s.replicated()) {
--- a/tests/fault_scenario_test.cpp
+++ b/tests/fault_scenario_test.cpp
@@ -106,24 +106,28 @@
 // Groups of three. SCENARIO_FIRST and SCENARIO_COUNT play others than those of the suite.
 constexpr uint64_t drawn_groups = 8, drawn_in_a_group = 3;
 
+using DrawScenario = std::vector<std::string> (*)(uint64_t seed);
+
+void play_seed(uint64_t seed, DrawScenario draw) {
+  FaultScenario scenario(seed);
+  shown = &scenario.world();
+  spdlog::info("--- seed {}", seed);
+  for (auto& text : draw(seed)) {
+    spdlog::info("{}", text);
+    auto complaint = scenario.line(text);
+    ASSERT_TRUE(complaint.empty()) << complaint;
+  }
+  for (auto& what : scenario.play()) ADD_FAILURE() << "seed " << seed << ": " << what;
+  shown = nullptr;
+}
+
 // Those of the group, by what `draw` makes of their seeds.
-void play_drawn(uint64_t group, std::vector<std::string> (*draw)(uint64_t seed)) {
+void play_drawn(uint64_t group, DrawScenario draw) {
   const char* first = std::getenv("SCENARIO_FIRST");
   const char* count = std::getenv("SCENARIO_COUNT");
   const uint64_t n = count ? std::stoull(count) : drawn_in_a_group;
   const uint64_t from = (first ? std::stoull(first) : 1) + group * n;
-  for (uint64_t seed = from; seed < from + n; ++seed) {
-    FaultScenario scenario(seed);
-    shown = &scenario.world();
-    spdlog::info("--- seed {}", seed);
-    for (auto& text : draw(seed)) {
-      spdlog::info("{}", text);
-      auto complaint = scenario.line(text);
-      ASSERT_TRUE(complaint.empty()) << complaint;
-    }
-    for (auto& what : scenario.play()) ADD_FAILURE() << "seed " << seed << ": " << what;
-    shown = nullptr;
-  }
+  for (uint64_t seed = from; seed < from + n; ++seed) play_seed(seed, draw);
 }
 
 class DrawnScenarios : public testing::TestWithParam<uint64_t> {};
@@ -136,6 +140,15 @@
 
 TEST_P(DrawnReplicaScenarios, BreakNoRule) { play_drawn(GetParam(), random_replica_scenario); }
 
+// Seeds that failed once: repairs that nothing asked a pass for, room in a zone of no use, a job
+// suspected for its attempts, a wrong claim of readiness, a job at fault for which nothing is
+// rented.
+class KeptReplicaSeeds : public testing::TestWithParam<uint64_t> {};
+
+TEST_P(KeptReplicaSeeds, BreakNoRule) { play_seed(GetParam(), random_replica_scenario); }
+
+INSTANTIATE_TEST_SUITE_P(Suite, KeptReplicaSeeds, testing::Values(15, 1541, 1696, 8124, 12251));
+
 INSTANTIATE_TEST_SUITE_P(Suite, DrawnReplicaScenarios, testing::Range(uint64_t{0}, drawn_groups));
 
 std::vector<std::string> scenario_names() {
