--- a/src/coordination/gang_tracker.cpp
+++ b/src/coordination/gang_tracker.cpp
@@ -72,10 +72,15 @@
 }
 
 GangAction GangTracker::next_action(const Job& job, TaskRange gang) {
+  return action_for(job, gang, standing(job, gang));
+}
+
+GangAction GangTracker::action_for(const Job& job, TaskRange gang,
+                                   const GangStanding& standing) const {
   // Within the time for which a machine that failed a task of it is not used for it again.
   const double patience_s =
       std::min(settings_.gang_wait_s * settings_.tuning.gang_replacement_share, settings_.lease_s);
-  const auto action = gang_action(standing(job, gang), patience_s);
+  const auto action = gang_action(standing, patience_s);
   if (action != GangAction::complete) return action;
   // Whether it runs already is not known before all its machines were heard.
   const auto live = job.live_tasks(gang);
@@ -87,10 +92,10 @@
 }
 
 uint32_t GangTracker::startable(const Job& job, TaskRange gang) {
-  const auto action = next_action(job, gang);
+  const GangStanding now = standing(job, gang);
+  const auto action = action_for(job, gang, now);
   if (action != GangAction::start && action != GangAction::complete) return 0;
-  const RangeRecord record = job.record_of(gang);
-  return gang.count - record.live - record.done;
+  return now.tasks - now.live - now.done;
 }
 
 }  // namespace damsonport
--- a/src/coordination/gang_tracker.hpp
+++ b/src/coordination/gang_tracker.hpp
@@ -45,6 +45,7 @@
   };
   using Key = std::pair<std::string, uint32_t>;  // job, first task
   Hints& hints(const Job& job, TaskRange gang);
+  GangAction action_for(const Job& job, TaskRange gang, const GangStanding& standing) const;
 
   Loop& loop_;
   const Settings& settings_;
--- a/src/coordination/gangs.cpp
+++ b/src/coordination/gangs.cpp
@@ -27,6 +27,10 @@
   return size == 0 ? 0 : task / size;
 }
 
+TaskRange gang_with(const JobSpec& spec, uint32_t task) {
+  return gang_range(spec, gang_of(spec, task));
+}
+
 uint64_t live_attempt(const Job& job, TaskRange gang) { return job.record_of(gang).live_attempt; }
 
 uint64_t next_attempt(const Job& job, TaskRange gang) {
--- a/src/coordination/gangs.hpp
+++ b/src/coordination/gangs.hpp
@@ -37,6 +37,8 @@
 TaskRange gang_range(const JobSpec& spec, uint32_t number);
 // The number of the gang that the task belongs to.
 uint32_t gang_of(const JobSpec& spec, uint32_t task);
+// All tasks of that gang.
+TaskRange gang_with(const JobSpec& spec, uint32_t task);
 
 // The attempt of the tasks that are live; 0: none is.
 uint64_t live_attempt(const Job& job, TaskRange gang);
--- a/src/coordination/holder_cloud.cpp
+++ b/src/coordination/holder_cloud.cpp
@@ -142,7 +142,7 @@
         bool saves = s.checkpoint_s > 0;
         if (saves ? left < grace + 2 * settings_.report_s : left < settings_.report_s / 2) {
           if (s.group_size() > 0) {
-            stop_gang(*a.job, gang_range(s, gang_of(s, a.index)), grace);
+            stop_gang(*a.job, gang_with(s, a.index), grace);
           } else {
             stop_task({name, attempt, id}, grace);
           }
--- a/src/coordination/holder_commit.cpp
+++ b/src/coordination/holder_commit.cpp
@@ -231,10 +231,9 @@
       demand.distinct_machines = s.distinct_machines;
       for (auto& zone : settings_.zones)
         if (u.zone != 0 && view_.zones.id(zone) == u.zone) demand.zone = zone;
-    }
-    if (demand.gang)
       spdlog::debug("no room for {} of {} tasks of a gang of {}{}", u.missing, u.count, s.id,
                     demand.zone.empty() ? "" : " in " + demand.zone);
+    }
     unplaced_.push_back(std::move(demand));
   }
 }
--- a/src/coordination/holder_gangs.cpp
+++ b/src/coordination/holder_gangs.cpp
@@ -75,7 +75,7 @@
   const auto [attempt, cause, machine] = exit;
   exits_[task] = std::move(exit);
   if (is_gang && cause == ExitCause::done) return finish_gang(*job, attempt);
-  const TaskRange gang = gang_range(job->spec, gang_of(job->spec, task.index));
+  const TaskRange gang = gang_with(job->spec, task.index);
   const bool stopped = cause == ExitCause::stopped && stopping_.contains(task);
   gangs_.note_exit(*job, gang, attempt, cause, stopped);
   replicas_.note_exit(*job, gang, attempt, cause);
--- a/src/coordination/holder_machines.cpp
+++ b/src/coordination/holder_machines.cpp
@@ -231,7 +231,7 @@
     auto reported = m.tasks.find(name);
     const bool there = reported != m.tasks.end() && reported->second.attempt == attempt;
     if (there || m.start_outstanding({name, attempt}) || exits_.contains(name)) continue;
-    const TaskRange replica = gang_range(job.spec, gang_of(job.spec, assignment.index));
+    const TaskRange replica = gang_with(job.spec, assignment.index);
     gangs_.note_absent(job, replica, attempt);
     concerned.emplace_back(&job, replica);
   }
--- a/src/coordination/holder_view.cpp
+++ b/src/coordination/holder_view.cpp
@@ -127,9 +127,7 @@
       if (auto t = it->second.find(attempt); t != it->second.end())
         l.since = t->second.running_at > 0 ? t->second.running_at
                                            : std::numeric_limits<double>::infinity();
-    auto stop = stopping_.find(name);
-    l.stopping =
-        (stop != stopping_.end() && stop->second.attempt == attempt) || exits_.contains(name);
+    l.stopping = is_stopping({name, attempt, m.id}) || exits_.contains(name);
     v.live.push_back(l);
   }
 }
--- a/src/protocol/region_settings.cpp
+++ b/src/protocol/region_settings.cpp
@@ -128,11 +128,7 @@
 }
 
 Result<RegionSettings> load_regions(const std::string& path, const std::string& zone) {
-  auto text = read_text_file(path);
-  if (!text) return Error{text.error()};
-  auto settings = parse_regions(*text, zone);
-  if (!settings) return settings.error_in(path);
-  return settings;
+  return parse_text_file(path, [&](const std::string& text) { return parse_regions(text, zone); });
 }
 
 std::vector<uint64_t> divide_by_share(uint64_t units, const std::vector<Region>& regions) {
--- a/src/protocol/replica_settings.cpp
+++ b/src/protocol/replica_settings.cpp
@@ -139,11 +139,7 @@
 }
 
 Result<ReplicaSettings> load_replicas(const std::string& path) {
-  auto text = read_text_file(path);
-  if (!text) return Error{text.error()};
-  auto settings = parse_replicas(*text);
-  if (!settings) return settings.error_in(path);
-  return settings;
+  return parse_text_file(path, parse_replicas);
 }
 
 }  // namespace damsonport
--- a/src/protocol/text_file.hpp
+++ b/src/protocol/text_file.hpp
@@ -9,4 +9,14 @@
 // Errors name the file.
 Result<std::string> read_text_file(const std::string& path);
 
+// What `parse` makes of the file's text; its errors name the file too.
+template <class Parse>
+auto parse_text_file(const std::string& path, Parse parse) -> decltype(parse(std::string())) {
+  auto text = read_text_file(path);
+  if (!text) return Error{text.error()};
+  auto parsed = parse(*text);
+  if (!parsed) return parsed.error_in(path);
+  return parsed;
+}
+
 }  // namespace damsonport
--- a/src/storage/cache.cpp
+++ b/src/storage/cache.cpp
@@ -28,9 +28,7 @@
 template <class Entry>
 std::span<const Entry> entries_within(const std::vector<Entry>& entries, uint32_t first,
                                       uint32_t end) {
-  auto before = [](const Entry& entry, uint32_t index) { return entry.index < index; };
-  auto from = std::lower_bound(entries.begin(), entries.end(), first, before);
-  return {from, std::lower_bound(from, entries.end(), end, before)};
+  return {first_from(entries, first), first_from(entries, end)};
 }
 
 // Calls `use` with each written chunk that has tasks of the range, the chunk's number, and the part
--- a/src/storage/records.cpp
+++ b/src/storage/records.cpp
@@ -10,8 +10,7 @@
 }
 
 LiveTask* ChunkRecord::find_live(uint32_t index) {
-  auto it = std::lower_bound(live.begin(), live.end(), index,
-                             [](const LiveTask& t, uint32_t i) { return t.index < i; });
+  auto it = first_from(live, index);
   return it != live.end() && it->index == index ? &*it : nullptr;
 }
 
@@ -31,8 +30,7 @@
 
 bool ChunkRecord::startable(uint32_t index) const {
   if (index >= next) return true;
-  auto at = std::lower_bound(waiting.begin(), waiting.end(), index,
-                             [](const WaitingTask& t, uint32_t i) { return t.index < i; });
+  auto at = first_from(waiting, index);
   return at != waiting.end() && at->index == index;
 }
 
@@ -45,8 +43,7 @@
   }
   std::sort(waiting.begin(), waiting.end(),
             [](const WaitingTask& a, const WaitingTask& b) { return a.index < b.index; });
-  auto at = std::lower_bound(live.begin(), live.end(), index,
-                             [](const LiveTask& t, uint32_t i) { return t.index < i; });
+  auto at = first_from(live, index);
   live.insert(at, {index, attempt, machine});
 }
 
@@ -56,8 +53,7 @@
   uint64_t attempt = task->attempt;
   live.erase(live.begin() + (task - live.data()));
   if (done) return;
-  auto at = std::lower_bound(waiting.begin(), waiting.end(), index,
-                             [](const WaitingTask& t, uint32_t i) { return t.index < i; });
+  auto at = first_from(waiting, index);
   waiting.insert(at, {index, attempt});
 }
 
--- a/src/storage/records.hpp
+++ b/src/storage/records.hpp
@@ -1,5 +1,6 @@
 // What is kept in the state service: key names, values and their bounds.
 #pragma once
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -59,6 +60,13 @@
   uint32_t index;
   uint64_t attempt;  // the last one used
 };
+// The first of the entries, which are in order of their tasks, that is not before this task.
+template <class Entries>
+auto first_from(Entries& entries, uint32_t index) {
+  return std::lower_bound(entries.begin(), entries.end(), index,
+                          [](const auto& entry, uint32_t i) { return entry.index < i; });
+}
+
 struct ChunkRecord {
   uint32_t next = 0;                 // relative to the chunk
   std::vector<LiveTask> live;        // by index
--- a/tools/fleet/experiment.cpp
+++ b/tools/fleet/experiment.cpp
@@ -254,11 +254,7 @@
 }
 
 Result<Experiment> load_experiment(const std::string& path) {
-  auto text = read_text_file(path);
-  if (!text) return Error{text.error()};
-  auto plan = parse_experiment(*text);
-  if (!plan) return plan.error_in(path);
-  return plan;
+  return parse_text_file(path, parse_experiment);
 }
 
 }  // namespace damsonport::fleet
