Parts are described in one place, and a replica's records read once for a judgement

Change: ReplicaSettings::describe, one answer for unfinished jobs, the record goes with the status, ReplicaManager::any, gang_size. No behaviour changed.

--- a/src/coordination/gangs.cpp
+++ b/src/coordination/gangs.cpp
@@ -13,17 +13,17 @@
 }
 
 uint32_t gang_count(const JobSpec& spec) {
-  const uint32_t size = spec.group_size();
+  const uint32_t size = spec.gang_size();
   return size == 0 ? 0 : spec.tasks / size;
 }
 
 TaskRange gang_range(const JobSpec& spec, uint32_t number) {
-  const uint32_t size = spec.group_size();
+  const uint32_t size = spec.gang_size();
   return {number * size, size};
 }
 
 uint32_t gang_of(const JobSpec& spec, uint32_t task) {
-  const uint32_t size = spec.group_size();
+  const uint32_t size = spec.gang_size();
   return size == 0 ? 0 : task / size;
 }
 
--- a/src/coordination/holder_cloud.cpp
+++ b/src/coordination/holder_cloud.cpp
@@ -141,7 +141,7 @@
         if (stopping_.contains(name)) continue;
         bool saves = s.checkpoint_s > 0;
         if (saves ? left < grace + 2 * settings_.report_s : left < settings_.report_s / 2) {
-          if (s.group_size() > 0) {
+          if (s.gang_size() > 0) {
             stop_gang(*a.job, gang_with(s, a.index), grace);
           } else {
             stop_task({name, attempt, id}, grace);
--- a/src/coordination/holder_commit.cpp
+++ b/src/coordination/holder_commit.cpp
@@ -225,7 +225,7 @@
     if (u.room_coming) continue;
     auto& s = job_slots_.owner(u.job).job->spec;
     sizing::Demand demand{need_of(s), u.missing, s.types, s.zone, s.spot};
-    if (s.group_size() > 0) {
+    if (s.gang_size() > 0) {
       demand.gang = true;
       demand.one_zone = u.one_zone;
       demand.distinct_machines = s.distinct_machines;
--- a/src/coordination/holder_gangs.cpp
+++ b/src/coordination/holder_gangs.cpp
@@ -65,7 +65,7 @@
 void Holder::note_exit(const TaskName& task, PendingExit exit) {
   mark_changed(exit.machine);
   Job* job = cache_.job(task.job);
-  if (!job || job->spec.group_size() == 0) {
+  if (!job || job->spec.gang_size() == 0) {
     exits_[task] = std::move(exit);
     return;
   }
--- a/src/coordination/holder_machines.cpp
+++ b/src/coordination/holder_machines.cpp
@@ -222,7 +222,7 @@
 // A replica that may have been ready is never ready again under an attempt that lost a part, so the
 // part isn't started anew as any other task would be: the attempt is over.
 void Holder::note_absent_parts(const Machine& m) {
-  if (m.token < term_ || !records_current()) return;
+  if (!replicas_.any() || m.token < term_ || !records_current()) return;
   std::vector<std::pair<const Job*, TaskRange>> concerned;
   for (auto& [assignment, attempt] : cache_.assigned(m.id)) {
     const Job& job = *assignment.job;
@@ -298,7 +298,7 @@
       spdlog::info("{} was refused by {}", task.text(), m.id);
       hints.backoff_until = now + settings_.report_s / 2;
       // Its place in the gang is filled elsewhere, under the attempt that this machine has refused.
-      if (job->spec.group_size() > 0) m.failed_jobs[task.job] = now;
+      if (job->spec.gang_size() > 0) m.failed_jobs[task.job] = now;
       break;
     default:
       break;
--- a/src/coordination/holder_view.cpp
+++ b/src/coordination/holder_view.cpp
@@ -29,7 +29,7 @@
   v.image = view_.images.id(s.image);
   v.image_gb = s.image_gb;
   v.service = s.kind == Kind::service;
-  v.gang = s.group_size() > 0;
+  v.gang = s.gang_size() > 0;
   v.replica = s.replicated();
   // Also zones of which no machine was heard yet.
   if (v.replica)
@@ -52,7 +52,7 @@
 }
 
 uint32_t Holder::startable_tasks(const Job& job, uint32_t gang) {
-  if (job.spec.group_size() > 0) return startable_gang_tasks(job, gang_range(job.spec, gang));
+  if (job.spec.gang_size() > 0) return startable_gang_tasks(job, gang_range(job.spec, gang));
   const auto unstarted = static_cast<uint32_t>(job.unstarted());
   if (!failures_.job_at_fault(job.spec.id)) return unstarted;
   // One task finds out whether it still fails.
--- a/src/coordination/replicas/replica_manager.cpp
+++ b/src/coordination/replicas/replica_manager.cpp
@@ -61,10 +61,10 @@
 
 ReplicaStatus ReplicaManager::judge(const Job& job, uint32_t number) {
   const TaskRange replica = gang_range(job.spec, number);
-  ReplicaStatus status{job.spec.id, number, ReplicaState::queued, {}};
+  ReplicaStatus status{job.spec.id, number, ReplicaState::queued, {}, job.record_of(replica)};
   ReplicaStanding standing;
   standing.gang = gangs_.standing(job, replica);
-  standing.last_attempt = job.record_of(replica).last_attempt;
+  standing.last_attempt = status.record.last_attempt;
   // An attempt of which a part has ended is never ready again.
   const bool over = standing.gang.broken || standing.gang.stopping || job.cancelled;
   if (!over) status.readiness = readiness_of(job, replica);
@@ -85,18 +85,15 @@
   bool any_waits = false;
   for (auto& [key, history] : replicas_) {
     const Job* job = cache_.job(key.first);
-    if (!job) continue;
-    update(*job, key.second, history);
-    any_waits |= history.state == ReplicaState::repairing &&
-                 job->record_of(gang_range(job->spec, key.second)).live == 0;
+    if (job && update(*job, key.second, history)) any_waits = true;
   }
   return any_waits;
 }
 
-void ReplicaManager::update(const Job& job, uint32_t number, History& history) {
+bool ReplicaManager::update(const Job& job, uint32_t number, History& history) {
   const Key key{job.spec.id, number};
   const ReplicaStatus status = judge(job, number);
-  const RangeRecord record = job.record_of(gang_range(job.spec, number));
+  const RangeRecord& record = status.record;
   const double now = loop_.now();
   const bool next_attempt =
       record.last_attempt > std::exchange(history.attempt, record.last_attempt);
@@ -107,9 +104,11 @@
     if (record.live > 0 && repair.gone > 0 && repair.started == 0) repair.started = now;
   }
   if (history.state != status.state) note_state(key, history, status);
-  if (status.state != ReplicaState::ready) return;
+  if (status.state != ReplicaState::ready)
+    return status.state == ReplicaState::repairing && record.live == 0;
   history.ready_as_of = status.readiness.as_of;
   if (now - history.ready_since > stable_leases * settings_.lease_s) history.failures = 0;
+  return false;
 }
 
 void ReplicaManager::note_state(const Key& key, History& history, const ReplicaStatus& status) {
--- a/src/coordination/replicas/replica_manager.hpp
+++ b/src/coordination/replicas/replica_manager.hpp
@@ -19,6 +19,7 @@
   uint32_t number = 0;
   ReplicaState state = ReplicaState::queued;
   Readiness readiness;
+  RangeRecord record;
 };
 
 class ReplicaManager {
@@ -46,6 +47,8 @@
   // Ready replicas that are to be stopped now, to be started elsewhere: as many as the class's
   // policy allows to be down for it.
   std::vector<Replica> take_moves();
+  // Some job has replicas of several parts.
+  bool any() const { return !replicas_.empty(); }
   // Machines with parts of which too little is known for readiness: their reports come on ever new
   // connections, so that they may be old.
   std::set<std::string> machines_to_ask() const;
@@ -79,7 +82,8 @@
 
   Readiness readiness_of(const Job& job, TaskRange replica) const;
   ReplicaStatus judge(const Job& job, uint32_t number);
-  void update(const Job& job, uint32_t number, History& history);
+  // True: it waits for its repair.
+  bool update(const Job& job, uint32_t number, History& history);
   void note_state(const Key& key, History& history, const ReplicaStatus& status);
   void log_ready(const Key& key, const History& history, const Readiness& readiness) const;
   bool on_leaving_machine(const Job& job, TaskRange replica) const;
--- a/src/coordination/user_api.cpp
+++ b/src/coordination/user_api.cpp
@@ -65,12 +65,16 @@
   return serving;
 }
 
-std::string_view status_of(const Job& job) { return serving_tasks(job) > 0 ? "running" : "queued"; }
+HttpResponse unfinished(const Job& job) {
+  const uint64_t serving = serving_tasks(job);
+  const char* status = serving > 0 ? "running" : "queued";
+  return {200, encode_job_progress(job.spec.id, status, job.done, serving), 0};
+}
 }  // namespace
 
 HttpResponse UserApi::progress(const Job& job) const {
   if (job.cancelled) return {200, encode_job_progress(job.spec.id, "aborted", job.done, 0), 0};
-  return {200, encode_job_progress(job.spec.id, status_of(job), job.done, serving_tasks(job)), 0};
+  return unfinished(job);
 }
 
 // What is final can't change and is answered at once. Anything else may be older than what another
@@ -122,8 +126,7 @@
   }
   Job* cached = cache_.job(id);
   if (!cached) co_return HttpResponse{200, encode_job_progress(id, "queued", 0, 0), 0};
-  co_return HttpResponse{
-      200, encode_job_progress(id, status_of(*cached), cached->done, serving_tasks(*cached)), 0};
+  co_return unfinished(*cached);
 }
 
 Task<HttpResponse> UserApi::poll(std::string id) {
@@ -181,14 +184,6 @@
   }
 }
 
-// From the operators' file; it stays as it is for this job, whatever the file says later.
-void UserApi::set_parts(JobSpec& spec) const {
-  const ReplicaPolicy* policy = settings_.replicas.find(spec.cls);
-  if (!policy || spec.kind != Kind::service) return;
-  spec.parts = policy->parts;
-  spec.distinct_machines = policy->distinct_machines;
-}
-
 Task<HttpResponse> UserApi::submit(std::string body) {
   const auto message = decode_map(body);
   body.clear();
@@ -198,7 +193,8 @@
   const std::string id = spec->id;
   if (!cache_.loaded() || !catalog_.known()) co_return busy();
   if (cache_.job(id) || cache_.final_state(id)) co_return co_await state_of(id);
-  set_parts(*spec);
+  // It stays as it is for this job, whatever the file says later.
+  settings_.replicas.describe(*spec);
   auto verdict = judge_job(*spec, settings_, catalog_.types());
   if (verdict != Verdict::ok) {
     // A job that was accepted once stays accepted, whatever the check would say now.
--- a/src/coordination/user_api.hpp
+++ b/src/coordination/user_api.hpp
@@ -50,7 +50,6 @@
   std::vector<Submission*> next_submissions();
   Task<void> accept(std::vector<Submission*> batch);
   static void finish(const std::vector<Submission*>& submissions, Accepted result);
-  void set_parts(JobSpec& spec) const;
   HttpResponse progress(const Job& job) const;
   HttpResponse busy() const;
 
--- a/src/protocol/messages.hpp
+++ b/src/protocol/messages.hpp
@@ -43,7 +43,7 @@
   // A service whose replicas have several parts.
   bool replicated() const { return kind == Kind::service && parts > 1; }
   // Tasks that start and end as one: all of a gang, or the parts of a replica; 0: each for itself.
-  uint32_t group_size() const {
+  uint32_t gang_size() const {
     if (kind == Kind::gang) return tasks;
     return replicated() ? parts : 0;
   }
--- a/src/protocol/replica_settings.cpp
+++ b/src/protocol/replica_settings.cpp
@@ -120,6 +120,13 @@
   return named ? *named : defaults;
 }
 
+void ReplicaSettings::describe(JobSpec& spec) const {
+  const ReplicaPolicy* policy = find(spec.cls);
+  if (!policy || spec.kind != Kind::service) return;
+  spec.parts = policy->parts;
+  spec.distinct_machines = policy->distinct_machines;
+}
+
 Result<ReplicaSettings> parse_replicas(const std::string& text) {
   auto document = SexpDocument::parse(text, "replicas");
   if (!document) return Error{document.error()};
--- a/src/protocol/replica_settings.hpp
+++ b/src/protocol/replica_settings.hpp
@@ -12,6 +12,7 @@
 #include <string>
 #include <vector>
 
+#include "protocol/messages.hpp"
 #include "protocol/result.hpp"
 
 namespace damsonport {
@@ -34,6 +35,9 @@
   const ReplicaPolicy* find(const std::string& cls) const;
   // Of this class, or the defaults where the file doesn't name it.
   const ReplicaPolicy& policy(const std::string& cls) const;
+  // Writes into a service's description of how many parts its replicas are, as the file has its
+  // class.
+  void describe(JobSpec& spec) const;
 };
 
 // All problems at once, each with its line.
--- a/tests/scenarios/fault_scenario.cpp
+++ b/tests/scenarios/fault_scenario.cpp
@@ -31,6 +31,11 @@
   }
   return out;
 }
+std::string rest_of(std::istringstream& line) {
+  std::string rest;
+  std::getline(line, rest);
+  return rest;
+}
 StateLimits limits_of(const Words& w, const StateLimits& otherwise) {
   return {num(w, "rps", otherwise.requests_per_s), num(w, "writes", otherwise.writes_per_s),
           num(w, "kb", otherwise.value_kb), static_cast<int>(num(w, "ops", otherwise.txn_writes))};
@@ -109,15 +114,11 @@
     page_ = static_cast<size_t>(num(w, "page", static_cast<double>(page_)));
     boot_s_ = num(w, "boot");
   } else if (verb == "tuning") {  // tuning ENTRIES, as in the operators' file
-    std::string entries;
-    std::getline(in, entries);
-    auto tuning = parse_tuning("(damsonport " + entries + ")");
+    auto tuning = parse_tuning("(damsonport " + rest_of(in) + ")");
     if (!tuning) return tuning.error();
     settings_.tuning = *tuning;
   } else if (verb == "replicas") {  // replicas ENTRIES, as in the operators' file
-    std::string entries;
-    std::getline(in, entries);
-    auto replicas = parse_replicas("(replicas " + entries + ")");
+    auto replicas = parse_replicas("(replicas " + rest_of(in) + ")");
     if (!replicas) return replicas.error();
     settings_.replicas = *replicas;
   } else if (verb == "jobs") {  // jobs NAMES tasks=N cpus=N run=S ...
@@ -145,10 +146,7 @@
       run_s_[id] = num(w, "run", 60);
       if (w.contains("broken")) broken_jobs_.insert(id);
       s.estimate_s = s.kind == Kind::service ? 0 : run_s_[id];
-      if (auto* policy = settings_.replicas.find(s.cls); policy && s.kind == Kind::service) {
-        s.parts = policy->parts;
-        s.distinct_machines = policy->distinct_machines;
-      }
+      settings_.replicas.describe(s);
       jobs_[id] = s;
     }
   } else if (verb == "stored") {  // stored FILE: what an earlier version has left
