Review, case 2: a large array takes its machine's lease and every task on it

Cause: nothing bounds the tasks on a machine by the 64 KiB of a report or a response, so an array of small tasks makes its machine's reports too long; they are refused until the lease ends.

--- a/review/standin/fleet.h
+++ b/review/standin/fleet.h
@@ -66,6 +66,12 @@
     record("RULE BROKEN: %s", text.c_str());
     ++violations;
   }
+  // The page's limit for requests and for responses to workers, counted in JSON form.
+  void ordered(const Json& message, const std::string& machine) {
+    const size_t bytes = message.dump().size();
+    if (bytes > 64 * 1024)
+      violate("limit: " + machine + " gets a message of " + std::to_string(bytes) + " bytes");
+  }
   std::atomic<int> violations{0};
 
  private:
@@ -131,6 +137,8 @@
     gone_ = true;
     drop_tasks("its machine is gone");
   }
+  // Called when the worker's lease ends.
+  std::function<void()> on_lease_end;
   // While set, every task that starts here fails.
   std::atomic<bool> is_sick{false};
   // Called before each report with the controller that gets it.
@@ -178,6 +186,7 @@
       record("%s refuses commands of helm %lu", machine_.name.c_str(), body["helm"].get<uint64_t>());
       return {409, encode(report())};
     }
+    observer_.ordered(body, machine_.name);
     learn(body["helm"].get<uint64_t>());
     execute(body.value("orders", Json::array()));
     return {200, encode(report())};
@@ -283,6 +292,7 @@
       if (gone_) return;
       if (now() > lease_from_ + settings_.lease_s) {
         record("%s: its lease has ended; session %lu begins", machine_.name.c_str(), watch_ + 1);
+        if (on_lease_end) on_lease_end();
         drop_tasks("its worker's lease has ended");
         ++watch_;
         lease_from_ = now();
@@ -343,6 +353,7 @@
     is_accepted_ = response.status == 200;
     if (is_accepted_) {
       const Json body = decode(response.body);
+      observer_.ordered(body, machine_.name);
       if (!body.contains("helm") || body["helm"].get<uint64_t>() < helm_ || session != watch_)
         return settings_.report_s * uniform(0.75, 1.25);
       learn(body["helm"].get<uint64_t>());
