--- a/src/coordination/shard_leader/shard_leader.cpp
+++ b/src/coordination/shard_leader/shard_leader.cpp
@@ -117,8 +117,9 @@
       if (exits_.contains(exit.task) ||
           !cache_.has_assignment(exit.task, exit.attempt, exit.machine))
         continue;
-      spdlog::debug("{} attempt {} ended on {}, as {} says", exit.task.text(), exit.attempt,
-                    exit.machine, controller);
+      const Machine* reporter = find_machine(exit.machine);
+      spdlog::debug("{} attempt {} ended on {}, as {} says; agent epoch here: {}", exit.task.text(),
+                    exit.attempt, exit.machine, controller, reporter ? reporter->agent_epoch : 0);
       note_exit(exit.task, {exit.attempt, exit.cause, exit.machine});
     }
   }
@@ -334,8 +335,12 @@
     if (process_heartbeat(m, heartbeat, false, request.previous_response_at, commands))
       deduplicator_.remember(m.id, request.body, heartbeat.sequence);
     std::erase_if(commands, [&](const Command& c) { return !is_still_wanted(m, c); });
-    for (auto& c : commands)
-      if (c.op == Command::Op::start) m.starts_in_response.insert({c.task, c.attempt});
+    for (auto& c : commands) {
+      if (c.op != Command::Op::start) continue;
+      m.starts_in_response.insert({c.task, c.attempt});
+      spdlog::debug("start {} attempt {} on {} again, in agent epoch {}", c.task.text(), c.attempt,
+                    m.id, m.agent_epoch);
+    }
   }
   return {200, encode_heartbeat_response(lease_.fencing_token(), commands), 0};
 }
