A forwarded exit counts only in the agent epoch in which it was reported

Cause: the record d/e/NODE held machine, task, attempt and cause. A worker keeps an exited attempt only until its lease ends; then it forgets the attempt and begins its next agent epoch. When it reaches the shard leader again, reconcile() rightly starts the same attempt there once more. A controller that wrote, or whose write was applied, after that made the shard leader take the exit of the earlier epoch for the end of the attempt that was running now, since ShardLeader::apply_forwarded_exits only compared the attempt and the machine with the records.

Change: an exit is forwarded with the agent epoch of the heartbeat, as an optional last element that the version before ignores. The shard leader ignores an exit of an earlier epoch than the one in which it knows the machine (proves_exit). Why this suffices: commands carry the epoch and responses belong to a heartbeat of it, so this lease has started nothing in an epoch of which it has processed no message; and while an accepted exit waits for its commit, the attempt is not started again. So the two events are safe in either order, without any time limit. Exits without an epoch, of the version before, count as of the first epoch. `done` counts in every epoch, because a worker keeps the result of a completed task. Exits that the shard leader ignores would have stayed in their record and could have filled it; a controller drops those that the machine has not repeated to it for a lease.

--- a/src/coordination/leadership/exit_forwarder.cpp
+++ b/src/coordination/leadership/exit_forwarder.cpp
@@ -15,15 +15,32 @@
   return cache_.has_assignment(exit.task, exit.attempt, exit.machine);
 }
 
-void ExitForwarder::forward(uint64_t fencing_token, const ForwardedExit& exit) {
-  if (fencing_token < fencing_token_ || !is_uncommitted(exit)) return;
-  if (fencing_token > fencing_token_) exits_.clear();
+void ExitForwarder::forward(uint64_t fencing_token, const Heartbeat& heartbeat) {
+  if (fencing_token < fencing_token_) return;
+  if (fencing_token > fencing_token_) reported_.clear();
   fencing_token_ = fencing_token;
-  if (exits_.insert(exit).second) changed_.notify();
+  ReportedExits& reported = reported_[heartbeat.machine];
+  if (heartbeat.agent_epoch < reported.agent_epoch) return;
+  if (heartbeat.agent_epoch > reported.agent_epoch) reported.exits.clear();
+  reported.agent_epoch = heartbeat.agent_epoch;
+  reported.reported_at = loop_.now();
+  for (auto& task : heartbeat.tasks) {
+    if (task.state != TaskState::exited) continue;
+    const ForwardedExit exit{heartbeat.machine, task.task, task.attempt, task.cause,
+                             heartbeat.agent_epoch};
+    if (!is_uncommitted(exit) || !reported.exits.insert(exit).second) continue;
+    spdlog::debug("{} reports in agent epoch {} that {} attempt {} has ended: cause {}",
+                  exit.machine, exit.agent_epoch, exit.task.text(), exit.attempt,
+                  static_cast<int>(exit.cause));
+    changed_.notify();
+  }
 }
 
-void ExitForwarder::forget_committed() {
-  std::erase_if(exits_, [&](const ForwardedExit& exit) { return !is_uncommitted(exit); });
+void ExitForwarder::forget_committed_and_old() {
+  const double oldest = loop_.now() - settings_.lease_s;
+  std::erase_if(reported_, [&](auto& entry) { return entry.second.reported_at < oldest; });
+  for (auto& [machine, reported] : reported_)
+    std::erase_if(reported.exits, [&](auto& exit) { return !is_uncommitted(exit); });
 }
 
 // As many exits as fit into one value. The others follow when these are committed.
@@ -32,10 +49,12 @@
   const double max_bytes = settings_.state_limits.minimum().value_bytes();
   ForwardedExits record{fencing_token_, {}};
   size_t bytes = stored_size(encode_forwarded_exits(record));
-  for (auto& exit : exits_) {
-    bytes += stored_size(encode_forwarded_exit(exit)) + separator_bytes;
-    if (static_cast<double>(bytes) > max_bytes) break;
-    record.exits.push_back(exit);
+  for (auto& [machine, reported] : reported_) {
+    for (auto& exit : reported.exits) {
+      bytes += stored_size(encode_forwarded_exit(exit)) + separator_bytes;
+      if (static_cast<double>(bytes) > max_bytes) return record;
+      record.exits.push_back(exit);
+    }
   }
   return record;
 }
@@ -46,8 +65,8 @@
   return written->second.exits == record.exits;
 }
 
-// Only this controller writes the key. A late copy of an earlier write does no harm, because the
-// exits in it are still true.
+// Only this controller writes the key. A late copy of an earlier write does no harm, because each
+// exit names the agent epoch in which it is true.
 Task<void> ExitForwarder::write(ForwardedExits record) {
   Json value = record.exits.empty() ? Json() : encode_forwarded_exits(record);
   Transaction transaction;
@@ -66,7 +85,7 @@
   while (!stop_token.stop_requested()) {
     co_await changed_.wait(settings_.heartbeat_interval_s * max_check_interval_share, stop_token);
     if (!cache_.loaded()) continue;
-    forget_committed();
+    forget_committed_and_old();
     auto record = next_record();
     if (!is_recorded(record)) co_await write(std::move(record));
     if (!co_await Sleep(loop_, settings_.heartbeat_interval_s * min_write_interval_share,
--- a/src/coordination/leadership/lease_renewal.cpp
+++ b/src/coordination/leadership/lease_renewal.cpp
@@ -142,15 +142,7 @@
 void LeaseRenewal::forward_exits(const Heartbeat& heartbeat, uint64_t fencing_token) {
   // Until the machine has learned the token, commands of an earlier shard leader may still reach
   // it.
-  if (heartbeat.fencing_token != fencing_token) return;
-  for (auto& task : heartbeat.tasks) {
-    if (task.state != TaskState::exited) continue;
-    spdlog::debug("{} reports in agent epoch {} that {} attempt {} has ended: cause {}",
-                  heartbeat.machine, heartbeat.agent_epoch, task.task.text(), task.attempt,
-                  static_cast<int>(task.cause));
-    exit_forwarder_.forward(fencing_token,
-                            {heartbeat.machine, task.task, task.attempt, task.cause});
-  }
+  if (heartbeat.fencing_token == fencing_token) exit_forwarder_.forward(fencing_token, heartbeat);
 }
 
 uint64_t LeaseRenewal::misrouted_machines() const {
--- a/src/coordination/machines/reconcile.cpp
+++ b/src/coordination/machines/reconcile.cpp
@@ -1,5 +1,7 @@
 #include "coordination/machines/reconcile.hpp"
 
+#include <algorithm>
+
 namespace damsonport {
 
 ReconcileResult reconcile(const Machine& machine, const std::vector<DesiredTask>& desired_tasks,
@@ -64,4 +66,11 @@
   return result;
 }
 
+bool proves_exit(const ForwardedExit& exit, const Machine* machine) {
+  if (exit.cause == ExitCause::done || !machine) return true;
+  // An exit without an epoch may be of any, so it counts as one of the first.
+  const uint64_t reported_in = std::max(exit.agent_epoch, first_agent_epoch);
+  return machine->agent_epoch <= reported_in;
+}
+
 }  // namespace damsonport
--- a/src/coordination/machines/reconcile.hpp
+++ b/src/coordination/machines/reconcile.hpp
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "coordination/machines/machine.hpp"
+#include "storage/record_types.hpp"
 
 namespace damsonport {
 
@@ -42,4 +43,14 @@
                                         const std::vector<DesiredTask>& desired_tasks,
                                         uint64_t own_fencing_token, bool records_current);
 
+/// Whether an exit that another controller forwarded under the current lease's fencing token proves
+/// that the attempt has ended. `machine`: the machine that reported the exit; null if this lease
+/// has received no message from it.
+///
+/// The worker forgets an exited attempt when its agent epoch ends, and reconcile() then starts the
+/// attempt again. So an exit of an earlier epoch than the machine's current one says nothing about
+/// the present, except that a task that was done stays done. Later exits are proof: start commands
+/// of this lease can only have reached the worker in epochs up to the machine's current one.
+[[nodiscard]] bool proves_exit(const ForwardedExit& exit, const Machine* machine);
+
 }  // namespace damsonport
--- a/src/coordination/shard_leader/shard_leader.cpp
+++ b/src/coordination/shard_leader/shard_leader.cpp
@@ -9,6 +9,19 @@
 
 namespace damsonport {
 
+namespace {
+
+void log_outdated_exit(const ForwardedExit& exit, const std::string& controller,
+                       const Machine& reporter) {
+  spdlog::info(
+      "ignoring the exit of {} attempt {} on {} that {} forwards: it is of agent epoch {}, "
+      "the machine is in {}",
+      exit.task.text(), exit.attempt, exit.machine, controller, exit.agent_epoch,
+      reporter.agent_epoch);
+}
+
+}  // namespace
+
 ShardLeader::ShardLeader(Dependencies deps)
     : deps_(deps),
       loop_(deps.loop),
@@ -111,18 +124,24 @@
 
 void ShardLeader::apply_forwarded_exits() {
   if (!lease_.records_current()) return;
+  std::set<ForwardedExit> outdated;
   for (auto& [controller, forwarded] : cache_.forwarded_exits()) {
     if (forwarded.fencing_token != lease_.fencing_token()) continue;
     for (auto& exit : forwarded.exits) {
-      if (exits_.contains(exit.task) ||
-          !cache_.has_assignment(exit.task, exit.attempt, exit.machine))
-        continue;
+      const bool is_committed = !cache_.has_assignment(exit.task, exit.attempt, exit.machine);
+      if (is_committed || exits_.contains(exit.task)) continue;
       const Machine* reporter = find_machine(exit.machine);
-      spdlog::debug("{} attempt {} ended on {}, as {} says; agent epoch here: {}", exit.task.text(),
-                    exit.attempt, exit.machine, controller, reporter ? reporter->agent_epoch : 0);
+      if (!proves_exit(exit, reporter)) {
+        outdated.insert(exit);
+        if (!outdated_exits_.contains(exit)) log_outdated_exit(exit, controller, *reporter);
+        continue;
+      }
+      spdlog::debug("{} attempt {} ended on {} in agent epoch {}, as {} says", exit.task.text(),
+                    exit.attempt, exit.machine, exit.agent_epoch, controller);
       note_exit(exit.task, {exit.attempt, exit.cause, exit.machine});
     }
   }
+  outdated_exits_ = std::move(outdated);
 }
 
 void ShardLeader::on_lease_acquired() {
--- a/src/coordination/shard_leader/shard_leader.hpp
+++ b/src/coordination/shard_leader/shard_leader.hpp
@@ -314,6 +314,8 @@
   StragglerDetector stragglers_;
   std::map<TaskId, std::map<uint64_t, Attempt>> attempts_;
   std::map<TaskId, PendingExit> exits_;
+  std::set<ForwardedExit>
+      outdated_exits_;  // forwarded exits that prove nothing; each is logged once
   std::map<TaskId, StopRequest> stop_requests_;
   std::set<std::string> cancelled_jobs_;  // tasks of these jobs may still be live
   ScaleIn scale_in_;
--- a/src/protocol/worker_messages.hpp
+++ b/src/protocol/worker_messages.hpp
@@ -46,6 +46,9 @@
   bool saved = false;                    ///< "kept": whether the progress was saved at the stop
 };
 
+/// The agent epoch in which every worker starts.
+constexpr uint64_t first_agent_epoch = 1;
+
 /// Heartbeat with which a worker reports the state of its machine.
 struct Heartbeat {
   std::string machine;             ///< "vessel"
@@ -53,7 +56,7 @@
   std::string type;                ///< "hull": machine type
   std::string zone;                ///< "dock"
   bool spot = false;               ///< "tender": a spot machine
-  uint64_t agent_epoch = 0;        ///< "watch": starts at 1, grows when the worker's lease expires
+  uint64_t agent_epoch = 0;        ///< "watch": grows when the worker's lease expires
   uint64_t sequence = 0;           ///< "tally": sequence number, grows with each message
   uint64_t fencing_token = 0;      ///< "helm": highest token that the worker has received; 0: none
   std::optional<double> notice_s;  ///< "recall_s": time until the cloud reclaims the machine, s
--- a/src/storage/record_encoding.cpp
+++ b/src/storage/record_encoding.cpp
@@ -78,6 +78,9 @@
   return lease;
 }
 
+// Position of the agent epoch in a stored exit. Versions that don't know it ignore it.
+constexpr size_t agent_epoch_position = 5;
+
 ForwardedExit decode_forwarded_exit(const Json& value) {
   const int cause = value.at(4).get<int>();
   // A cause that only a later version knows still ends the attempt, but never as a success.
@@ -85,7 +88,8 @@
   return {value.at(0).get<std::string>(),
           {value.at(1).get<std::string>(), value.at(2).get<uint32_t>()},
           value.at(3).get<uint64_t>(),
-          known ? static_cast<ExitCause>(cause) : ExitCause::stopped};
+          known ? static_cast<ExitCause>(cause) : ExitCause::stopped,
+          value.size() > agent_epoch_position ? value.at(agent_epoch_position).get<uint64_t>() : 0};
 }
 
 }  // namespace
@@ -114,7 +118,10 @@
 }
 
 Json encode_forwarded_exit(const ForwardedExit& exit) {
-  return {exit.machine, exit.task.job, exit.task.index, exit.attempt, static_cast<int>(exit.cause)};
+  Json value = {exit.machine, exit.task.job, exit.task.index, exit.attempt,
+                static_cast<int>(exit.cause)};
+  if (exit.agent_epoch != 0) value.push_back(exit.agent_epoch);
+  return value;
 }
 
 Json encode_forwarded_exits(const ForwardedExits& forwarded) {
--- a/src/storage/record_types.hpp
+++ b/src/storage/record_types.hpp
@@ -38,6 +38,7 @@
   TaskId task;
   uint64_t attempt = 0;
   ExitCause cause = ExitCause::none;  // stored as the enumerator's number
+  uint64_t agent_epoch = 0;  // of the heartbeat; 0: not stored, as by versions that had no field
   auto operator<=>(const ForwardedExit&) const = default;
 };
 
--- a/tests/storage/record_encoding_test.cpp
+++ b/tests/storage/record_encoding_test.cpp
@@ -18,6 +18,17 @@
   EXPECT_EQ(decode_forwarded_exits(later).exits[0].cause, ExitCause::stopped);
 }
 
+// The stored form is a contract: versions without the agent epoch read the first five elements.
+TEST(ForwardedExits, AgentEpochIsAppendedIfItIsKnown) {
+  const ForwardedExits forwarded{7,
+                                 {{"i-1", {"run-1", 3}, 2, ExitCause::error, 4},
+                                  {"i-2", {"run-2", 0}, 1, ExitCause::stopped}}};
+  const std::string stored =
+      R"({"exits":[["i-1","run-1",3,2,3,4],["i-2","run-2",0,1,2]],"term":7})";
+  EXPECT_EQ(encode_forwarded_exits(forwarded).dump(), stored);
+  EXPECT_EQ(decode_forwarded_exits(Json::parse(stored)).exits, forwarded.exits);
+}
+
 TEST(ShardTable, RoundTripsThroughItsEncoding) {
   ShardTable table;
   table.leases.push_back({"n", 7, 41, {"i-1"}, true});
