An attempt of a gang is not started again on a machine where one of its tasks ended

What it could cause: a task of a gang that is replaced under the same attempt number could come back to the machine that had failed it. Everything that was said about its first end there (a forwarded exit that is written late, a removal or a start on its way) is then taken for the second one: the same fault as the forwarded exits of an earlier agent epoch, within one epoch.

Cause: the machine was only avoided for two leases, and not at all once the job counted as faulty. A fetch takes longer than two leases easily, so when the replacement's machine died the first machine was taken again.

Change: GangTracker remembers the machines on which tasks of the current attempt have ended. If the scheduler picks one of them, the attempt is abandoned and the gang starts under the next number. The memory lasts for a lease of the shard leader, as long as the fencing token under which such messages count. The simulated worker now reports an attempt that is started again after its removal, in every scenario.

--- a/simulation/worker_tasks.cpp
+++ b/simulation/worker_tasks.cpp
@@ -36,13 +36,27 @@
     attempt.number = command.at("launch");
     const std::string verb = command.at("order");
     auto it = tasks_.find(attempt);
-    if (verb == "run" && it == tasks_.end()) start(attempt);
+    if (verb == "run" && it == tasks_.end()) {
+      check_not_removed(attempt);
+      start(attempt);
+    }
     if (verb == "halt" && it != tasks_.end()) stop(it->second, command.value("slack_s", 0.0));
-    if (verb == "reap" && it != tasks_.end() && it->second.report.state == TaskState::exited)
+    if (verb == "reap" && it != tasks_.end() && it->second.report.state == TaskState::exited) {
       tasks_.erase(it);
+      removed_.insert(attempt);
+    }
   }
 }
 
+// An exit that the worker reported before the removal would otherwise look like the end of the
+// attempt that is started now.
+void Worker::check_not_removed(const TaskAttempt& attempt) const {
+  if (!removed_.contains(attempt)) return;
+  fleet_.rules().report_violation(
+      "attempt_reused", attempt.task.text() + " attempt " + std::to_string(attempt.number) +
+                            " is started on " + id + " again in one agent epoch");
+}
+
 void Worker::clear_timer(RunningTask& task) {
   if (task.has_timer) world_.cancel(task.next_step);
   task.has_timer = false;
@@ -220,6 +234,7 @@
     if (occupies_machine(task.report)) fleet_.rules().on_task_left(*this, attempt.task);
   }
   tasks_.clear();
+  removed_.clear();
 }
 
 }  // namespace damsonport::simulation
--- a/src/coordination/scheduling/gang_tracker.cpp
+++ b/src/coordination/scheduling/gang_tracker.cpp
@@ -42,15 +42,26 @@
   if (state.attempt == attempt) state.has_run = true;
 }
 
-void GangTracker::note_exit(const Job& job, TaskRange gang, uint64_t attempt, ExitCause cause,
-                            bool stopped) {
+void GangTracker::note_exit(const Job& job, TaskRange gang, const GangTaskExit& exit) {
   AttemptState& state = attempt_state(job, gang);
-  if (state.attempt != attempt) return;
-  if (cause == ExitCause::error) ++state.failures;
+  if (state.attempt != exit.attempt) return;
+  state.ended_on.insert(exit.machine);
+  if (exit.cause == ExitCause::error) ++state.failures;
   const bool stopped_by_gang =
-      cause == ExitCause::gang_member_lost || cause == ExitCause::gang_incomplete;
+      exit.cause == ExitCause::gang_member_lost || exit.cause == ExitCause::gang_incomplete;
   const bool too_many_failures = job.spec.replicated() && state.failures > max_failures_per_attempt;
-  if (state.has_run || stopped || stopped_by_gang || too_many_failures) state.broken = true;
+  if (state.has_run || exit.stopped || stopped_by_gang || too_many_failures) state.broken = true;
+}
+
+bool GangTracker::may_place(const Job& job, TaskRange gang, uint64_t attempt,
+                            const std::string& machine) {
+  const AttemptState& state = attempt_state(job, gang);
+  return state.attempt != attempt || !state.ended_on.contains(machine);
+}
+
+void GangTracker::note_not_replaceable(const Job& job, TaskRange gang, uint64_t attempt) {
+  AttemptState& state = attempt_state(job, gang);
+  if (state.attempt == attempt) state.broken = true;
 }
 
 void GangTracker::note_task_missing(const Job& job, TaskRange gang, uint64_t attempt) {
--- a/src/coordination/scheduling/gang_tracker.hpp
+++ b/src/coordination/scheduling/gang_tracker.hpp
@@ -3,6 +3,7 @@
 #pragma once
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 
@@ -13,6 +14,14 @@
 
 namespace damsonport {
 
+/// The proven end of one task of a gang.
+struct GangTaskExit {
+  uint64_t attempt = 0;
+  ExitCause cause = ExitCause::none;
+  bool stopped = false;  ///< a stop of the task had been decided before
+  std::string machine;
+};
+
 /// Owned by the shard leader and called on its event loop. The observations are kept in memory
 /// only. Their loss in a failover has a single consequence: an attempt that could have continued
 /// may be abandoned.
@@ -31,12 +40,19 @@
   /// A task of this attempt was seen running or saving its state. For a replica: all its parts were
   /// running at the same time.
   void note_running(const Job& job, TaskRange gang, uint64_t attempt);
-  /// A task of this attempt is proven to have ended. `stopped`: a stop of the task had
-  /// been decided before.
-  void note_exit(const Job& job, TaskRange gang, uint64_t attempt, ExitCause cause, bool stopped);
+  void note_exit(const Job& job, TaskRange gang, const GangTaskExit& exit);
   /// The machine of a part doesn't have the part, and no command for the part is under way. If the
   /// replica may have been ready, the attempt is broken.
   void note_task_missing(const Job& job, TaskRange gang, uint64_t attempt);
+  /// A missing task could only be replaced on a machine that may_place() excludes, so the attempt
+  /// is broken.
+  void note_not_replaceable(const Job& job, TaskRange gang, uint64_t attempt);
+
+  /// Whether a task may be started on the machine under this attempt. False if a task of the
+  /// attempt has ended there: messages about that end, which may arrive late, would look like
+  /// messages about the new start.
+  [[nodiscard]] bool may_place(const Job& job, TaskRange gang, uint64_t attempt,
+                               const std::string& machine);
 
   /// The current status of the gang. Each call also starts or resets the measurement of
   /// GangStatus::incomplete_s.
@@ -49,10 +65,11 @@
  private:
   /// Observations of the current attempt of a gang.
   struct AttemptState {
-    uint64_t attempt = 0;  // 0: no live task
-    bool has_run = false;  // note_running() was called, perhaps by an earlier leader
-    bool broken = false;   // a task ended because of the others, failed, or was stopped
-    int failures = 0;      // tasks that ended with an error
+    uint64_t attempt = 0;            // 0: no live task
+    bool has_run = false;            // note_running() was called, perhaps by an earlier leader
+    bool broken = false;             // a task ended because of the others, failed, or was stopped
+    int failures = 0;                // tasks that ended with an error
+    std::set<std::string> ended_on;  // machines on which a task of the attempt has ended
     std::optional<double> incomplete_since;  // steady time, seconds; unset: no task missing
   };
   using Key = std::pair<std::string, uint32_t>;  // job, first task
--- a/src/coordination/shard_leader/shard_leader.hpp
+++ b/src/coordination/shard_leader/shard_leader.hpp
@@ -213,6 +213,8 @@
   const Machine* find_machine(const std::string& id) const override;
   // Number of the gang's tasks that may be started now.
   uint32_t startable_gang_tasks(const Job& job, TaskRange gang);
+  // Whether the attempt may be started on all machines of the decision.
+  bool may_place_gang(const Job& job, const DecidedGang& gang, uint64_t attempt);
   // Stops the gang's tasks if its attempt has to be abandoned.
   void review_gang(const Job& job, TaskRange gang);
   // Also reviews the replicas: their states, repairs and moves.
--- a/src/coordination/shard_leader/shard_leader_commit.cpp
+++ b/src/coordination/shard_leader/shard_leader_commit.cpp
@@ -309,6 +309,11 @@
       // The loss of a part since the decision may have ended the attempt.
       if (job->spec.replicated() && gangs_.count_startable(*job, gang.tasks) == 0) break;
       attempt = next_attempt(*job, gang.tasks);
+      if (!may_place_gang(*job, gang, attempt)) {
+        gangs_.note_not_replaceable(*job, gang.tasks, attempt);
+        review_gang(*job, gang.tasks);
+        break;
+      }
     }
     if (rechunker_.gang_start_must_wait(*job)) break;
     ChunkEdits edits(cache_, limits());
--- a/src/coordination/shard_leader/shard_leader_gangs.cpp
+++ b/src/coordination/shard_leader/shard_leader_gangs.cpp
@@ -2,6 +2,8 @@
 // stopping a gang as a whole.
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
+
 #include "coordination/shard_leader/shard_leader.hpp"
 
 namespace damsonport {
@@ -30,6 +32,12 @@
   return gangs_.count_startable(job, gang);
 }
 
+bool ShardLeader::may_place_gang(const Job& job, const DecidedGang& gang, uint64_t attempt) {
+  return std::all_of(gang.starts.begin(), gang.starts.end(), [&](const DecidedStart& start) {
+    return gangs_.may_place(job, gang.tasks, attempt, start.machine);
+  });
+}
+
 void ShardLeader::review_gang(const Job& job, TaskRange gang) {
   if (is_cancelled(job) || gangs_.next_action(job, gang) != GangAction::abandon) return;
   for (auto& task : job.live_tasks(gang)) {
@@ -79,7 +87,7 @@
   if (is_gang && cause == ExitCause::done) return finish_gang(*job, attempt);
   const TaskRange gang = gang_containing(job->spec, task.index);
   const bool stopped = cause == ExitCause::stopped && stop_requests_.contains(task);
-  gangs_.note_exit(*job, gang, attempt, cause, stopped);
+  gangs_.note_exit(*job, gang, {attempt, cause, stopped, machine});
   replicas_.note_exit(*job, gang, attempt, cause);
   review_gang(*job, gang);
 }
--- a/tests/scheduling/gang_tracker_test.cpp
+++ b/tests/scheduling/gang_tracker_test.cpp
@@ -49,7 +49,8 @@
   }
   // The exit of the second part, which has to be started again.
   void end_second_part(ExitCause cause = ExitCause::stopped) {
-    tracker.note_exit(job, replica, record().live.back().attempt, cause, false);
+    const LiveTask& part = record().live.back();
+    tracker.note_exit(job, replica, {part.attempt, cause, false, part.machine});
     record().end_attempt(1, TaskEnd::restart);
   }
 };
@@ -101,6 +102,19 @@
   EXPECT_EQ(f.tracker.next_action(f.job, f.replica), GangAction::abandon);
 }
 
+// Guards against an old exit that looks like the end of a task running now.
+TEST(GangTracker, AttemptIsNotPlacedAgainWhereOneOfItsTasksEnded) {
+  Fixture f;
+  f.start_both_parts(1, true);
+  EXPECT_TRUE(f.tracker.may_place(f.job, f.replica, 1, "i-2"));
+  f.end_second_part();
+  EXPECT_FALSE(f.tracker.may_place(f.job, f.replica, 1, "i-2"));
+  EXPECT_TRUE(f.tracker.may_place(f.job, f.replica, 1, "i-3"));
+  EXPECT_TRUE(f.tracker.may_place(f.job, f.replica, 2, "i-2")) << "the next attempt";
+  f.tracker.note_not_replaceable(f.job, f.replica, 1);
+  EXPECT_EQ(f.tracker.next_action(f.job, f.replica), GangAction::abandon);
+}
+
 TEST(GangTracker, SecondFailureAbandonsTheAttempt) {
   Fixture f;
   f.start_both_parts(1, true);
