A run time is not measured across the end of a machine's agent epoch

What operators saw: after a zone was cut off for longer than a lease, its healthy machines are drained as stragglers and returned, up to all of them.

Cause: the times at which an attempt was started and seen running stayed when the machine's agent epoch ended and the same attempt was started again there. So the run time of such a task contained the earlier run and the cut; ten of them bring the machine's average below the bound. In the same way a task that had just been started again counted as one that has run for long, which speaks for its job and machine when failures are attributed.

Change: the shard leader forgets these times when a machine's epoch changes; such a run is not measured, as with an attempt whose image was not cached.

--- a/src/coordination/shard_leader/shard_leader.hpp
+++ b/src/coordination/shard_leader/shard_leader.hpp
@@ -108,9 +108,9 @@
   void assignment_changed(const std::string& machine, const Job& job, bool added);
 
  private:
-  // An attempt that was started under this lease.
+  // Observations of an attempt that was started under this lease, in its machine's current epoch.
   struct Attempt {
-    double start_committed_at = 0;
+    double start_committed_at = 0;  // 0: unknown, because the start was repeated in a later epoch
     double running_at = 0;  // time of the first heartbeat that showed it running; 0: none yet
     bool image_cached = false;
   };
@@ -254,6 +254,8 @@
   void note_task_states(Machine& m);
   // Notes parts of replicas that the records place on the machine and that it doesn't report.
   void note_missing_parts(const Machine& m);
+  // Forgets when the attempts on the machine were started and seen running.
+  void forget_observed_times(const Machine& m);
   // Notes that the images of the machine's tasks are in use at this time.
   void note_image_uses(Machine& m, double at);
   void note_running(Machine& m, const TaskId& task, uint64_t attempt);
--- a/src/coordination/shard_leader/shard_leader_heartbeats.cpp
+++ b/src/coordination/shard_leader/shard_leader_heartbeats.cpp
@@ -78,9 +78,11 @@
   mark_machine_changed(m.id);
   scale_in_.note_heartbeat(m.id);
   autoscaler_.note_heartbeat(m.id);
-  if (epoch_before != 0 && epoch_before != m.agent_epoch)
+  if (epoch_before != 0 && epoch_before != m.agent_epoch) {
     spdlog::info("{} restarted its agent, epoch {}: tasks of earlier epochs have ended", m.id,
                  m.agent_epoch);
+    forget_observed_times(m);
+  }
   if (epoch_before == 0) {
     scheduling_requested_ = true;
     restore_image_cache(m);
@@ -117,6 +119,15 @@
   images_seen_[machine].note_use(job.spec.image, job.spec.image_gb, loop_.now(), most);
 }
 
+// The attempts are started again in the machine's new epoch.
+void ShardLeader::forget_observed_times(const Machine& m) {
+  for (auto& [assignment, attempt] : cache_.assignments_on(m.id)) {
+    auto attempts = attempts_.find({assignment.job->spec.id, assignment.index});
+    if (attempts == attempts_.end()) continue;
+    if (auto it = attempts->second.find(attempt); it != attempts->second.end()) it->second = {};
+  }
+}
+
 // Called at a machine's first heartbeat to a new shard leader. Otherwise every start after a
 // failover would seem to need a fetch, except for images of tasks that were running.
 void ShardLeader::restore_image_cache(Machine& m) {
