The run time of a task is not measured if its end became known late

What operators saw: after a partition of less than a lease, in which the controller on the other side answers, the healthy machines of that side are drained as stragglers and returned, up to all of them.

Cause: a run was measured up to the commit of its exit. Where a controller forwards the exit when the partition is over, or the machine itself reports it then, the time until that counted as run time.

Change: an exit carries the time at which it was reported, unless it is a forwarded one or comes from a machine that had missed heartbeats until then; only exits with that time are measured, up to that time and not to the commit.

--- a/src/coordination/shard_leader/shard_leader.hpp
+++ b/src/coordination/shard_leader/shard_leader.hpp
@@ -138,6 +138,9 @@
     uint64_t attempt;
     ExitCause cause;
     std::string machine;
+    // About when the attempt ended, in steady time; unset if it may have ended long before this
+    // shard leader learned of it.
+    std::optional<double> ended_at = std::nullopt;
   };
   // A request to stop the attempt, with the seconds that the task has to save its state.
   struct StopRequest {
--- a/src/coordination/shard_leader/shard_leader_failures.cpp
+++ b/src/coordination/shard_leader/shard_leader_failures.cpp
@@ -52,11 +52,12 @@
   switch (exit.cause) {
     case ExitCause::done: {
       task_failures_.note_success(task.job, m.id, seen.running_at);
-      if (!seen.image_cached || seen.start_committed_at == 0) break;
+      if (!seen.image_cached || seen.start_committed_at == 0 || !exit.ended_at) break;
       // All tasks of a gang take as long as the one on the slowest machine, so their run_s times
       // say nothing about single machines.
       if (job->spec.kind == JobKind::gang) break;
-      double run_s = std::max(now - seen.start_committed_at, settings_.heartbeat_interval_s);
+      const double run_s =
+          std::max(*exit.ended_at - seen.start_committed_at, settings_.heartbeat_interval_s);
       if (stragglers_.note_success(task.job, run_s, m.straggler)) {
         spdlog::warn("{} is a straggler: its average is {:.2f} of its jobs' medians", m.id,
                      m.straggler.average);
--- a/src/coordination/shard_leader/shard_leader_gangs.cpp
+++ b/src/coordination/shard_leader/shard_leader_gangs.cpp
@@ -66,7 +66,7 @@
 void ShardLeader::finish_gang(const Job& gang, uint64_t attempt) {
   for (auto& task : gang.live_tasks())
     if (task.attempt == attempt && !exits_.contains(task.id)) {
-      exits_[task.id] = {attempt, ExitCause::done, task.machine};
+      exits_[task.id] = {attempt, ExitCause::done, task.machine, std::nullopt};
       mark_machine_changed(task.machine);
     }
 }
@@ -82,13 +82,12 @@
   // Another task of the gang is done, so this one was done too; its machine was lost before its
   // heartbeat could show it.
   if (is_gang && job->done > 0) exit.cause = ExitCause::done;
-  const auto [attempt, cause, machine] = exit;
-  exits_[task] = std::move(exit);
-  if (is_gang && cause == ExitCause::done) return finish_gang(*job, attempt);
+  exits_[task] = exit;
+  if (is_gang && exit.cause == ExitCause::done) return finish_gang(*job, exit.attempt);
   const TaskRange gang = gang_containing(job->spec, task.index);
-  const bool stopped = cause == ExitCause::stopped && stop_requests_.contains(task);
-  gangs_.note_exit(*job, gang, {attempt, cause, stopped, machine});
-  replicas_.note_exit(*job, gang, attempt, cause);
+  const bool stopped = exit.cause == ExitCause::stopped && stop_requests_.contains(task);
+  gangs_.note_exit(*job, gang, {exit.attempt, exit.cause, stopped, exit.machine});
+  replicas_.note_exit(*job, gang, exit.attempt, exit.cause);
   review_gang(*job, gang);
 }
 
--- a/src/coordination/shard_leader/shard_leader_heartbeats.cpp
+++ b/src/coordination/shard_leader/shard_leader_heartbeats.cpp
@@ -70,11 +70,14 @@
 
 bool ShardLeader::process_heartbeat(Machine& m, const Heartbeat& heartbeat, bool direct,
                                     double as_of, std::vector<Command>& commands) {
+  const double now = loop_.now();
   const auto epoch_before = m.agent_epoch;
+  // A machine that has missed heartbeats may report what happened long ago.
+  const bool missed_heartbeats = failure_detector_.is_suspected(m, now);
   // The tasks of the previous heartbeat used their images until its last repetition.
   const double last_repeated_heartbeat_at = std::exchange(m.last_repeated_heartbeat_at, 0);
   if (last_repeated_heartbeat_at > 0) note_image_uses(m, last_repeated_heartbeat_at);
-  if (!apply_heartbeat(m, heartbeat, loop_.now(), direct, as_of)) return false;
+  if (!apply_heartbeat(m, heartbeat, now, direct, as_of)) return false;
   mark_machine_changed(m.id);
   scale_in_.note_heartbeat(m.id);
   autoscaler_.note_heartbeat(m.id);
@@ -95,7 +98,8 @@
     if (exits_.contains(e.task)) continue;
     spdlog::debug("{} attempt {} ended on {}: cause {}", e.task.text(), e.attempt, m.id,
                   static_cast<int>(e.cause));
-    note_exit(e.task, {e.attempt, e.cause, m.id});
+    const auto ended_at = missed_heartbeats ? std::nullopt : std::optional(now);
+    note_exit(e.task, {e.attempt, e.cause, m.id, ended_at});
     deps_.changed.notify();
   }
   // No command is sent for an attempt whose exit waits to be committed: the worker must not forget
