Only a recent restart of its agent shows that a machine can't be answered

Cause: a machine is returned if three requests in a row got no response and its agent has restarted, which is to find machines whose heartbeats arrive while nothing reaches them. The restarts were counted over the whole lease of the shard leader, so an old one counted as a sign of the present.

Change: the restart must be at most one and a half leases ago. A machine that nothing reaches restarts its agent once a lease, so such machines are still found.

--- a/src/coordination/machines/machine.cpp
+++ b/src/coordination/machines/machine.cpp
@@ -24,7 +24,7 @@
   if (!heartbeat.newer_than(machine.agent_epoch, machine.sequence)) return false;
   if (heartbeat.agent_epoch != machine.agent_epoch) {
     // All tasks of the previous epoch have ended, and the worker rejects its commands from now on.
-    if (machine.agent_epoch != 0) ++machine.agent_epoch_changes;
+    if (machine.agent_epoch != 0) machine.agent_epoch_changed_at = now;
     machine.starts_in_flight.clear();
     machine.starts_unacknowledged.clear();
     machine.starts_in_response.clear();
--- a/src/coordination/machines/machine.hpp
+++ b/src/coordination/machines/machine.hpp
@@ -69,12 +69,12 @@
   /// Jobs whose tasks ended in error here, and jobs with gangs or replicas of which the machine
   /// refused a task; with the time of the failure. Their tasks avoid the machine.
   std::map<std::string, double> failed_jobs;
-  bool draining = false;        ///< takes no new tasks and is returned to the cloud when empty
-  double faulty_since = 0;      ///< start of the drain because of failed tasks
-  std::string drain_reason;     ///< text for the log
-  int agent_epoch_changes = 0;  ///< changes of agent_epoch in this lease
-  double tasks_as_of = 0;       ///< `tasks` is the state at this time or later
-  double idle_since = 0;        ///< last time with tasks
+  bool draining = false;     ///< takes no new tasks and is returned to the cloud when empty
+  double faulty_since = 0;   ///< start of the drain because of failed tasks
+  std::string drain_reason;  ///< text for the log
+  double agent_epoch_changed_at = 0;  ///< last change of agent_epoch in this lease
+  double tasks_as_of = 0;             ///< `tasks` is the state at this time or later
+  double idle_since = 0;              ///< last time with tasks
   /// Arrival of the last heartbeat that repeated the last processed one.
   double last_repeated_heartbeat_at = 0;
 
--- a/src/coordination/shard_leader/shard_leader_drains.cpp
+++ b/src/coordination/shard_leader/shard_leader_drains.cpp
@@ -13,6 +13,9 @@
 // Requests in a row without a response after which a machine counts as unreachable, if its agent
 // has restarted too.
 constexpr int failed_sends_of_unreachable = 3;
+// For how many leases after its restart an agent counts as restarted: one that gets no responses
+// restarts once a lease.
+constexpr double restart_memory_leases = 1.5;
 }  // namespace
 
 // Replacements for drained machines come from the autoscaler's spare capacity.
@@ -62,7 +65,10 @@
       scale_in_.request(id, "empty and drained (" + m.drain_reason + ")");
     // Responses don't reach the machine: its agent has restarted although every heartbeat was
     // answered.
-    if (m.failed_sends >= failed_sends_of_unreachable && m.agent_epoch_changes >= 1)
+    const bool restarted =
+        m.agent_epoch_changed_at > 0 &&
+        now - m.agent_epoch_changed_at < restart_memory_leases * settings_.lease_s;
+    if (m.failed_sends >= failed_sends_of_unreachable && restarted)
       scale_in_.request(id, "it can't be answered");
   }
 }
