--- a/simulation/worker.hpp
+++ b/simulation/worker.hpp
@@ -106,7 +106,8 @@
   void serve(Method method, const std::string& target, const std::string& body,
              const World::ResponseHandler& respond);
   void execute(const Json& commands);
-  /// Reports a violation if a controller has removed this attempt in the current agent epoch.
+  /// Reports a violation if a controller has removed this attempt in the current agent epoch under
+  /// the current fencing token.
   void check_not_removed(const TaskAttempt& attempt) const;
   void start(const TaskAttempt& attempt);
   bool has_room_for_all_tasks() const;
@@ -140,7 +141,8 @@
   World::EventId next_heartbeat_;
   World::EventId lease_end_;
   std::map<TaskAttempt, RunningTask> tasks_;
-  std::set<TaskAttempt> removed_;  // attempts that were removed in the current agent epoch
+  // Attempts that were removed in the current agent epoch under the current fencing token.
+  std::set<TaskAttempt> removed_;
   std::set<std::string> images_;
   std::string kept_heartbeat_;
 };
