A new shard leader doesn't start a gang's attempt where a machine reports its end

Found by rereading the change: may_place() knew only the exits that this shard leader had taken itself. If the leader changes between the end of a gang's task and its replacement, the next one finds the exited task on the machine, removes it, and could start the same attempt there again under its own token and in the same agent epoch. An exit that the machine had reported to another controller under that token in between would then end the new run.

Change: the shard leader notes where machines report exits of a gang's current attempt. This suffices: a worker lists an exit until this leader removes it, and what was removed earlier can't be reported under this leader's token. GangTracker::note_exit has a doc comment again.

--- a/src/coordination/scheduling/gang_tracker.cpp
+++ b/src/coordination/scheduling/gang_tracker.cpp
@@ -53,6 +53,12 @@
   if (state.has_run || exit.stopped || stopped_by_gang || too_many_failures) state.broken = true;
 }
 
+void GangTracker::note_ended_on(const Job& job, TaskRange gang, uint64_t attempt,
+                                const std::string& machine) {
+  AttemptState& state = attempt_state(job, gang);
+  if (state.attempt == attempt) state.ended_on.insert(machine);
+}
+
 bool GangTracker::may_place(const Job& job, TaskRange gang, uint64_t attempt,
                             const std::string& machine) {
   const AttemptState& state = attempt_state(job, gang);
--- a/src/coordination/scheduling/gang_tracker.hpp
+++ b/src/coordination/scheduling/gang_tracker.hpp
@@ -23,8 +23,10 @@
 };
 
 /// Owned by the shard leader and called on its event loop. The observations are kept in memory
-/// only. Their loss in a failover has a single consequence: an attempt that could have continued
-/// may be abandoned.
+/// only. After a failover an attempt that could have continued may be abandoned. Where tasks of the
+/// attempt have ended is learned again from heartbeats: a worker lists an exit until this leader
+/// removes it, and exits that it no longer lists under this leader's fencing token can't be
+/// reported to this leader any more.
 class GangTracker {
  public:
   /// All references have to outlive the tracker.
@@ -40,12 +42,15 @@
   /// A task of this attempt was seen running or saving its state. For a replica: all its parts were
   /// running at the same time.
   void note_running(const Job& job, TaskRange gang, uint64_t attempt);
+  /// A task of the gang is proven to have ended.
   void note_exit(const Job& job, TaskRange gang, const GangTaskExit& exit);
+  /// The machine reports the end of a task of this attempt, which may have been committed earlier.
+  void note_ended_on(const Job& job, TaskRange gang, uint64_t attempt, const std::string& machine);
   /// The machine of a part doesn't have the part, and no command for the part is under way. If the
   /// replica may have been ready, the attempt is broken.
   void note_task_missing(const Job& job, TaskRange gang, uint64_t attempt);
-  /// A missing task could only be replaced on a machine that may_place() excludes, so the attempt
-  /// is broken.
+  /// The machine that was chosen for a missing task is excluded by may_place(), so the attempt is
+  /// broken.
   void note_not_replaceable(const Job& job, TaskRange gang, uint64_t attempt);
 
   /// Whether a task may be started on the machine under this attempt. False if a task of the
--- a/src/coordination/shard_leader/shard_leader_heartbeats.cpp
+++ b/src/coordination/shard_leader/shard_leader_heartbeats.cpp
@@ -174,6 +174,8 @@
       m.fetching[spec.image] = previous == fetching.end() ? now : previous->second;
       continue;
     }
+    if (t.state == TaskState::exited && spec.gang_size() > 0)
+      gangs_.note_ended_on(*job, gang_containing(spec, name.index), t.attempt, m.id);
     const bool ran = t.state == TaskState::running || t.state == TaskState::saving;
     if (ran && spec.kind == JobKind::gang)
       gangs_.note_running(*job, gang_range(spec, 0), t.attempt);
--- a/tests/scheduling/gang_tracker_test.cpp
+++ b/tests/scheduling/gang_tracker_test.cpp
@@ -115,6 +115,17 @@
   EXPECT_EQ(f.tracker.next_action(f.job, f.replica), GangAction::abandon);
 }
 
+// Guards against the same after a failover: the exit was committed by an earlier leader.
+TEST(GangTracker, AttemptOfAnEarlierLeaderIsNotPlacedWhereAMachineReportsItsEnd) {
+  Fixture f;
+  f.start_both_parts(2, false);
+  EXPECT_TRUE(f.tracker.may_place(f.job, f.replica, 2, "i-3"));
+  f.tracker.note_ended_on(f.job, f.replica, 1, "i-3");
+  EXPECT_TRUE(f.tracker.may_place(f.job, f.replica, 2, "i-3")) << "an earlier attempt ended there";
+  f.tracker.note_ended_on(f.job, f.replica, 2, "i-3");
+  EXPECT_FALSE(f.tracker.may_place(f.job, f.replica, 2, "i-3"));
+}
+
 TEST(GangTracker, SecondFailureAbandonsTheAttempt) {
   Fixture f;
   f.start_both_parts(1, true);
