Comments and a log line: what makes a forwarded exit a proof, and which starts the line names

The comment of proves_exit gave the reason for exits of later agent epochs only. The debug line on starts in responses said "again", which is wrong where the direct command of a first start has not been sent yet.

--- a/src/coordination/machines/reconcile.hpp
+++ b/src/coordination/machines/reconcile.hpp
@@ -49,8 +49,10 @@
 ///
 /// The worker forgets an exited attempt when its agent epoch ends, and reconcile() then starts the
 /// attempt again. So an exit of an earlier epoch than the machine's current one says nothing about
-/// the present, except that a task that was done stays done. Later exits are proof: start commands
-/// of this lease can only have reached the worker in epochs up to the machine's current one.
+/// the present, except that a task that was done stays done. An exit of the current epoch is proof,
+/// because the worker keeps it until its end is committed, and because a gang's attempt isn't
+/// started there again later (GangTracker::may_place()). An exit of a later epoch is proof, because
+/// start commands of this lease can only have reached the worker in epochs up to the current one.
 [[nodiscard]] bool proves_exit(const ForwardedExit& exit, const Machine* machine);
 
 }  // namespace damsonport
--- a/src/coordination/shard_leader/shard_leader.cpp
+++ b/src/coordination/shard_leader/shard_leader.cpp
@@ -357,8 +357,8 @@
     for (auto& c : commands) {
       if (c.op != Command::Op::start) continue;
       m.starts_in_response.insert({c.task, c.attempt});
-      spdlog::debug("start {} attempt {} on {} again, in agent epoch {}", c.task.text(), c.attempt,
-                    m.id, m.agent_epoch);
+      spdlog::debug("start {} attempt {} on {} in the response to a heartbeat of agent epoch {}",
+                    c.task.text(), c.attempt, m.id, m.agent_epoch);
     }
   }
   return {200, encode_heartbeat_response(lease_.fencing_token(), commands), 0};
