Review: sources of the second review's tests are named test.cc

Cause: the build script of the first review builds every case.cc. Change: names, include paths and review/build-2.sh.

--- a/review/5/case.cc
+++ b/review/5/test.cc
@@ -1,6 +1,6 @@
 // Direct commands to a machine are held up for some seconds. Afterwards a job waits although the
 // machine, which reports all the time, has room for it.
-#include "fleet.h"
+#include "../common-2/fleet.h"
 
 using namespace standin;
 
--- a/review/6/case.cc
+++ b/review/6/test.cc
@@ -1,7 +1,7 @@
 // A job is cancelled while the state service refuses one controller alone. That controller learns of
 // it from its peers only. The service goes out, the other two controllers end, and a machine with a
 // task of the job hangs: the controller that is left does not return it.
-#include "fleet.h"
+#include "../common-2/fleet.h"
 
 using namespace standin;
 
--- a/review/7/case.cc
+++ b/review/7/test.cc
@@ -1,6 +1,6 @@
 // A machine runs its tasks slower for some seconds. Afterwards a job waits although the machine, which
 // is as fast as the other one again, has room for it.
-#include "fleet.h"
+#include "../common-2/fleet.h"
 
 using namespace standin;
 
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -6,8 +6,8 @@
 mkdir -p target/review-2
 pids=()
 for folder in review/[4-8]; do
-  [ -f "$folder/case.cc" ] || continue
-  g++ -std=c++20 -O1 -pthread -Wall -Wextra -I review/common-2 "$folder/case.cc" \
+  [ -f "$folder/test.cc" ] || continue
+  g++ -std=c++20 -O1 -pthread -Wall -Wextra "$folder/test.cc" \
     -o "target/review-2/$(basename "$folder")" &
   pids+=($!)
 done
