--- a/review/common-2/fleet.h
+++ b/review/common-2/fleet.h
@@ -5,6 +5,7 @@
 #include <sys/wait.h>
 
 #include <cstdarg>
+#include <filesystem>
 #include <fstream>
 #include <iostream>
 #include <random>
@@ -767,10 +768,14 @@
 
 // Ends the test with a result: 1 the rule was broken, 0 it held, 2 the case couldn't run.
 inline Controllers* controllers_to_end = nullptr;
+inline std::string folder_to_remove;  // kept if KEEP is set
 [[noreturn]] inline void finish(int result, const std::string& why) {
   REC("RESULT %d: %s", result, why.c_str());
   std::cout << (result == 1 ? "broken: " : result == 0 ? "held: " : "could not run: ") << why << std::endl;
   if (controllers_to_end) controllers_to_end->end_all();
+  std::error_code ignored;
+  if (getenv("KEEP")) std::cout << folder_to_remove << std::endl;
+  else if (!folder_to_remove.empty()) std::filesystem::remove_all(folder_to_remove, ignored);
   _exit(result);
 }
 // Bounds the test's time.
@@ -800,10 +805,11 @@
   return on_machine(world, task) == want;
 }
 
-// A temporary folder for settings and logs; kept when KEEP is set.
+// A temporary folder for settings and logs.
 inline std::string temp_folder() {
   std::string t = std::string(getenv("TMPDIR") ? getenv("TMPDIR") : "/tmp") + "/review-2-XXXXXX";
-  return mkdtemp(t.data()) ? t : std::string();
+  if (!mkdtemp(t.data())) finish(2, "no temporary folder");
+  return folder_to_remove = t;
 }
 
 }  // namespace standin
