Cleanup of cancelled tasks goes by all cancellations and the machines that peers state

The store refuses one controller, the others tell it of the cancellation and crash in an outage.

Cause: OrphanCleanup went by the cancellations that were read in the records and not by those received from peers.

Change: the cleanup goes by both. As such a controller's own records may lack the job, or name machines that it left long ago, the peers' heartbeats state on which machines a cancelled job still has tasks, as an appended field. No start of a cancelled job is committed, so what a controller stops listing is released for good. What was received and why the cleanup acts is logged at debug.

--- a/src/coordination/controller.cpp
+++ b/src/coordination/controller.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 #include "coordination/api/routes.hpp"
 #include "coordination/leadership/connection_policy.hpp"
@@ -33,6 +34,8 @@
 /// unhealthy if another controller is in contact.
 constexpr double contact_lease_share = 0.25;
 constexpr double unhealthy_retry_after_s = 1;
+/// Peers are told for this many times `cancel_s` that the tasks of a cancelled job are gone.
+constexpr double ended_cancellation_memory = 2;
 
 /// Names of the background tasks in the log.
 namespace background_task {
@@ -125,11 +128,7 @@
 void Controller::connect_callbacks() {
   http_->set_idle_limit([this] { return max_idle_connections(); });
   cache_.events().on_change = [this](Job* job) {
-    // This controller wrote or read a version that is newer than the revision of the watch, so the
-    // other controllers may not know of the cancellation yet.
-    if (job && job->cancelled && cancellations_.record(job->spec.id, job->cancelled_since) &&
-        job->version > cache_.revision())
-      peer_network_.wake();
+    if (job && job->cancelled) note_cancelled(*job);
     shard_leader_.job_changed(job);
   };
   peer_network_.on_cancelled = [this](const std::string& job) {
@@ -141,11 +140,33 @@
     shard_leader_.assignment_changed(machine, job, change == AssignmentChange::added);
   };
   cache_.events().on_job_removed = [this](Job* job) {
-    cancellations_.forget(job->spec.id);
+    cancellations_.note_ended(job->spec.id, loop_.now());
+    changed_cancelled_jobs_.erase(job->spec.id);
     shard_leader_.job_gone(job);
   };
 }
 
+void Controller::note_cancelled(const Job& job) {
+  changed_cancelled_jobs_.insert(job.spec.id);
+  const bool is_new = cancellations_.record(job.spec.id, job.cancelled_since);
+  // This controller wrote or read a version that is newer than the revision of the watch, so the
+  // other controllers may not know of the cancellation yet.
+  if (is_new && job.version > cache_.revision()) peer_network_.wake();
+}
+
+// Changes of a job's task chunks in quick succession lead to one statement. A job's record that is
+// newer than the watch may name chunks that were not read yet.
+void Controller::state_machines_of_cancelled_jobs() {
+  for (auto& id : std::exchange(changed_cancelled_jobs_, {})) {
+    const Job* job = cache_.job(id);
+    if (!job) continue;
+    std::set<std::string> machines;
+    for (auto& task : job->live_tasks()) machines.insert(task.machine);
+    const bool complete = cache_.loaded() && job->version <= cache_.revision();
+    cancellations_.note_machines(id, {complete, {machines.begin(), machines.end()}});
+  }
+}
+
 // Idle connections to workers may use the sockets that remain beside the connections of workers and
 // users, the requests in progress and the reserved sockets.
 size_t Controller::max_idle_connections() const {
@@ -198,7 +219,8 @@
   loop_.spawn(names::housekeeping, run_housekeeping(stop_token));
 }
 
-PeerHeartbeat Controller::next_heartbeat() const {
+PeerHeartbeat Controller::next_heartbeat() {
+  state_machines_of_cancelled_jobs();
   const double state_age_s = std::min(store_.contact_age_s(), max_reported_age_s);
   PeerHeartbeat heartbeat;
   heartbeat.controller = settings_.controller_name;
@@ -240,6 +262,8 @@
   while (!stop_token.stop_requested()) {
     divide_store_limits();
     cancellations_.forget_received_before(cache_.as_of());
+    cancellations_.forget_ended_before(loop_.now() -
+                                       ended_cancellation_memory * settings_.cancel_s);
     api_.begin_demand_period();
     http_->close_idle_connections(idle_connection_s);
     server_->resume_accepting();
--- a/src/coordination/controller.hpp
+++ b/src/coordination/controller.hpp
@@ -39,7 +39,10 @@
   HttpResponse health() const;
   size_t max_idle_connections() const;
   double wanted_writes() const;
-  PeerHeartbeat next_heartbeat() const;
+  PeerHeartbeat next_heartbeat();
+  void note_cancelled(const Job& job);
+  // Tells the peers on which machines cancelled jobs have tasks, where that has changed.
+  void state_machines_of_cancelled_jobs();
   void divide_store_limits();
   Task<void> run_housekeeping(std::stop_token stop_token);
 
@@ -53,6 +56,8 @@
   RecordWatcher record_watcher_;
   MachineTypeCatalog catalog_;
   CancellationGossip cancellations_;
+  // Cancelled jobs whose records changed since the last heartbeat to the peers.
+  std::set<std::string> changed_cancelled_jobs_;
   PeerNetwork peer_network_;
   VersionRegistry versions_;
   ExitForwarder exit_forwarder_;
--- a/src/coordination/leadership/cancellation_gossip.cpp
+++ b/src/coordination/leadership/cancellation_gossip.cpp
@@ -1,6 +1,7 @@
 #include "coordination/leadership/cancellation_gossip.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace damsonport {
 
@@ -11,6 +12,10 @@
 constexpr size_t max_bytes = size_t{12} * 1024;
 // Size of an entry without the job's name: the name's length and the age.
 constexpr size_t entry_overhead_bytes = 8;
+// Bound on the names of the machines of one job. The list of a job with more is incomplete.
+constexpr size_t max_machine_bytes = size_t{4} * 1024;
+// Source of the statements that follow from this controller's own records.
+constexpr const char* own_records = "";
 // Sent for cancellations of unknown age; older than any cancellation that still matters.
 constexpr double max_age_s = 1e7;
 
@@ -24,22 +29,100 @@
 }
 
 bool CancellationGossip::record(const std::string& job, double since) {
-  if (!number_by_job_.try_emplace(job, last_number_ + 1).second) return false;
-  known_[++last_number_] = {job, since};
+  auto number = number_by_job_.find(job);
+  if (number != number_by_job_.end()) {
+    auto& listed = listed_.at(number->second);
+    return !std::exchange(listed.is_recorded, true);
+  }
+  list({job, since, true, std::nullopt});
   return true;
 }
 
-void CancellationGossip::forget(const std::string& job) {
-  received_.erase(job);
+void CancellationGossip::list(Listed cancellation) {
+  number_by_job_[cancellation.job] = ++last_number_;
+  listed_[last_number_] = std::move(cancellation);
+}
+
+void CancellationGossip::list_again(const std::string& job) {
   auto number = number_by_job_.find(job);
   if (number == number_by_job_.end()) return;
-  known_.erase(number->second);
+  auto listed = listed_.extract(number->second);
+  listed.key() = number->second = ++last_number_;
+  listed_.insert(std::move(listed));
+}
+
+void CancellationGossip::stop_listing(const std::string& job) {
+  auto number = number_by_job_.find(job);
+  if (number == number_by_job_.end()) return;
+  listed_.erase(number->second);
   number_by_job_.erase(number);
 }
 
-std::vector<CancellationGossip::Cancellation> CancellationGossip::known() const {
+void CancellationGossip::note_statement(const std::string& job, const std::string& controller,
+                                        const PeerHeartbeat::JobMachines& stated) {
+  if (machines_[job].note(controller, stated)) list_again(job);
+}
+
+void CancellationGossip::note_machines(const std::string& job,
+                                       const PeerHeartbeat::JobMachines& in_records) {
+  if (number_by_job_.contains(job)) note_statement(job, own_records, in_records);
+}
+
+void CancellationGossip::note_ended(const std::string& job, double now) {
+  received_.erase(job);
+  auto number = number_by_job_.find(job);
+  if (number == number_by_job_.end()) return;
+  listed_.at(number->second).ended_at = now;
+  if (machines_[job].release_all()) list_again(job);
+}
+
+void CancellationGossip::forget(const std::string& job) {
+  received_.erase(job);
+  stop_listing(job);
+  machines_.erase(job);
+}
+
+void CancellationGossip::forget_ended_before(double time) {
+  std::vector<std::string> old;
+  for (auto& [number, cancellation] : listed_)
+    if (cancellation.ended_at && *cancellation.ended_at < time) old.push_back(cancellation.job);
+  for (auto& job : old) forget(job);
+}
+
+bool CancellationGossip::is_recorded(const std::string& job) const {
+  auto number = number_by_job_.find(job);
+  return number != number_by_job_.end() && listed_.at(number->second).is_recorded;
+}
+
+const CancelledJobMachines* CancellationGossip::machines_of(const std::string& job) const {
+  auto machines = machines_.find(job);
+  return machines == machines_.end() ? nullptr : &machines->second;
+}
+
+std::vector<CancellationGossip::Cancellation> CancellationGossip::all() const {
   std::vector<Cancellation> out;
-  for (auto& [number, cancellation] : known_) out.push_back(cancellation);
+  for (auto& [number, listed] : listed_)
+    if (listed.is_recorded)
+      out.push_back({listed.job, listed.since, std::nullopt, machines_of(listed.job)});
+  for (auto& [job, received] : received_) {
+    if (!is_recorded(job))
+      out.push_back({job, received.since, received.first_received_at, machines_of(job)});
+  }
+  return out;
+}
+
+std::optional<PeerHeartbeat::JobMachines> CancellationGossip::statement(
+    const std::string& job) const {
+  const auto* machines = machines_of(job);
+  if (!machines || !machines->any_statement()) return std::nullopt;
+  PeerHeartbeat::JobMachines out{true, machines->listed()};
+  size_t bytes = 0;
+  for (size_t i = 0; i < out.machines.size(); ++i) {
+    bytes += out.machines[i].size() + 1;
+    if (bytes <= max_machine_bytes) continue;
+    out.complete = false;
+    out.machines.resize(i);
+  }
   return out;
 }
 
@@ -56,15 +139,18 @@
   heartbeat.received_upto = peer.received_upto;
   heartbeat.listed_after = peer.acknowledged_upto;
   size_t bytes = 0;
-  for (auto next = known_.upper_bound(peer.acknowledged_upto); next != known_.end(); ++next) {
+  for (auto next = listed_.upper_bound(peer.acknowledged_upto); next != listed_.end(); ++next) {
     const auto& [number, cancellation] = *next;
+    auto machines = statement(cancellation.job);
     bytes += cancellation.job.size() + entry_overhead_bytes;
+    if (machines)
+      for (auto& machine : machines->machines) bytes += machine.size() + 1;
     if (heartbeat.cancelled.size() == max_entries || bytes > max_bytes) {
       heartbeat.listed_upto = number - 1;
       break;
     }
     const double age_s = std::min(now - cancellation.since, max_age_s);
-    heartbeat.cancelled.push_back({cancellation.job, to_ms(age_s)});
+    heartbeat.cancelled.push_back({cancellation.job, to_ms(age_s), std::move(machines)});
   }
 }
 
@@ -88,11 +174,13 @@
   return true;
 }
 
+bool CancellationGossip::is_newest(const Peer& peer, const PeerHeartbeat& heartbeat) {
+  return heartbeat.sent_ms >= peer.newest_sent_ms ||
+         heartbeat.incarnation != peer.newest_incarnation;
+}
+
 void CancellationGossip::note_acknowledgement(Peer& peer, const PeerHeartbeat& heartbeat,
                                               std::optional<double> echoed) const {
-  const bool is_newest =
-      heartbeat.sent_ms >= peer.newest_sent_ms || heartbeat.incarnation != peer.newest_incarnation;
-  if (!is_newest) return;
   peer.newest_incarnation = heartbeat.incarnation;
   peer.newest_sent_ms = heartbeat.sent_ms;
   // The peer's figure is adopted even if it is lower than before, because the peer may have
@@ -105,7 +193,7 @@
   std::vector<std::string> new_jobs;
   for (auto& cancellation : heartbeat.cancelled) {
     const double since = sent_after - from_ms(cancellation.age_ms);
-    auto [known, is_new] = received_.try_emplace(cancellation.job, Received{since, now});
+    auto [known, is_new] = received_.try_emplace(cancellation.job, Received{since, now, now});
     known->second.since = std::min(known->second.since, since);
     known->second.last_received_at = now;
     if (is_new) new_jobs.push_back(cancellation.job);
@@ -113,6 +201,13 @@
   return new_jobs;
 }
 
+// Statements of an earlier incarnation stay: its records listed these machines.
+void CancellationGossip::merge_machines(const PeerHeartbeat& heartbeat) {
+  const std::string source = heartbeat.controller + "/" + std::to_string(heartbeat.incarnation);
+  for (auto& cancellation : heartbeat.cancelled)
+    if (cancellation.machines) note_statement(cancellation.job, source, *cancellation.machines);
+}
+
 CancellationGossip::MergeResult CancellationGossip::merge(const PeerHeartbeat& heartbeat,
                                                           double now) {
   MergeResult result;
@@ -123,8 +218,11 @@
   const uint64_t received_before = peer.received_upto;
   const auto echoed = echoed_time(heartbeat);
   if (!follow_incarnation(peer, heartbeat, echoed)) return result;
-  note_acknowledgement(peer, heartbeat, echoed);
   result.new_jobs = merge_cancellations(heartbeat, std::min(echoed.value_or(now), now), now);
+  if (is_newest(peer, heartbeat)) {
+    note_acknowledgement(peer, heartbeat, echoed);
+    merge_machines(heartbeat);
+  }
   if (peer.received_upto >= heartbeat.listed_after)
     peer.received_upto = std::max(peer.received_upto, heartbeat.listed_upto);
   // Until the peer has loaded the records, it doesn't know the cancellations that its earlier
@@ -153,8 +251,16 @@
 }
 
 void CancellationGossip::forget_received_before(double records_as_of) {
-  std::erase_if(received_,
-                [&](auto& entry) { return entry.second.last_received_at < records_as_of; });
+  std::vector<std::string> covered;
+  for (auto& [job, received] : received_)
+    if (received.last_received_at < records_as_of) covered.push_back(job);
+  for (auto& job : covered) {
+    if (is_recorded(job)) {
+      received_.erase(job);
+    } else {
+      forget(job);
+    }
+  }
 }
 
 }  // namespace damsonport
--- a/src/coordination/leadership/cancellation_gossip.hpp
+++ b/src/coordination/leadership/cancellation_gossip.hpp
@@ -2,11 +2,14 @@
 ///
 /// Stopping the tasks of a cancelled job needs no proof, so the message of any controller is enough
 /// for it; in an outage of the store no other way exists for a cancellation to spread. Each
-/// controller numbers the cancellations that it knows, and its heartbeats to a peer list those that
+/// controller numbers the cancellations that it lists, and its heartbeats to a peer list those that
 /// the peer has not acknowledged. The peers' acknowledgements and echoes yield a watermark: every
 /// cancellation that was sent before the watermark is known here, which bounds how old an unknown
-/// cancellation can be (docs/design.md, "Who may answer a machine"). Callers pass the times, which
-/// are seconds of this machine's steady clock.
+/// cancellation can be (docs/design.md, "Who may answer a machine").
+///
+/// With a cancellation a controller states on which machines the job still has tasks. A
+/// cancellation gets a new number, and so is listed again, when that changes. Callers pass the
+/// times, which are seconds of this machine's steady clock.
 #pragma once
 #include <map>
 #include <optional>
@@ -14,6 +17,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "coordination/leadership/cancelled_job_machines.hpp"
 #include "protocol/peer_heartbeat.hpp"
 #include "storage/steady_time.hpp"
 
@@ -23,10 +27,14 @@
 /// receives the heartbeats.
 class CancellationGossip {
  public:
-  /// A cancelled job and the time of its cancellation.
+  /// A cancelled job, as learned from the records or from peers.
   struct Cancellation {
     std::string job;
     double since = 0;  // steady time of the cancellation, or earlier
+    // Steady time at which a peer first reported it; not set if the records show it.
+    std::optional<double> received_at;
+    // See machines_of().
+    const CancelledJobMachines* machines = nullptr;
   };
 
   CancellationGossip(uint64_t incarnation, const std::vector<std::string>& peers);
@@ -35,10 +43,17 @@
   /// request, before it is sent to any peer. Returns true the first time. `since`: steady time of
   /// the cancellation, or earlier.
   bool record(const std::string& job, double since);
-  /// Forgets the cancellation of a job whose tasks are gone according to the records.
+  /// Notes to which machines this controller's records assign live tasks of a recorded job.
+  void note_machines(const std::string& job, const PeerHeartbeat::JobMachines& in_records);
+  /// The tasks of a recorded job are gone according to the records. Peers are told so, also those
+  /// that can't read the records.
+  void note_ended(const std::string& job, double now);
+  /// Forgets the cancellation of a job.
   void forget(const std::string& job);
-  /// The recorded cancellations that are not forgotten, in the order in which they were recorded.
-  std::vector<Cancellation> known() const;
+  /// Forgets the cancellations whose tasks were gone before this steady time.
+  void forget_ended_before(double time);
+  /// All cancellations that are not forgotten, whether they were recorded or received from peers.
+  std::vector<Cancellation> all() const;
 
   /// Fills in the heartbeat's fields about cancellations for this peer.
   void add_to(PeerHeartbeat& heartbeat, const std::string& peer, double now) const;
@@ -59,6 +74,9 @@
   std::optional<double> cancelled_since(const std::string& job) const;
   /// Whether a peer has reported the job as cancelled.
   bool is_cancelled(const std::string& job) const { return received_.contains(job); }
+  /// The machines with tasks of the job; null if no controller has stated any. Valid until the
+  /// gossip changes.
+  const CancelledJobMachines* machines_of(const std::string& job) const;
   /// Steady time before which every cancellation that another controller sent is known here. `now`
   /// if there are no peers, and `never` until each peer has echoed a heartbeat.
   double watermark(double now) const;
@@ -79,8 +97,16 @@
   };
   struct Received {
     double since;
+    double first_received_at;
     double last_received_at;
   };
+  // A cancellation that is listed to peers.
+  struct Listed {
+    std::string job;
+    double since = 0;
+    bool is_recorded = false;        // learned from the records; otherwise relayed
+    std::optional<double> ended_at;  // the records showed that the job's tasks are gone
+  };
 
   // The send time, by our clock, of the heartbeat of ours that the sender echoes: the sender's
   // heartbeat was sent after this time. Nothing if the echo is of another incarnation.
@@ -89,17 +115,32 @@
   // earlier incarnation.
   static bool follow_incarnation(Peer& peer, const PeerHeartbeat& heartbeat,
                                  std::optional<double> echoed);
+  // Whether no heartbeat that the peer sent later was received before.
+  static bool is_newest(const Peer& peer, const PeerHeartbeat& heartbeat);
   void note_acknowledgement(Peer& peer, const PeerHeartbeat& heartbeat,
                             std::optional<double> echoed) const;
   std::vector<std::string> merge_cancellations(const PeerHeartbeat& heartbeat, double sent_after,
                                                double now);
+  void merge_machines(const PeerHeartbeat& heartbeat);
+  void note_statement(const std::string& job, const std::string& controller,
+                      const PeerHeartbeat::JobMachines& stated);
+  void list(Listed cancellation);
+  // Lists the job's cancellation once more, because its machines have changed.
+  void list_again(const std::string& job);
+  void stop_listing(const std::string& job);
+  // Whether the records show the cancellation, or showed it before the job's end.
+  bool is_recorded(const std::string& job) const;
+  // The statement about the job's machines for a peer, limited in size.
+  std::optional<PeerHeartbeat::JobMachines> statement(const std::string& job) const;
 
   const uint64_t incarnation_;
   uint64_t last_number_ = 0;
-  std::map<uint64_t, Cancellation> known_;  // by number
+  std::map<uint64_t, Listed> listed_;  // by number
   std::unordered_map<std::string, uint64_t> number_by_job_;
   std::map<std::string, Peer> peers_;
   std::unordered_map<std::string, Received> received_;
+  // Of the jobs in `listed_` and `received_`.
+  std::unordered_map<std::string, CancelledJobMachines> machines_;
 };
 
 }  // namespace damsonport
--- a/src/coordination/leadership/peer_network.cpp
+++ b/src/coordination/leadership/peer_network.cpp
@@ -1,5 +1,7 @@
 #include "coordination/leadership/peer_network.hpp"
 
+#include <spdlog/spdlog.h>
+
 #include <algorithm>
 #include <limits>
 
@@ -56,8 +58,10 @@
   if (peer == peers_.end()) return;
   const auto merged = cancellations_.merge(heartbeat, loop_.now());
   if (merged.reply_at_once) wake_.notify();
-  for (auto& job : merged.new_jobs)
+  for (auto& job : merged.new_jobs) {
+    spdlog::debug("{} reports that {} is cancelled", heartbeat.controller, job);
     if (on_cancelled) on_cancelled(job);
+  }
   heartbeat.cancelled.clear();
   peer->second = {std::move(heartbeat), loop_.now()};
 }
--- a/src/coordination/machines/orphan_cleanup.cpp
+++ b/src/coordination/machines/orphan_cleanup.cpp
@@ -14,6 +14,7 @@
 constexpr double max_age_share = 1.1;
 constexpr size_t max_machines_per_return = 100;
 constexpr double return_timeout_s = 3;
+constexpr int ok = 200;
 }  // namespace
 
 OrphanCleanup::OrphanCleanup(Loop& loop, const Settings& settings, RecordCache& cache,
@@ -31,28 +32,61 @@
       max_concurrent_requests_(static_cast<size_t>(max_concurrent_requests)) {}
 
 // True if neither this controller nor any live peer is in contact with the key-value store, and no
-// live peer holds the shard lease: then no other controller may know of a cancellation that was
-// confirmed here. An unreachable shard leader that doesn't know of it stops responding to
-// heartbeats in time, which ends the tasks on every machine that still runs; a machine that hangs
-// keeps its tasks.
+// live peer holds the shard lease: then no other controller may know of a cancellation that is
+// known here. An unreachable shard leader that doesn't know of it stops responding to heartbeats in
+// time, which ends the tasks on every machine that still runs; a machine that hangs keeps its
+// tasks.
 bool OrphanCleanup::no_shard_leader_reachable() const {
-  if (!cache_.loaded() || contact_.in_contact() ||
-      peer_network_.any_peer_reaches_store(contact_.limit_s()))
+  if (contact_.in_contact() || peer_network_.any_peer_reaches_store(contact_.limit_s()))
     return false;
   // The leader that the records name doesn't count: it may have restarted without the lease.
   return peer_network_.newest_shard_leader() == std::nullopt;
 }
 
+bool OrphanCleanup::is_due(const CancellationGossip::Cancellation& cancellation) const {
+  const double now = loop_.now();
+  // The time that a peer's message states may be too early by its delay on the way, so the upper
+  // bound of the age counts from its arrival.
+  const double latest = cancellation.received_at.value_or(cancellation.since);
+  return now - cancellation.since >= min_age_share * settings_.cancel_s &&
+         now - latest <= max_age_share * settings_.cancel_s;
+}
+
+// The records of a controller that had lost the store when a peer told it of the cancellation may
+// name machines that the job left long before. Peers whose version states no machines leave no
+// choice.
+bool OrphanCleanup::own_records_count(const CancellationGossip::Cancellation& cancellation) const {
+  if (!cache_.loaded()) return false;
+  const bool any_statement = cancellation.machines && cancellation.machines->any_statement();
+  return !any_statement || !cancellation.received_at ||
+         cache_.as_of() > *cancellation.received_at - contact_.limit_s();
+}
+
+std::set<std::string> OrphanCleanup::machines_of(
+    const CancellationGossip::Cancellation& cancellation) const {
+  std::set<std::string> machines;
+  if (cancellation.machines)
+    for (auto& id : cancellation.machines->listed()) machines.insert(id);
+  const Job* job = cache_.job(cancellation.job);
+  if (!job || !own_records_count(cancellation)) return machines;
+  for (auto& task : job->live_tasks())
+    if (!cancellation.machines || !cancellation.machines->is_released(task.machine))
+      machines.insert(task.machine);
+  return machines;
+}
+
 std::vector<OrphanCleanup::OrphanMachine> OrphanCleanup::machines_with_orphans() const {
   std::map<std::string, OrphanMachine> out;
-  for (auto& [id, since] : cancellations_.known()) {
-    const double age = (loop_.now() - since) / settings_.cancel_s;
-    const Job* job = cache_.job(id);
-    if (!job || age < min_age_share || age > max_age_share) continue;
-    for (auto& task : job->live_tasks()) {
-      auto& machine = out[task.machine];
-      machine.id = task.machine;
-      machine.tasks.push_back({task.id, task.attempt});
+  for (auto& cancellation : cancellations_.all()) {
+    if (!is_due(cancellation)) continue;
+    const auto machines = machines_of(cancellation);
+    spdlog::debug("no shard leader is reachable: {}, cancelled as {}, may be on {} machines",
+                  cancellation.job, cancellation.received_at ? "peers report" : "the records say",
+                  machines.size());
+    for (auto& id : machines) {
+      if (returned_.contains(id)) continue;
+      out[id].id = id;
+      out[id].cancelled_jobs.insert(cancellation.job);
     }
   }
   std::vector<OrphanMachine> list;
@@ -105,8 +139,11 @@
     std::vector<std::string> batch(unreachable.begin() + static_cast<long>(i),
                                    unreachable.begin() + static_cast<long>(end));
     spdlog::warn("returning {} machines out of reach that may keep cancelled tasks", batch.size());
-    co_await http_.request(settings_.cloud, Method::post, "/hosts/return",
-                           encode_return_request(batch), return_timeout_s);
+    for (auto& id : batch)
+      spdlog::info("returning {}: out of reach, it may keep cancelled tasks", id);
+    const auto reply = co_await http_.request(settings_.cloud, Method::post, "/hosts/return",
+                                              encode_return_request(batch), return_timeout_s);
+    if (reply.status == ok) returned_.insert(batch.begin(), batch.end());
   }
 }
 
@@ -118,13 +155,12 @@
     auto response =
         co_await http_.request(endpoint, Method::get, "/show", {}, settings_.heartbeat_interval_s);
     if (auto heartbeat = decode_heartbeat(decode_map(response.body));
-        response.status == 200 && heartbeat) {
+        response.status == ok && heartbeat) {
       machine.is_unreachable = false;
       std::vector<Command> stops;
       for (auto& task : heartbeat->tasks)
-        for (auto& [name, attempt] : machine.tasks)
-          if (task.task == name && task.state != TaskState::exited)
-            stops.push_back({Command::Op::stop, task.task, task.attempt, 0});
+        if (task.state != TaskState::exited && machine.cancelled_jobs.contains(task.task.job))
+          stops.push_back({Command::Op::stop, task.task, task.attempt, 0});
       if (!stops.empty())
         co_await http_.request(endpoint, Method::post, "/commands",
                                encode_direct_commands(fencing_token, heartbeat->agent_epoch, stops),
--- a/src/coordination/machines/orphan_cleanup.hpp
+++ b/src/coordination/machines/orphan_cleanup.hpp
@@ -1,8 +1,8 @@
 /// Cleanup of orphaned tasks: while no shard leader is reachable, each controller that knows of a
 /// job's cancellation stops the job's tasks on the machines itself.
 #pragma once
+#include <set>
 #include <string>
-#include <utility>
 #include <vector>
 
 #include "coordination/leadership/peer_network.hpp"
@@ -24,19 +24,24 @@
 
   /// Requests the status of each machine that may run a task of a cancelled job, stops such tasks
   /// with the fencing token of the latest shard lease in the records, and returns the machine to
-  /// the cloud if it doesn't respond. Nothing is committed to the records, and no exit is
-  /// considered proven. Does nothing while a shard leader is reachable, and runs at most once per
-  /// heartbeat interval.
+  /// the cloud if it doesn't respond. Whether this controller read the cancellation in the records
+  /// or received it from a peer makes no difference. Nothing is committed to the records, and no
+  /// exit is considered proven. Does nothing while a shard leader is reachable, and runs at most
+  /// once per heartbeat interval.
   Task<void> run_once(std::stop_token stop_token);
 
  private:
   // A machine that may run tasks of cancelled jobs.
   struct OrphanMachine {
     std::string id, address;
-    std::vector<std::pair<TaskId, uint64_t>> tasks;
+    std::set<std::string> cancelled_jobs;
     bool is_unreachable = false;
   };
   bool no_shard_leader_reachable() const;
+  bool is_due(const CancellationGossip::Cancellation& cancellation) const;
+  // Whether this controller's own records say where the tasks of the cancelled job are.
+  bool own_records_count(const CancellationGossip::Cancellation& cancellation) const;
+  std::set<std::string> machines_of(const CancellationGossip::Cancellation& cancellation) const;
   std::vector<OrphanMachine> machines_with_orphans() const;
   Task<void> stop_orphans_on(OrphanMachine& machine, uint64_t fencing_token, size_t& remaining);
   Task<void> stop_orphans(std::vector<OrphanMachine>& machines, std::stop_token stop_token);
@@ -51,6 +56,7 @@
   const StoreContact& contact_;
   MachineListReader& machine_list_;
   const size_t max_concurrent_requests_;
+  std::set<std::string> returned_;  // machines whose return the cloud has confirmed
   double next_check_at_ = 0;
 };
 
--- a/src/protocol/peer_heartbeat.cpp
+++ b/src/protocol/peer_heartbeat.cpp
@@ -1,5 +1,7 @@
 #include "protocol/peer_heartbeat.hpp"
 
+#include <algorithm>
+
 #include "protocol/varint.hpp"
 
 namespace damsonport {
@@ -8,6 +10,17 @@
 constexpr uint64_t max_body_bytes = uint64_t{16} * 1024;
 constexpr uint64_t heartbeat_version = 4;
 constexpr uint64_t max_cancelled = 1024;
+
+// How the machines of a cancelled job are encoded: this number, then their count and names.
+enum class MachineList : uint8_t { none, incomplete, complete };
+
+void encode_machines(VarintWriter& body, const std::optional<PeerHeartbeat::JobMachines>& job) {
+  if (!job) return body.number(static_cast<uint64_t>(MachineList::none));
+  const auto kind = job->complete ? MachineList::complete : MachineList::incomplete;
+  body.number(static_cast<uint64_t>(kind));
+  body.number(job->machines.size());
+  for (auto& machine : job->machines) body.text(machine);
+}
 }  // namespace
 
 std::string encode_peer_heartbeat(const PeerHeartbeat& heartbeat) {
@@ -33,6 +46,10 @@
     body.text(cancellation.job);
     body.number(cancellation.age_ms);
   }
+  const bool any_machines = std::any_of(heartbeat.cancelled.begin(), heartbeat.cancelled.end(),
+                                        [](auto& cancellation) { return cancellation.machines; });
+  if (any_machines)
+    for (auto& cancellation : heartbeat.cancelled) encode_machines(body, cancellation.machines);
   return encode_frame(body.bytes());
 }
 
@@ -64,6 +81,28 @@
   return true;
 }
 
+bool decode_machines(VarintReader& body, std::optional<PeerHeartbeat::JobMachines>& out) {
+  uint64_t kind = 0;
+  if (!body.number(kind) || kind > static_cast<uint64_t>(MachineList::complete)) return false;
+  if (kind == static_cast<uint64_t>(MachineList::none)) return true;
+  uint64_t count = 0;
+  if (!body.number(count)) return false;
+  out.emplace().complete = kind == static_cast<uint64_t>(MachineList::complete);
+  for (uint64_t i = 0; i < count; ++i)
+    if (!body.text(out->machines.emplace_back())) return false;
+  return true;
+}
+
+// Senders of an earlier version end their heartbeats before this field.
+void decode_machines_of_cancelled(VarintReader& body,
+                                  std::vector<PeerHeartbeat::Cancellation>& cancelled) {
+  const bool decoded = std::all_of(cancelled.begin(), cancelled.end(), [&](auto& cancellation) {
+    return decode_machines(body, cancellation.machines);
+  });
+  if (decoded) return;
+  for (auto& cancellation : cancelled) cancellation.machines.reset();
+}
+
 }  // namespace
 
 FrameStatus decode_peer_heartbeat(std::string_view in, PeerHeartbeat& out, size_t& used) {
@@ -72,8 +111,10 @@
   if (status != FrameStatus::complete) return status;
   VarintReader body(content);
   out = {};
-  const bool decoded = decode_fields(body, out) && decode_cancellations(body, out.cancelled);
-  return decoded ? FrameStatus::complete : FrameStatus::malformed;
+  if (!decode_fields(body, out) || !decode_cancellations(body, out.cancelled))
+    return FrameStatus::malformed;
+  decode_machines_of_cancelled(body, out.cancelled);
+  return FrameStatus::complete;
 }
 
 }  // namespace damsonport
--- a/src/protocol/peer_heartbeat.hpp
+++ b/src/protocol/peer_heartbeat.hpp
@@ -2,6 +2,7 @@
 /// that order and acknowledge cancellations.
 #pragma once
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -34,10 +35,20 @@
   uint64_t listed_after = 0;
   uint64_t listed_upto = 0;
   uint64_t newest_number = 0;  ///< number of the sender's newest cancellation
+  /// Machines to which the sender's records, or those of other controllers, assign live tasks of a
+  /// cancelled job.
+  struct JobMachines {
+    /// False: the list may lack machines. True: the job's tasks on a machine that the sender listed
+    /// earlier and no longer lists have ended.
+    bool complete = false;
+    std::vector<std::string> machines;
+  };
   /// Cancellation of one job.
   struct Cancellation {
     std::string job;
     uint64_t age_ms = 0;  ///< upper bound of the time since the cancellation
+    /// Not set if the sender knows nothing of the machines, or is of an earlier version.
+    std::optional<JobMachines> machines = std::nullopt;
   };
   std::vector<Cancellation> cancelled;
 };
@@ -46,7 +57,8 @@
 std::string encode_peer_heartbeat(const PeerHeartbeat& heartbeat);
 /// Decodes the framed heartbeat at the front of `in`. If the frame is complete, sets `used` to the
 /// number of its bytes. Fields that a later version appends are ignored; a heartbeat of an earlier
-/// version is malformed.
+/// version is malformed. The machines of cancelled jobs are an appended field: they are left out if
+/// none is set, and not set if they can't be read.
 FrameStatus decode_peer_heartbeat(std::string_view in, PeerHeartbeat& out, size_t& used);
 
 }  // namespace damsonport
--- a/tests/leadership/cancellation_gossip_test.cpp
+++ b/tests/leadership/cancellation_gossip_test.cpp
@@ -206,5 +206,79 @@
   EXPECT_TRUE(p.b.heartbeat("a", 3.1).cancelled.empty());
 }
 
+// What all() says of a job; nothing if it doesn't contain the job.
+std::optional<CancellationGossip::Cancellation> find(const CancellationGossip& gossip,
+                                                     const std::string& job) {
+  for (auto& cancellation : gossip.all())
+    if (cancellation.job == job) return cancellation;
+  return std::nullopt;
+}
+
+std::vector<std::string> machines_of(const CancellationGossip& gossip, const std::string& job) {
+  const auto cancellation = find(gossip, job);
+  return cancellation && cancellation->machines ? cancellation->machines->listed()
+                                                : std::vector<std::string>{};
+}
+
+TEST(CancellationGossip, PeersLearnTheMachinesOfACancelledJobAndTheirRelease) {
+  PeerPair p;
+  p.exchange(1);
+  p.b.gossip.record("run-1", p.b.clock(1.5));
+  p.b.gossip.note_machines("run-1", {true, {"m1", "m2"}});
+  p.exchange(2);
+  const auto received = find(p.a.gossip, "run-1");
+  ASSERT_TRUE(received);
+  EXPECT_EQ(received->received_at, p.a.clock(2.01));
+  EXPECT_EQ(machines_of(p.a.gossip, "run-1"), (std::vector<std::string>{"m1", "m2"}));
+  p.exchange(3);
+  EXPECT_TRUE(p.b.heartbeat("a", 3.1).cancelled.empty());
+  p.b.gossip.note_machines("run-1", {true, {"m2"}});
+  p.exchange(4);
+  EXPECT_EQ(machines_of(p.a.gossip, "run-1"), std::vector<std::string>{"m2"});
+  p.b.gossip.note_ended("run-1", p.b.clock(4.5));
+  p.exchange(5);
+  EXPECT_TRUE(machines_of(p.a.gossip, "run-1").empty());
+  EXPECT_TRUE(find(p.a.gossip, "run-1")->machines->is_released("m2"));
+  p.b.gossip.forget_ended_before(p.b.clock(4.4));
+  EXPECT_TRUE(find(p.b.gossip, "run-1"));
+  p.b.gossip.forget_ended_before(p.b.clock(4.6));
+  EXPECT_FALSE(find(p.b.gossip, "run-1"));
+}
+
+TEST(CancellationGossip, LateHeartbeatBringsNoMachineBack) {
+  PeerPair p;
+  p.exchange(1);
+  p.b.gossip.record("run-1", p.b.clock(1.5));
+  p.b.gossip.note_machines("run-1", {true, {}});
+  const auto late = p.b.heartbeat("a", 2);
+  p.b.gossip.note_machines("run-1", {true, {"m1"}});
+  p.a.merge(p.b.heartbeat("a", 2.5), 2.51);
+  p.a.merge(late, 3);
+  p.a.merge(p.b.heartbeat("a", 3.5), 3.51);
+  EXPECT_EQ(machines_of(p.a.gossip, "run-1"), std::vector<std::string>{"m1"});
+}
+
+TEST(CancellationGossip, JobOnVeryManyMachinesFitsAHeartbeat) {
+  PeerPair p;
+  std::vector<std::string> machines;
+  for (int i = 0; i < 5000; ++i) machines.push_back("machine-" + std::to_string(i));
+  p.exchange(1);
+  for (int i = 0; i < 20; ++i) {
+    const auto id = "run-" + std::to_string(i);
+    p.b.gossip.record(id, p.b.clock(1.5));
+    p.b.gossip.note_machines(id, {true, machines});
+  }
+  for (int i = 0; i < 30; ++i) {
+    const auto bytes = encode_peer_heartbeat(p.b.heartbeat("a", 2 + i));
+    PeerHeartbeat read;
+    size_t used = 0;
+    ASSERT_EQ(decode_peer_heartbeat(bytes, read, used), FrameStatus::complete);
+    p.a.merge(read, 2 + i);
+    p.b.merge(p.a.heartbeat("b", 2 + i), 2 + i);
+  }
+  EXPECT_TRUE(p.a.gossip.is_cancelled("run-19"));
+  EXPECT_GT(machines_of(p.a.gossip, "run-19").size(), 100u);
+}
+
 }  // namespace
 }  // namespace damsonport
--- a/tests/protocol_test.cpp
+++ b/tests/protocol_test.cpp
@@ -144,6 +144,42 @@
   EXPECT_EQ(decoded.cancelled.size(), 2u);
 }
 
+TEST(PeerHeartbeat, MachinesOfCancelledJobsAreAppended) {
+  PeerHeartbeat heartbeat;
+  heartbeat.controller = "n-1";
+  heartbeat.cancelled = {{"run-7", 1500}, {"run-8", 0}, {"run-9", 20}, {"run-10", 20}};
+  const auto without = encode_peer_heartbeat(heartbeat);
+  heartbeat.cancelled[1].machines = PeerHeartbeat::JobMachines{true, {"m1", "m2"}};
+  heartbeat.cancelled[2].machines = PeerHeartbeat::JobMachines{false, {"m3"}};
+  heartbeat.cancelled[3].machines = PeerHeartbeat::JobMachines{true, {}};
+  const auto bytes = encode_peer_heartbeat(heartbeat);
+  PeerHeartbeat decoded;
+  size_t used = 0;
+  ASSERT_EQ(decode_peer_heartbeat(bytes, decoded, used), FrameStatus::complete);
+  EXPECT_FALSE(decoded.cancelled[0].machines);
+  ASSERT_TRUE(decoded.cancelled[1].machines);
+  EXPECT_TRUE(decoded.cancelled[1].machines->complete);
+  EXPECT_EQ(decoded.cancelled[1].machines->machines, (std::vector<std::string>{"m1", "m2"}));
+  ASSERT_TRUE(decoded.cancelled[2].machines);
+  EXPECT_FALSE(decoded.cancelled[2].machines->complete);
+  ASSERT_TRUE(decoded.cancelled[3].machines);
+  EXPECT_TRUE(decoded.cancelled[3].machines->machines.empty());
+  // The version before ends its heartbeats before this field, and ignores what follows.
+  VarintReader frame(bytes), frame_without(without);
+  std::string body, body_without;
+  ASSERT_TRUE(frame.text(body));
+  ASSERT_TRUE(frame_without.text(body_without));
+  EXPECT_EQ(body.substr(0, body_without.size()), body_without);
+  ASSERT_EQ(decode_peer_heartbeat(without, decoded, used), FrameStatus::complete);
+  EXPECT_FALSE(decoded.cancelled[1].machines);
+  // A field of this kind that can't be read doesn't spoil the rest.
+  VarintWriter cut_off;
+  cut_off.text(body.substr(0, body.size() - 3));
+  ASSERT_EQ(decode_peer_heartbeat(cut_off.bytes(), decoded, used), FrameStatus::complete);
+  EXPECT_EQ(decoded.cancelled.size(), 4u);
+  EXPECT_FALSE(decoded.cancelled[1].machines);
+}
+
 std::string settings_with(const std::string& announced) {
   return R"(node_name = "quay-0"
 location = "a"
