A controller without the store passes on the cancellations that it has received

The controller that confirmed a cancellation can't reach the shard leader, which the store refuses, and ends in an outage. The third controller has the cancellation from that one and sees the leader's lease, so it leaves the hung machine to the leader, which never learns of the cancellation.

Cause: only cancellations read in the records were listed to peers.

Change: while a controller has no contact with the store it lists the received ones too, until its records cover them. In contact it lists none, so two controllers that both forgot a cancellation can't send it to and fro. The watermark stays sound: what an earlier incarnation passed on was in the records when its first sender confirmed it.

--- a/src/coordination/controller.cpp
+++ b/src/coordination/controller.cpp
@@ -264,6 +264,7 @@
     cancellations_.forget_received_before(cache_.as_of());
     cancellations_.forget_ended_before(loop_.now() -
                                        ended_cancellation_memory * settings_.cancel_s);
+    if (!shard_leader_.reaches_store()) cancellations_.relay_received();
     api_.begin_demand_period();
     http_->close_idle_connections(idle_connection_s);
     server_->resume_accepting();
--- a/src/coordination/leadership/cancellation_gossip.cpp
+++ b/src/coordination/leadership/cancellation_gossip.cpp
@@ -89,6 +89,11 @@
   for (auto& job : old) forget(job);
 }
 
+void CancellationGossip::relay_received() {
+  for (auto& [job, received] : received_)
+    if (!number_by_job_.contains(job)) list({job, received.since, false, std::nullopt});
+}
+
 bool CancellationGossip::is_recorded(const std::string& job) const {
   auto number = number_by_job_.find(job);
   return number != number_by_job_.end() && listed_.at(number->second).is_recorded;
--- a/src/coordination/leadership/cancellation_gossip.hpp
+++ b/src/coordination/leadership/cancellation_gossip.hpp
@@ -52,6 +52,10 @@
   void forget(const std::string& job);
   /// Forgets the cancellations whose tasks were gone before this steady time.
   void forget_ended_before(double time);
+  /// Lists the cancellations that only peers have reported to the peers as well. Needed while this
+  /// controller can't reach the key-value store: the controllers that confirmed a cancellation may
+  /// have ended, and others may be reachable for this controller only.
+  void relay_received();
   /// All cancellations that are not forgotten, whether they were recorded or received from peers.
   std::vector<Cancellation> all() const;
 
--- a/src/coordination/shard_leader/shard_leader.hpp
+++ b/src/coordination/shard_leader/shard_leader.hpp
@@ -82,6 +82,8 @@
   bool is_leading() const { return lease_.is_leading(); }
   /// The fencing token of the lease held; 0: none is held.
   uint64_t fencing_token() const { return is_leading() ? lease_.fencing_token() : 0; }
+  /// Whether this controller is in contact with the key-value store.
+  bool reaches_store() const { return contact_.in_contact(); }
   /// Tasks that the last scheduling cycle could not place.
   uint64_t pending_tasks() const { return pending_tasks_; }
   /// Number of machines that send heartbeats or that the records name.
--- a/tests/leadership/cancellation_gossip_test.cpp
+++ b/tests/leadership/cancellation_gossip_test.cpp
@@ -258,6 +258,31 @@
   EXPECT_EQ(machines_of(p.a.gossip, "run-1"), std::vector<std::string>{"m1"});
 }
 
+// A controller that confirmed a cancellation may end, and may not have reached all others.
+TEST(CancellationGossip, ReceivedCancellationIsRelayedUntilTheRecordsCoverIt) {
+  GossipPeer a{"a", 11, 500, {"b", "c"}};
+  GossipPeer b{"b", 22, 9000, {"a", "c"}};
+  GossipPeer c{"c", 33, 70, {"a", "b"}};
+  b.gossip.record("run-1", b.clock(1));
+  b.gossip.note_machines("run-1", {true, {"m1"}});
+  a.merge(b.heartbeat("a", 2), 2.01);
+  EXPECT_TRUE(a.heartbeat("c", 3).cancelled.empty());
+  a.gossip.relay_received();
+  EXPECT_EQ(c.merge(a.heartbeat("c", 3), 3.01), std::vector<std::string>{"run-1"});
+  EXPECT_EQ(machines_of(c.gossip, "run-1"), std::vector<std::string>{"m1"});
+  ASSERT_TRUE(c.gossip.cancelled_since("run-1"));
+  EXPECT_LE(*c.gossip.cancelled_since("run-1"), c.clock(2.02));
+  // The records of the relaying controller don't contain the job any more.
+  a.gossip.forget_received_before(a.clock(3));
+  EXPECT_TRUE(a.heartbeat("c", 4).cancelled.empty());
+  EXPECT_FALSE(find(a.gossip, "run-1"));
+  // Those of the other one show the cancellation, which then is no longer a relayed one.
+  c.gossip.relay_received();
+  EXPECT_TRUE(c.gossip.record("run-1", c.clock(1)));
+  c.gossip.forget_received_before(c.clock(4));
+  EXPECT_EQ(c.heartbeat("a", 5).cancelled.size(), 1u);
+}
+
 TEST(CancellationGossip, JobOnVeryManyMachinesFitsAHeartbeat) {
   PeerPair p;
   std::vector<std::string> machines;
