A new shard leader in an outage cleans up cancelled tasks, and a deposed one's claim doesn't stop it

The store refuses the shard leader, goes out right after another controller has acquired the lease, and a machine with tasks of a cancelled job hangs.

Cause: the new leader did nothing while its records were not current, and a lease claimed by any peer kept it from the cleanup, also the older one of the leader that it had replaced. The other two left the machine to it.

Change: a shard leader whose records are not current runs the cleanup like a controller without the lease, and a claimed lease that is older than the one in the records doesn't count.

--- a/src/coordination/machines/orphan_cleanup.cpp
+++ b/src/coordination/machines/orphan_cleanup.cpp
@@ -32,15 +32,24 @@
       max_concurrent_requests_(static_cast<size_t>(max_concurrent_requests)) {}
 
 // True if neither this controller nor any live peer is in contact with the key-value store, and no
-// live peer holds the shard lease: then no other controller may know of a cancellation that is
-// known here. An unreachable shard leader that doesn't know of it stops responding to heartbeats in
-// time, which ends the tasks on every machine that still runs; a machine that hangs keeps its
-// tasks.
+// live peer holds a shard lease as new as the one in this controller's records: then no other
+// controller may know of a cancellation that is known here. An unreachable shard leader that
+// doesn't know of it stops responding to heartbeats in time, which ends the tasks on every machine
+// that still runs; a machine that hangs keeps its tasks.
 bool OrphanCleanup::no_shard_leader_reachable() const {
   if (contact_.in_contact() || peer_network_.any_peer_reaches_store(contact_.limit_s()))
     return false;
-  // The leader that the records name doesn't count: it may have restarted without the lease.
-  return peer_network_.newest_shard_leader() == std::nullopt;
+  // The leader that the records name doesn't count: it may have restarted without the lease. Nor
+  // does a peer whose lease has ended according to the records, such as the one that this
+  // controller has just replaced as the shard leader.
+  const uint64_t newest_claimed = peer_network_.newest_fencing_token();
+  return newest_claimed == 0 || newest_claimed < newest_recorded_token();
+}
+
+uint64_t OrphanCleanup::newest_recorded_token() const {
+  uint64_t newest = 0;
+  for (auto& lease : cache_.shard_table().leases) newest = std::max(newest, lease.fencing_token);
+  return newest;
 }
 
 bool OrphanCleanup::is_due(const CancellationGossip::Cancellation& cancellation) const {
@@ -114,9 +123,7 @@
 
 Task<void> OrphanCleanup::stop_orphans(std::vector<OrphanMachine>& machines,
                                        std::stop_token stop_token) {
-  uint64_t fencing_token = 0;
-  for (auto& lease : cache_.shard_table().leases)
-    fencing_token = std::max(fencing_token, lease.fencing_token);
+  const uint64_t fencing_token = newest_recorded_token();
   for (size_t done = 0; done < machines.size() && !stop_token.stop_requested();) {
     const size_t count = std::min(machines.size() - done, max_concurrent_requests_);
     size_t remaining = count;
--- a/src/coordination/machines/orphan_cleanup.hpp
+++ b/src/coordination/machines/orphan_cleanup.hpp
@@ -13,7 +13,7 @@
 namespace damsonport {
 
 /// Stops tasks of cancelled jobs. Run by the maintenance coroutine of a controller that does not
-/// lead the shard.
+/// lead the shard, or that can't act as the shard leader yet.
 class OrphanCleanup {
  public:
   /// `max_concurrent_requests`: maximum number of machines that are contacted at the same time.
@@ -38,6 +38,8 @@
     bool is_unreachable = false;
   };
   bool no_shard_leader_reachable() const;
+  // The fencing token of the latest shard lease in the records; 0: none is known.
+  uint64_t newest_recorded_token() const;
   bool is_due(const CancellationGossip::Cancellation& cancellation) const;
   // Whether this controller's own records say where the tasks of the cancelled job are.
   bool own_records_count(const CancellationGossip::Cancellation& cancellation) const;
--- a/src/coordination/shard_leader/shard_leader.cpp
+++ b/src/coordination/shard_leader/shard_leader.cpp
@@ -258,7 +258,12 @@
       continue;
     }
     failure_detector_.note_tick(loop_.now(), tick);
-    if (!lease_.records_current() || !deps_.catalog.loaded()) continue;
+    if (!lease_.records_current() || !deps_.catalog.loaded()) {
+      // If the store went out right after this lease was acquired, the other controllers leave the
+      // cleanup to this one, as they see its lease.
+      co_await orphan_cleanup_.run_once(stop_token);
+      continue;
+    }
     step_down_if_unreachable();
     detect_dead_machines();
     return_machines_keeping_cancelled_tasks();
