A shard leader without the store heeds what its peers state about cancelled jobs' machines

What callers would see, on virtual time: a sound machine is returned, with the replicas on it. The store refuses the shard leader; the next one stops a cancelled job and ends. The first one takes itself for the leader again, still has the job's tasks in its records, and returns their machine when it hangs for 5 s. For a job that the next leader placed, it would return none, and the others leave that to it.

Cause: cancelled jobs' machines were taken from the leader's own records, which are not those of the leader when it was deposed while it couldn't read them.

Change: machines that peers have seen released are spared; without contact to the store, the machines that peers state for cancellations that the own records lack are treated like those in the records.

--- a/src/coordination/shard_leader/shard_leader.hpp
+++ b/src/coordination/shard_leader/shard_leader.hpp
@@ -160,8 +160,15 @@
   // Steady time of the cancellation, or earlier.
   double cancelled_since(const Job& job) const;
   void stop_cancelled(const Job& job);
+  bool has_recent_message(const Machine& m) const;
   // Whether a recent message of the machine shows that it doesn't run the attempt.
   bool has_released_task(const std::string& machine, const TaskId& task, uint64_t attempt) const;
+  // Whether a recent message of the machine shows that it runs no task of the job.
+  bool has_released_job(const std::string& machine, const std::string& job) const;
+  bool is_return_due(double age_s) const;
+  void return_for_cancelled(const std::string& machine, const std::string& job);
+  void return_machines_keeping_cancelled_tasks();
+  void return_machines_listed_by_peers();
 
   // Takes over the exits that other controllers have forwarded: they received the heartbeats of
   // machines that can't reach this controller.
@@ -287,7 +294,6 @@
   // Processes one machine of the cloud's machine list.
   void note_listed(const ListedMachine& listed);
   void detect_dead_machines();
-  void return_machines_keeping_cancelled_tasks();
   void stop_before_preemption(const Machine& m);
   void check_drains();
   void check_stragglers();
