--- a/src/protocol/peer_heartbeat.cpp
+++ b/src/protocol/peer_heartbeat.cpp
@@ -1,6 +1,7 @@
 #include "protocol/peer_heartbeat.hpp"
 
 #include <algorithm>
+#include <utility>
 
 #include "protocol/varint.hpp"
 
@@ -87,9 +88,11 @@
   if (kind == static_cast<uint64_t>(MachineList::none)) return true;
   uint64_t count = 0;
   if (!body.number(count)) return false;
-  out.emplace().complete = kind == static_cast<uint64_t>(MachineList::complete);
+  PeerHeartbeat::JobMachines job;
+  job.complete = kind == static_cast<uint64_t>(MachineList::complete);
   for (uint64_t i = 0; i < count; ++i)
-    if (!body.text(out->machines.emplace_back())) return false;
+    if (!body.text(job.machines.emplace_back())) return false;
+  out = std::move(job);
   return true;
 }
 
--- a/tests/leadership/cancellation_gossip_test.cpp
+++ b/tests/leadership/cancellation_gossip_test.cpp
@@ -285,8 +285,10 @@
 
 TEST(CancellationGossip, JobOnVeryManyMachinesFitsAHeartbeat) {
   PeerPair p;
+  constexpr int machine_count = 5000;
   std::vector<std::string> machines;
-  for (int i = 0; i < 5000; ++i) machines.push_back("machine-" + std::to_string(i));
+  machines.reserve(machine_count);
+  for (int i = 0; i < machine_count; ++i) machines.push_back("machine-" + std::to_string(i));
   p.exchange(1);
   for (int i = 0; i < 20; ++i) {
     const auto id = "run-" + std::to_string(i);
