Machines that leave commands unanswered are probed and included again

Cause: two sends in a row without a response keep a machine from new tasks, and only the answer to a command set the count back. A machine with only services, or none, gets no other command than the starts which it is kept from.

Change: such a machine is probed until it answers. Where requests stay lost, an agent epoch that outlives a worker's lease shows that the agent receives the responses to its heartbeats; their arrival alone shows nothing. Relapses exclude it for an interval that doubles up to a lease, so that a machine whose commands are held up while its probes are answered isn't filled again and again.

--- a/simulation/worker.hpp
+++ b/simulation/worker.hpp
@@ -74,6 +74,10 @@
   bool loses_incoming_messages = false;
   /// Set while the worker's heartbeats are lost.
   bool loses_heartbeats = false;
+  /// Set while controllers' requests to the worker are lost; its heartbeats are answered.
+  bool loses_requests = false;
+  /// While positive, direct commands are carried out this many seconds late and not answered.
+  double command_delay_s = 0;
   /// Set while every task fails as soon as it has fetched its image.
   bool fails_tasks = false;
   bool gone = false;  // set by terminate()
@@ -105,6 +109,9 @@
   // --- commands and tasks (worker_tasks.cpp)
   void serve(Method method, const std::string& target, const std::string& body,
              const World::ResponseHandler& respond);
+  /// Carries out the commands if they are of the present agent epoch and of no earlier fencing
+  /// token. Returns whether they were.
+  bool accept_commands(const Json& message);
   void execute(const Json& commands);
   /// Reports a violation if a controller has removed this attempt in the current agent epoch under
   /// the current fencing token.
--- a/simulation/worker_tasks.cpp
+++ b/simulation/worker_tasks.cpp
@@ -14,19 +14,29 @@
 
 void Worker::serve(Method method, const std::string& target, const std::string& body,
                    const World::ResponseHandler& respond) {
-  if (loses_incoming_messages) return;
+  if (loses_incoming_messages || loses_requests) return;
   if (method == Method::get && target == "/show") return respond({200, encode(heartbeat())});
   const Json message = decode_map(body);
   if (target != "/commands" || !message.is_object() || !message.contains("helm") ||
       !message.contains("watch"))
     return respond({400, {}});
+  if (command_delay_s > 0) {
+    world_.in(command_delay_s, [this, message] {
+      if (!gone && !is_hung()) accept_commands(message);
+    });
+    return;
+  }
+  const int status = accept_commands(message) ? 200 : 409;
+  respond({status, encode(heartbeat())});
+}
+
+bool Worker::accept_commands(const Json& message) {
   const uint64_t fencing_token = message["helm"];
   const uint64_t agent_epoch = message["watch"];
-  if (fencing_token < fencing_token_ || agent_epoch != agent_epoch_)
-    return respond({409, encode(heartbeat())});
+  if (fencing_token < fencing_token_ || agent_epoch != agent_epoch_) return false;
   learn_fencing_token(fencing_token);
   execute(message.value("orders", Json::array()));
-  respond({200, encode(heartbeat())});
+  return true;
 }
 
 void Worker::execute(const Json& commands) {
--- a/src/coordination/machines/command_dispatcher.cpp
+++ b/src/coordination/machines/command_dispatcher.cpp
@@ -90,16 +90,36 @@
 }
 
 void CommandDispatcher::handle_missing_response(Machine& machine) {
+  if (machine.failed_sends == 0) machine.unanswered_since = loop_.now();
   ++machine.failed_sends;
   callbacks_.on_send_failed(machine.id);
   machine.sending = false;
   machine.pending_commands.clear();
   spdlog::debug("{} does not answer commands", machine.id);
+  if (machine.failed_sends == Machine::max_failed_sends)
+    spdlog::info("{} gets no new tasks until it answers: {} requests failed in a row", machine.id,
+                 machine.failed_sends);
+}
+
+void CommandDispatcher::note_reachable(Machine& machine) {
+  if (machine.answers_requests() || !machine.may_be_included(loop_.now())) return;
+  machine.exclusion_s = std::min(std::max(2 * machine.exclusion_s, settings_.heartbeat_interval_s),
+                                 settings_.lease_s);
+  clear_failed_sends(machine);
+}
+
+void CommandDispatcher::clear_failed_sends(Machine& machine) {
+  const bool was_excluded = !machine.answers_requests();
+  machine.failed_sends = 0;
+  if (!was_excluded) return;
+  spdlog::info("{} can be reached again", machine.id);
+  callbacks_.on_reachable_again(machine.id);
 }
 
 void CommandDispatcher::handle_response(Machine& machine, const HttpClientResponse& reply,
                                         double requested_at) {
-  machine.failed_sends = 0;
+  machine.exclusion_s = 0;
+  clear_failed_sends(machine);
   const auto status = decode_heartbeat(decode_map(reply.body));
   if (!status || status->machine != machine.id) return;
   // Only removals are sent at once. Other commands wait for the next heartbeat: the response to a
@@ -126,11 +146,16 @@
       co_await http_.request(endpoint, Method::get, "/show", {}, settings_.heartbeat_interval_s);
   probes_in_progress_.erase(machine_id);
   machine = callbacks_.find_machine(machine_id);
-  if (reply.status != 200 || !machine || fencing_token != callbacks_.fencing_token()) co_return;
+  if (!machine || fencing_token != callbacks_.fencing_token()) co_return;
+  if (!reply.answered()) {
+    machine->unanswered_probe_sent_at = requested_at;
+    co_return;
+  }
   const auto status = decode_heartbeat(decode_map(reply.body));
+  if (reply.status != 200 || !status || status->machine != machine_id) co_return;
+  note_reachable(*machine);
   // The response to the next heartbeat carries the resulting commands.
-  if (status && status->machine == machine_id)
-    callbacks_.on_status(*machine, *status, requested_at);
+  callbacks_.on_status(*machine, *status, requested_at);
 }
 
 }  // namespace damsonport
--- a/src/coordination/machines/command_dispatcher.hpp
+++ b/src/coordination/machines/command_dispatcher.hpp
@@ -52,6 +52,8 @@
     /// The machine did not respond, so the leader has to check again whether the machine is
     /// schedulable.
     std::function<void(const std::string& id)> on_send_failed;
+    /// The machine, which had left requests unanswered, can be reached again.
+    std::function<void(const std::string& id)> on_reachable_again;
     /// Processes the machine's status from a response to a request that was sent at
     /// `requested_at`. Returns the commands that result from reconciling the status.
     std::function<std::vector<Command>(Machine&, const Heartbeat&, double requested_at)> on_status;
@@ -74,8 +76,13 @@
   /// not sent a heartbeat yet.
   void dispatch(Machine& machine, Command command);
   /// Requests the machine's status, unless a probe of this machine or the maximum number of probes
-  /// is in progress.
+  /// is in progress. The status shows that the machine can be reached. A probe without a response
+  /// doesn't count as a failed send.
   void start_probe(const std::string& machine_id);
+  /// The machine has answered a probe, or is known to receive the responses to its heartbeats. If
+  /// it had left commands unanswered, it is included again, but not before the end of an exclusion
+  /// that doubles each time, up to a worker's lease, until it answers a command.
+  void note_reachable(Machine& machine);
 
  private:
   static constexpr int min_concurrent_sends = 8;
@@ -92,6 +99,7 @@
   Task<HttpClientResponse> post_commands(std::string address, uint64_t agent_epoch,
                                          std::vector<Command> commands);
   void handle_missing_response(Machine& machine);
+  void clear_failed_sends(Machine& machine);
   void handle_response(Machine& machine, const HttpClientResponse& reply, double requested_at);
   Task<void> probe(std::string machine_id);
 
--- a/src/coordination/machines/machine.cpp
+++ b/src/coordination/machines/machine.cpp
@@ -1,5 +1,7 @@
 #include "coordination/machines/machine.hpp"
 
+#include <algorithm>
+
 namespace damsonport {
 
 void ImageCache::note_use(const std::string& image, double gb, double now, double cache_gb) {
@@ -17,6 +19,11 @@
   }
 }
 
+bool Machine::receives_responses(double worker_lease_s, double margin_s) const {
+  const double same_epoch_since = std::max(unanswered_since, agent_epoch_changed_at);
+  return tasks_as_of - same_epoch_since > worker_lease_s + margin_s;
+}
+
 bool apply_heartbeat(Machine& machine, const Heartbeat& heartbeat, double now, bool direct,
                      double as_of) {
   // Copies of older messages may arrive seconds or more than a lease late and say nothing about the
--- a/src/coordination/machines/machine.hpp
+++ b/src/coordination/machines/machine.hpp
@@ -56,7 +56,17 @@
   std::set<AttemptKey> starts_in_response;     ///< in the response to the last heartbeat
   std::vector<Command> pending_commands;       ///< commands of the next request
   bool sending = false;                        ///< a request is queued or in progress
-  int failed_sends = 0;                        ///< consecutive requests without a response
+
+  /// From this many requests with commands in a row without a response on, the machine gets no new
+  /// tasks, and is probed until it answers.
+  static constexpr int max_failed_sends = 2;
+  int failed_sends = 0;         ///< requests with commands without a response since the last one
+  double unanswered_since = 0;  ///< when the first of these requests failed
+  /// When the last probe without a response was sent.
+  double unanswered_probe_sent_at = 0;
+  /// For this many seconds from `unanswered_since` on, only the answer to a command includes the
+  /// machine again.
+  double exclusion_s = 0;
 
   ImageCache images;
   std::map<std::string, double> fetching;  ///< by image: start of the fetch
@@ -78,6 +88,16 @@
   /// Arrival of the last heartbeat that repeated the last processed one.
   double last_repeated_heartbeat_at = 0;
 
+  /// Whether the machine answers requests, as far as is known.
+  [[nodiscard]] bool answers_requests() const { return failed_sends < max_failed_sends; }
+  /// Whether other signs than the answer to a command include the machine again.
+  [[nodiscard]] bool may_be_included(double now) const {
+    return now - unanswered_since >= exclusion_s;
+  }
+  /// Whether the agent can't have been without a response, to a heartbeat of its own, since the
+  /// first request failed: without one its epoch ends after `worker_lease_s` seconds. `margin_s`
+  /// allows for messages on the way.
+  [[nodiscard]] bool receives_responses(double worker_lease_s, double margin_s) const;
   /// Whether a start command of this attempt may still reach the worker.
   [[nodiscard]] bool has_outstanding_start(const AttemptKey& key) const {
     return starts_in_flight.contains(key) || starts_unacknowledged.contains(key) ||
--- a/src/coordination/shard_leader/shard_leader.cpp
+++ b/src/coordination/shard_leader/shard_leader.cpp
@@ -77,6 +77,11 @@
     return command.op != Command::Op::start || !is_cancelled(*cache_.job(command.task.job));
   };
   callbacks.on_send_failed = [this](const std::string& id) { mark_machine_changed(id); };
+  callbacks.on_reachable_again = [this](const std::string& id) {
+    mark_machine_changed(id);
+    scheduling_requested_ = true;
+    deps_.changed.notify();
+  };
   callbacks.on_status = [this](Machine& m, const Heartbeat& status, double requested_at) {
     std::vector<Command> commands;
     process_heartbeat(m, status, true, requested_at, commands);
@@ -265,6 +270,7 @@
       continue;
     }
     step_down_if_unreachable();
+    review_unanswering_machines();
     detect_dead_machines();
     return_machines_keeping_cancelled_tasks();
     check_stragglers();
--- a/src/coordination/shard_leader/shard_leader.hpp
+++ b/src/coordination/shard_leader/shard_leader.hpp
@@ -294,6 +294,8 @@
   // Processes one machine of the cloud's machine list.
   void note_listed(const ListedMachine& listed);
   void detect_dead_machines();
+  // Finds out whether the machines that left requests unanswered can be reached again.
+  void review_unanswering_machines();
   void stop_before_preemption(const Machine& m);
   void check_drains();
   void check_stragglers();
--- a/src/coordination/shard_leader/shard_leader_failures.cpp
+++ b/src/coordination/shard_leader/shard_leader_failures.cpp
@@ -29,6 +29,28 @@
   }
 }
 
+// Such a machine gets no tasks, and so may get no commands either whose response would show that it
+// can be reached again. Those that were probed the longest time ago come first, since the number of
+// probes at a time is limited.
+void ShardLeader::review_unanswering_machines() {
+  const double now = loop_.now();
+  std::vector<Machine*> unanswering;
+  for (auto& [id, m] : machines_)
+    if (!m.answers_requests() && !scale_in_.is_leaving(id) &&
+        !failure_detector_.is_suspected(m, now))
+      unanswering.push_back(&m);
+  std::stable_sort(unanswering.begin(), unanswering.end(), [](auto* one, auto* other) {
+    return one->unanswered_probe_sent_at < other->unanswered_probe_sent_at;
+  });
+  for (Machine* m : unanswering) {
+    if (m->receives_responses(settings_.lease_s, settings_.heartbeat_interval_s)) {
+      commands_.note_reachable(*m);
+    } else {
+      commands_.start_probe(m->id);
+    }
+  }
+}
+
 // Called after the exit was committed: updates what is known of the machine and the job.
 void ShardLeader::process_committed_exit(const PendingExit& exit, const TaskId& task) {
   const double now = loop_.now();
--- a/src/coordination/shard_leader/shard_leader_heartbeats.cpp
+++ b/src/coordination/shard_leader/shard_leader_heartbeats.cpp
@@ -24,7 +24,7 @@
 
 bool ShardLeader::is_schedulable(const Machine& m) const {
   return m.agent_epoch != 0 && !m.draining && !m.preempted_at && !scale_in_.is_leaving(m.id) &&
-         !scale_in_.tracker().is_returned(m.id) && m.failed_sends < 2 &&
+         !scale_in_.tracker().is_returned(m.id) && m.answers_requests() &&
          !failure_detector_.is_suspected(m, loop_.now());
 }
 
--- a/tests/machines/command_dispatcher_test.cpp
+++ b/tests/machines/command_dispatcher_test.cpp
@@ -55,6 +55,7 @@
       return !unneeded_.contains(command.task);
     };
     callbacks.on_send_failed = [this](const std::string& id) { failed_.push_back(id); };
+    callbacks.on_reachable_again = [this](const std::string& id) { reachable_.push_back(id); };
     callbacks.on_status = [this](Machine&, const Heartbeat&, double requested_at) {
       status_requested_at_.push_back(requested_at);
       return commands_on_status_;
@@ -89,6 +90,7 @@
   std::map<std::string, Machine> machines_;
   std::vector<Request> requests_;
   std::vector<std::string> failed_;
+  std::vector<std::string> reachable_;
   std::vector<double> status_requested_at_;
   CommandDispatcher dispatcher_{loop_, settings_, *http_, callbacks()};
 };
@@ -163,6 +165,61 @@
   EXPECT_FALSE(machine.sending);
 }
 
+// Guards against a machine that is never used again because only the answer to a command, which it
+// no longer gets, shows that it can be reached.
+TEST_F(CommandDispatcherTest, AnAnsweredProbeShowsThatTheMachineCanBeReached) {
+  Machine& machine = add_machine("i-1");
+  for (int n = 0; n < Machine::max_failed_sends; ++n) {
+    EXPECT_TRUE(machine.answers_requests());
+    dispatcher_.dispatch(machine, command(Command::Op::stop, 0));
+    run(5);
+  }
+  EXPECT_FALSE(machine.answers_requests());
+  dispatcher_.start_probe("i-1");
+  run(5);  // without a response
+  EXPECT_EQ(machine.failed_sends, Machine::max_failed_sends);
+  EXPECT_GT(machine.unanswered_probe_sent_at, machine.unanswered_since);
+  dispatcher_.start_probe("i-1");
+  run();
+  EXPECT_TRUE(reachable_.empty());
+  ASSERT_EQ(requests_.back().target, "/show");
+  requests_.back().answer({200, status_of("i-1")});
+  run();
+  EXPECT_TRUE(machine.answers_requests());
+  EXPECT_EQ(reachable_, std::vector<std::string>{"i-1"});
+}
+
+// Guards against a machine that is filled again and again although it carries out no commands.
+TEST_F(CommandDispatcherTest, EachRelapseExcludesTheMachineForLongerUpToALease) {
+  settings_.lease_s = 12;
+  Machine& machine = add_machine("i-1");
+  const auto fail_commands = [&] {
+    while (machine.answers_requests()) {
+      dispatcher_.dispatch(machine, command(Command::Op::stop, 0));
+      run(5);
+    }
+    machine.unanswered_since = loop_.now();
+  };
+  const auto reachable_after_s = [&] {
+    dispatcher_.note_reachable(machine);
+    while (!machine.answers_requests()) {
+      run(0.5);
+      dispatcher_.note_reachable(machine);
+    }
+    return loop_.now() - machine.unanswered_since;
+  };
+  for (const double expected_s : {0.0, 2.0, 4.0, 8.0, 12.0, 12.0}) {
+    fail_commands();
+    EXPECT_NEAR(reachable_after_s(), expected_s, 0.01);
+  }
+  dispatcher_.dispatch(machine, command(Command::Op::stop, 0));
+  run();
+  requests_.back().answer({200, status_of("i-1")});
+  run();
+  fail_commands();
+  EXPECT_NEAR(reachable_after_s(), 0, 0.01);
+}
+
 TEST_F(CommandDispatcherTest, AResponseOfAnEarlierLeaseIsIgnored) {
   Machine& machine = add_machine("i-1");
   dispatcher_.dispatch(machine, command(Command::Op::stop, 0));
--- a/tests/scenarios/scenario_actions.cpp
+++ b/tests/scenarios/scenario_actions.cpp
@@ -28,8 +28,10 @@
       {"fate", &ScenarioActions::set_transaction_fault},
       {"hang", &ScenarioActions::hang},
       {"keep", &ScenarioActions::keep_heartbeat},
+      {"late_commands", &ScenarioActions::delay_commands},
       {"late_report", &ScenarioActions::redeliver_kept_heartbeat},
       {"lower_limits", &ScenarioActions::lower_limits},
+      {"lose_requests", &ScenarioActions::drop_requests},
       {"mute", &ScenarioActions::drop_heartbeats},
       {"odd", &ScenarioActions::send_invalid_requests},
       {"old_version", &ScenarioActions::write_old_version},
@@ -219,6 +221,21 @@
   set_machine_fault(event, &Worker::loses_incoming_messages);
 }
 
+// lose_requests MACHINES [for=S]: controllers' requests to the workers are lost
+void ScenarioActions::drop_requests(const ScenarioEvent& event) {
+  set_machine_fault(event, &Worker::loses_requests);
+}
+
+// late_commands MACHINES by=S [for=S]: direct commands are carried out late and not answered
+void ScenarioActions::delay_commands(const ScenarioEvent& event) {
+  for (auto* worker : deployment_.select_machines(event.target)) {
+    worker->command_delay_s = event.options.number("by");
+    world_.in(duration_of(event), [this, id = worker->id] {
+      if (auto* same = deployment_.fleet().find(id)) same->command_delay_s = 0;
+    });
+  }
+}
+
 // mute MACHINES [for=S]: the workers' heartbeats are lost
 void ScenarioActions::drop_heartbeats(const ScenarioEvent& event) {
   set_machine_fault(event, &Worker::loses_heartbeats);
--- a/tests/scenarios/scenario_actions.hpp
+++ b/tests/scenarios/scenario_actions.hpp
@@ -45,6 +45,8 @@
   void change_boot_time(const ScenarioEvent& event);
   void hang(const ScenarioEvent& event);
   void drop_incoming_messages(const ScenarioEvent& event);
+  void drop_requests(const ScenarioEvent& event);
+  void delay_commands(const ScenarioEvent& event);
   void drop_heartbeats(const ScenarioEvent& event);
   void fail_tasks(const ScenarioEvent& event);
   void set_machine_fault(const ScenarioEvent& event, bool Worker::*fault);
