A machine is returned as unreachable only after a probe without a response since its agent restarted

Cause: unanswered requests before a restart of the agent counted as a sign that the restarted one can't be answered.

Change: a probe sent after the restart has to go unanswered as well.

--- a/src/coordination/shard_leader/shard_leader_drains.cpp
+++ b/src/coordination/shard_leader/shard_leader_drains.cpp
@@ -68,7 +68,9 @@
     const bool restarted =
         m.agent_epoch_changed_at > 0 &&
         now - m.agent_epoch_changed_at < restart_memory_leases * settings_.lease_s;
-    if (m.failed_sends >= failed_sends_of_unreachable && restarted)
+    // The requests may have failed before the restart, in a partition that is over.
+    const bool unanswered_since_restart = m.unanswered_probe_sent_at > m.agent_epoch_changed_at;
+    if (m.failed_sends >= failed_sends_of_unreachable && restarted && unanswered_since_restart)
       scale_in_.request(id, "it can't be answered");
   }
 }
