--- a/src/coordination/shard_leader/shard_leader.cpp
+++ b/src/coordination/shard_leader/shard_leader.cpp
@@ -269,30 +269,38 @@
       co_await orphan_cleanup_.run_once(stop_token);
       continue;
     }
-    step_down_if_unreachable();
-    review_unanswering_machines();
-    detect_dead_machines();
-    return_machines_keeping_cancelled_tasks();
-    check_stragglers();
-    review_faults();
-    check_drains();
-    review_gangs();
-    // Time alone changes what can be placed: back-offs end, and machines become suspected.
-    if (pending_tasks_ > 0 || snapshot_builder_.has_held_back_jobs()) scheduling_requested_ = true;
-    if (deps_.election.is_leading()) {
-      co_await scale_in_.return_machines(ScaleInTracker::Selection::all, stop_token);
-      if (is_leading() && loop_.now() >= next_scaling_at_) {
-        next_scaling_at_ = loop_.now() + settings_.heartbeat_interval_s / 2;
-        autoscaler_.run(unschedulable_, stop_token);
-      }
-    } else if (scale_in_.tracker().any_keeps_cancelled_task()) {
-      // This controller is no longer cluster leader, but still holds the shard lease, because in an
-      // outage its successor has failed as well. The other controllers still see its lease, and so
-      // don't return these machines.
-      co_await scale_in_.return_machines(ScaleInTracker::Selection::only_with_cancelled_task,
-                                         stop_token);
+    co_await maintain_shard(stop_token);
+  }
+}
+
+Task<void> ShardLeader::maintain_shard(std::stop_token stop_token) {
+  step_down_if_unreachable();
+  review_unanswering_machines();
+  detect_dead_machines();
+  return_machines_keeping_cancelled_tasks();
+  check_stragglers();
+  review_faults();
+  check_drains();
+  review_gangs();
+  // Time alone changes what can be placed: back-offs end, and machines become suspected.
+  if (pending_tasks_ > 0 || snapshot_builder_.has_held_back_jobs()) scheduling_requested_ = true;
+  co_await scale_in_and_out(stop_token);
+  deps_.changed.notify();
+}
+
+Task<void> ShardLeader::scale_in_and_out(std::stop_token stop_token) {
+  if (deps_.election.is_leading()) {
+    co_await scale_in_.return_machines(ScaleInTracker::Selection::all, stop_token);
+    if (is_leading() && loop_.now() >= next_scaling_at_) {
+      next_scaling_at_ = loop_.now() + settings_.heartbeat_interval_s / 2;
+      autoscaler_.run(unschedulable_, stop_token);
     }
-    deps_.changed.notify();
+  } else if (scale_in_.tracker().any_keeps_cancelled_task()) {
+    // This controller is no longer cluster leader, but still holds the shard lease, because in an
+    // outage its successor has failed as well. The other controllers still see its lease, and so
+    // don't return these machines.
+    co_await scale_in_.return_machines(ScaleInTracker::Selection::only_with_cancelled_task,
+                                       stop_token);
   }
 }
 
--- a/src/coordination/shard_leader/shard_leader.hpp
+++ b/src/coordination/shard_leader/shard_leader.hpp
@@ -150,6 +150,9 @@
     double grace_s;
   };
 
+  // One run of the maintenance while this controller acts as the shard leader.
+  Task<void> maintain_shard(std::stop_token stop_token);
+  Task<void> scale_in_and_out(std::stop_token stop_token);
   void on_lease_acquired();
   void on_lease_lost();
   void step_down_if_unreachable();
@@ -174,7 +177,7 @@
   // machines that can't reach this controller.
   void apply_forwarded_exits();
 
-  // --- commits (shard_leader_commit.cpp)
+  // --- commits (shard_leader_commit.cpp, shard_leader_starts.cpp)
   Task<StepResult> commit_exits(std::stop_token stop_token);
   Task<StepResult> commit_final_states(std::stop_token stop_token);
   Task<StepResult> commit_starts(std::stop_token stop_token);
@@ -274,6 +277,11 @@
   // Fills the machine's image cache with the uses that this controller saw before its lease.
   void restore_image_cache(Machine& m);
   void process_committed_exit(const PendingExit& exit, const TaskId& task);
+  // Returns what is known of the attempt, and forgets it with the task's other attempts.
+  Attempt take_attempt(const TaskId& task, uint64_t attempt);
+  void process_cause(Machine& m, const Job& job, const TaskId& task, const PendingExit& exit,
+                     const Attempt& seen);
+  void note_done(Machine& m, const Job& job, const PendingExit& exit, const Attempt& seen);
   void note_error(Machine& m, const JobSpec& spec);
   // Drains faulty machines, a bounded share of the fleet at a time, and ends the drain of those
   // whose failures are now attributed to a job.
--- a/src/coordination/shard_leader/shard_leader_failures.cpp
+++ b/src/coordination/shard_leader/shard_leader_failures.cpp
@@ -51,16 +51,20 @@
   }
 }
 
+ShardLeader::Attempt ShardLeader::take_attempt(const TaskId& task, uint64_t attempt) {
+  auto attempts = attempts_.find(task);
+  if (attempts == attempts_.end()) return {};
+  auto it = attempts->second.find(attempt);
+  const Attempt seen = it == attempts->second.end() ? Attempt{} : it->second;
+  attempts_.erase(attempts);
+  return seen;
+}
+
 // Called after the exit was committed: updates what is known of the machine and the job.
 void ShardLeader::process_committed_exit(const PendingExit& exit, const TaskId& task) {
-  const double now = loop_.now();
   stop_requests_.erase(task);
-  Attempt seen;
-  if (auto a = attempts_.find(task); a != attempts_.end()) {
-    if (auto i = a->second.find(exit.attempt); i != a->second.end()) seen = i->second;
-    attempts_.erase(a);
-  }
-  Job* job = cache_.job(task.job);
+  const Attempt seen = take_attempt(task, exit.attempt);
+  const Job* job = cache_.job(task.job);
   auto it = machines_.find(exit.machine);
   if (!job || it == machines_.end()) return;
   Machine& m = it->second;
@@ -71,39 +75,48 @@
                                    t->second.state == TaskState::exited &&
                                    !m.has_outstanding_start({task, exit.attempt}))
     commands_.dispatch(m, {Command::Op::remove, task, exit.attempt, 0});
+  process_cause(m, *job, task, exit, seen);
+}
+
+void ShardLeader::process_cause(Machine& m, const Job& job, const TaskId& task,
+                                const PendingExit& exit, const Attempt& seen) {
+  const double now = loop_.now();
   switch (exit.cause) {
-    case ExitCause::done: {
-      task_failures_.note_success(task.job, m.id, seen.running_at);
-      if (!seen.image_cached || seen.start_committed_at == 0 || !exit.ended_at) break;
-      // All tasks of a gang take as long as the one on the slowest machine, so their run_s times
-      // say nothing about single machines.
-      if (job->spec.kind == JobKind::gang) break;
-      const double run_s =
-          std::max(*exit.ended_at - seen.start_committed_at, settings_.heartbeat_interval_s);
-      if (stragglers_.note_success(task.job, run_s, m.straggler)) {
-        spdlog::warn("{} is a straggler: its average is {:.2f} of its jobs' medians", m.id,
-                     m.straggler.average);
-        m.straggler_since = now;
-      }
+    case ExitCause::done:
+      note_done(m, job, exit, seen);
       break;
-    }
     case ExitCause::error:
-      note_error(m, job->spec);
+      note_error(m, job.spec);
       break;
     case ExitCause::insufficient_resources:
     case ExitCause::other_attempt_running:
     case ExitCause::not_found:
       spdlog::info("{} was refused by {}", task.text(), m.id);
-      task_failures_.note_refusal(task.job, now);
+      task_failures_.note_refusal(job.spec.id, now);
       // The task is started on another machine under the same attempt, which this machine has
       // refused.
-      if (job->spec.gang_size() > 0) m.failed_jobs[task.job] = now;
+      if (job.spec.gang_size() > 0) m.failed_jobs[job.spec.id] = now;
       break;
     default:
       break;
   }
 }
 
+void ShardLeader::note_done(Machine& m, const Job& job, const PendingExit& exit,
+                            const Attempt& seen) {
+  task_failures_.note_success(job.spec.id, m.id, seen.running_at);
+  if (!seen.image_cached || seen.start_committed_at == 0 || !exit.ended_at) return;
+  // All tasks of a gang take as long as the one on the slowest machine, so their run_s times
+  // say nothing about single machines.
+  if (job.spec.kind == JobKind::gang) return;
+  const double run_s =
+      std::max(*exit.ended_at - seen.start_committed_at, settings_.heartbeat_interval_s);
+  if (!stragglers_.note_success(job.spec.id, run_s, m.straggler)) return;
+  spdlog::warn("{} is a straggler: its average is {:.2f} of its jobs' medians", m.id,
+               m.straggler.average);
+  m.straggler_since = loop_.now();
+}
+
 void ShardLeader::note_error(Machine& m, const JobSpec& spec) {
   const bool is_job_faulty = task_failures_.note_error(spec.id, m.id, loop_.now());
   spdlog::info("a task of {} failed on {}{}", spec.id, m.id,
