Cleanup of cancelled tasks: the age of a received cancellation survives a restart

Cause: the upper bound of the age counted from the arrival of the peer's message, so that the early bound of a peer that had long been silent doesn't hide a cancellation. A controller that restarts late in an outage receives all of them anew, and would have cleaned up again long after cancel_s, when a machine that does not answer for a moment says nothing.

Change: the upper bound counts from the time that the peer states, taken at the arrival. Test AgeOfAReceivedCancellationSurvivesSilenceAndRestart.

--- a/src/coordination/leadership/cancellation_gossip.cpp
+++ b/src/coordination/leadership/cancellation_gossip.cpp
@@ -108,10 +108,12 @@
   std::vector<Cancellation> out;
   for (auto& [number, listed] : listed_)
     if (listed.is_recorded)
-      out.push_back({listed.job, listed.since, std::nullopt, machines_of(listed.job)});
+      out.push_back(
+          {listed.job, listed.since, listed.since, std::nullopt, machines_of(listed.job)});
   for (auto& [job, received] : received_) {
     if (!is_recorded(job))
-      out.push_back({job, received.since, received.first_received_at, machines_of(job)});
+      out.push_back(
+          {job, received.since, received.latest, received.first_received_at, machines_of(job)});
   }
   return out;
 }
@@ -198,8 +200,11 @@
   std::vector<std::string> new_jobs;
   for (auto& cancellation : heartbeat.cancelled) {
     const double since = sent_after - from_ms(cancellation.age_ms);
-    auto [known, is_new] = received_.try_emplace(cancellation.job, Received{since, now, now});
+    const double latest = now - from_ms(cancellation.age_ms);
+    auto [known, is_new] =
+        received_.try_emplace(cancellation.job, Received{since, latest, now, now});
     known->second.since = std::min(known->second.since, since);
+    known->second.latest = std::max(known->second.latest, latest);
     known->second.last_received_at = now;
     if (is_new) new_jobs.push_back(cancellation.job);
   }
--- a/src/coordination/leadership/cancellation_gossip.hpp
+++ b/src/coordination/leadership/cancellation_gossip.hpp
@@ -31,6 +31,9 @@
   struct Cancellation {
     std::string job;
     double since = 0;  // steady time of the cancellation, or earlier
+    // Steady time of the cancellation if the peer's message took no time on its way; later than the
+    // cancellation if it did. Equal to `since` if the records show the cancellation.
+    double latest = 0;
     // Steady time at which a peer first reported it; not set if the records show it.
     std::optional<double> received_at;
     // See machines_of().
@@ -101,6 +104,7 @@
   };
   struct Received {
     double since;
+    double latest;
     double first_received_at;
     double last_received_at;
   };
--- a/src/coordination/machines/orphan_cleanup.cpp
+++ b/src/coordination/machines/orphan_cleanup.cpp
@@ -54,11 +54,9 @@
 
 bool OrphanCleanup::is_due(const CancellationGossip::Cancellation& cancellation) const {
   const double now = loop_.now();
-  // The time that a peer's message states may be too early by its delay on the way, so the upper
-  // bound of the age counts from its arrival.
-  const double latest = cancellation.received_at.value_or(cancellation.since);
+  // `since` may be far too early, if the peer had not heard from this controller for long.
   return now - cancellation.since >= min_age_share * settings_.cancel_s &&
-         now - latest <= max_age_share * settings_.cancel_s;
+         now - cancellation.latest <= max_age_share * settings_.cancel_s;
 }
 
 // The records of a controller that had lost the store when a peer told it of the cancellation may
--- a/tests/leadership/cancellation_gossip_test.cpp
+++ b/tests/leadership/cancellation_gossip_test.cpp
@@ -245,6 +245,24 @@
   EXPECT_FALSE(find(p.b.gossip, "run-1"));
 }
 
+// The age bounds the time in which tasks of the job are cleaned up, so neither a long silence
+// between the controllers nor a restart may change it much.
+TEST(CancellationGossip, AgeOfAReceivedCancellationSurvivesSilenceAndRestart) {
+  PeerPair p;
+  p.exchange(1);
+  p.exchange(2);
+  p.b.gossip.record("run-1", p.b.clock(60));
+  p.a.merge(p.b.heartbeat("a", 61), 61.01);  // echoes a heartbeat of before the silence
+  ASSERT_TRUE(find(p.a.gossip, "run-1"));
+  EXPECT_LT(find(p.a.gossip, "run-1")->since, p.a.clock(2));
+  EXPECT_NEAR(find(p.a.gossip, "run-1")->latest, p.a.clock(60), 0.02);
+  GossipPeer restarted{"a", 12, 500, {"b"}};
+  p.b.merge(restarted.heartbeat("b", 110), 110);
+  restarted.merge(p.b.heartbeat("a", 110), 110);
+  ASSERT_TRUE(find(restarted.gossip, "run-1"));
+  EXPECT_NEAR(find(restarted.gossip, "run-1")->latest, restarted.clock(60), 0.02);
+}
+
 TEST(CancellationGossip, LateHeartbeatBringsNoMachineBack) {
   PeerPair p;
   p.exchange(1);
