Statements about cancelled jobs' machines: order within a process, and what own records release

Found by reading the change again. - A late heartbeat of an earlier process of a controller, after the first one of its next process, was taken for a newer statement and released a machine on which the task still ran. The order is now kept for each process and job. - A follower may read the start and the end of a task at once and so never state its machine; one that only a peer had listed then stayed listed, and was returned if it didn't answer in an outage. Own records that cover the cancellation now release what they don't list. - A late copy made a cancellation seem younger, so that its tasks were cleaned up long after cancel_s.

--- a/src/coordination/controller.cpp
+++ b/src/coordination/controller.cpp
@@ -164,6 +164,7 @@
     for (auto& task : job->live_tasks()) machines.insert(task.machine);
     const bool complete = cache_.loaded() && job->version <= cache_.revision();
     cancellations_.note_machines(id, {complete, {machines.begin(), machines.end()}});
+    if (!complete) changed_cancelled_jobs_.insert(id);  // until the watch has caught up
   }
 }
 
--- a/src/coordination/leadership/cancellation_gossip.cpp
+++ b/src/coordination/leadership/cancellation_gossip.cpp
@@ -14,8 +14,6 @@
 constexpr size_t entry_overhead_bytes = 8;
 // Bound on the names of the machines of one job. The list of a job with more is incomplete.
 constexpr size_t max_machine_bytes = size_t{4} * 1024;
-// Source of the statements that follow from this controller's own records.
-constexpr const char* own_records = "";
 // Sent for cancellations of unknown age; older than any cancellation that still matters.
 constexpr double max_age_s = 1e7;
 
@@ -58,14 +56,9 @@
   number_by_job_.erase(number);
 }
 
-void CancellationGossip::note_statement(const std::string& job, const std::string& controller,
-                                        const PeerHeartbeat::JobMachines& stated) {
-  if (machines_[job].note(controller, stated)) list_again(job);
-}
-
 void CancellationGossip::note_machines(const std::string& job,
                                        const PeerHeartbeat::JobMachines& in_records) {
-  if (number_by_job_.contains(job)) note_statement(job, own_records, in_records);
+  if (number_by_job_.contains(job) && machines_[job].note_own_records(in_records)) list_again(job);
 }
 
 void CancellationGossip::note_ended(const std::string& job, double now) {
@@ -196,7 +189,8 @@
 }
 
 std::vector<std::string> CancellationGossip::merge_cancellations(const PeerHeartbeat& heartbeat,
-                                                                 double sent_after, double now) {
+                                                                 double sent_after, double now,
+                                                                 bool newest) {
   std::vector<std::string> new_jobs;
   for (auto& cancellation : heartbeat.cancelled) {
     const double since = sent_after - from_ms(cancellation.age_ms);
@@ -204,18 +198,20 @@
     auto [known, is_new] =
         received_.try_emplace(cancellation.job, Received{since, latest, now, now});
     known->second.since = std::min(known->second.since, since);
-    known->second.latest = std::max(known->second.latest, latest);
+    // A late heartbeat says nothing of how long ago the cancellation was.
+    if (newest) known->second.latest = std::max(known->second.latest, latest);
     known->second.last_received_at = now;
     if (is_new) new_jobs.push_back(cancellation.job);
   }
   return new_jobs;
 }
 
-// Statements of an earlier incarnation stay: its records listed these machines.
+// Statements of an earlier incarnation stay: its records listed these machines. A heartbeat may be
+// a late one of it, so the order of statements is that of one incarnation.
 void CancellationGossip::merge_machines(const PeerHeartbeat& heartbeat) {
   const std::string source = heartbeat.controller + "/" + std::to_string(heartbeat.incarnation);
-  for (auto& cancellation : heartbeat.cancelled)
-    if (cancellation.machines) note_statement(cancellation.job, source, *cancellation.machines);
+  for (auto& [job, age_ms, machines] : heartbeat.cancelled)
+    if (machines && machines_[job].note(source, heartbeat.sent_ms, *machines)) list_again(job);
 }
 
 CancellationGossip::MergeResult CancellationGossip::merge(const PeerHeartbeat& heartbeat,
@@ -228,11 +224,11 @@
   const uint64_t received_before = peer.received_upto;
   const auto echoed = echoed_time(heartbeat);
   if (!follow_incarnation(peer, heartbeat, echoed)) return result;
-  result.new_jobs = merge_cancellations(heartbeat, std::min(echoed.value_or(now), now), now);
-  if (is_newest(peer, heartbeat)) {
-    note_acknowledgement(peer, heartbeat, echoed);
-    merge_machines(heartbeat);
-  }
+  const bool newest = is_newest(peer, heartbeat);
+  if (newest) note_acknowledgement(peer, heartbeat, echoed);
+  result.new_jobs =
+      merge_cancellations(heartbeat, std::min(echoed.value_or(now), now), now, newest);
+  merge_machines(heartbeat);
   if (peer.received_upto >= heartbeat.listed_after)
     peer.received_upto = std::max(peer.received_upto, heartbeat.listed_upto);
   // Until the peer has loaded the records, it doesn't know the cancellations that its earlier
--- a/src/coordination/leadership/cancellation_gossip.hpp
+++ b/src/coordination/leadership/cancellation_gossip.hpp
@@ -128,10 +128,8 @@
   void note_acknowledgement(Peer& peer, const PeerHeartbeat& heartbeat,
                             std::optional<double> echoed) const;
   std::vector<std::string> merge_cancellations(const PeerHeartbeat& heartbeat, double sent_after,
-                                               double now);
+                                               double now, bool newest);
   void merge_machines(const PeerHeartbeat& heartbeat);
-  void note_statement(const std::string& job, const std::string& controller,
-                      const PeerHeartbeat::JobMachines& stated);
   void list(Listed cancellation);
   // Lists the job's cancellation once more, because its machines have changed.
   void list_again(const std::string& job);
--- a/tests/leadership/cancellation_gossip_test.cpp
+++ b/tests/leadership/cancellation_gossip_test.cpp
@@ -276,6 +276,48 @@
   EXPECT_EQ(machines_of(p.a.gossip, "run-1"), std::vector<std::string>{"m1"});
 }
 
+TEST(CancellationGossip, LateHeartbeatOfAnEarlierProcessReleasesNoMachine) {
+  PeerPair p;
+  p.b.loaded = false;
+  p.exchange(1);
+  p.b.gossip.record("run-1", p.b.clock(1.5));
+  p.b.gossip.note_machines("run-1", {true, {}});
+  const auto late = p.b.heartbeat("a", 2);
+  p.b.gossip.note_machines("run-1", {true, {"m1"}});
+  p.a.merge(p.b.heartbeat("a", 2.5), 2.51);
+  const GossipPeer restarted{"b", 33, 9000, {"a"}};
+  p.a.merge(restarted.heartbeat("a", 3), 3.01);
+  p.a.merge(late, 3.5);
+  EXPECT_EQ(machines_of(p.a.gossip, "run-1"), std::vector<std::string>{"m1"});
+}
+
+// A follower may read the start and the end of a task at once, so that it never stated the machine.
+TEST(CancellationGossip, OwnRecordsReleaseMachinesThatOnlyPeersHaveListed) {
+  PeerPair p;
+  p.exchange(1);
+  p.b.gossip.record("run-1", p.b.clock(1.5));
+  p.b.gossip.note_machines("run-1", {true, {"m1", "m2"}});
+  p.a.merge(p.b.heartbeat("a", 2), 2.01);
+  p.a.gossip.record("run-1", p.a.clock(1.5));
+  p.a.gossip.note_machines("run-1", {false, {}});
+  EXPECT_EQ(machines_of(p.a.gossip, "run-1").size(), 2u);
+  p.a.gossip.note_machines("run-1", {true, {"m2"}});
+  EXPECT_EQ(machines_of(p.a.gossip, "run-1"), std::vector<std::string>{"m2"});
+}
+
+// A late copy of a heartbeat must not make a cancellation seem younger than it is.
+TEST(CancellationGossip, LateCopyDoesNotChangeTheAge) {
+  PeerPair p;
+  p.exchange(1);
+  p.b.gossip.record("run-1", p.b.clock(1.5));
+  const auto copy = p.b.heartbeat("a", 2);
+  p.a.merge(copy, 2.01);
+  p.a.merge(p.b.heartbeat("a", 3), 3.01);
+  p.a.merge(copy, 80);
+  ASSERT_TRUE(find(p.a.gossip, "run-1"));
+  EXPECT_NEAR(find(p.a.gossip, "run-1")->latest, p.a.clock(1.5), 0.02);
+}
+
 // A controller that confirmed a cancellation may end, and may not have reached all others.
 TEST(CancellationGossip, ReceivedCancellationIsRelayedUntilTheRecordsCoverIt) {
   GossipPeer a{"a", 11, 500, {"b", "c"}};
