A machine without responses is returned after probes without an answer, too

Found by reading the change again. Cause: the return waits for three unanswered requests with commands, but after two the machine gets no tasks and may get no further command. Jobs that were placed on it waited for ever.

Change: three unanswered probes in a row count as well, if they were sent while heartbeats arrive. As before a probe has to go unanswered after the restart of the agent.

--- a/src/coordination/machines/command_dispatcher.cpp
+++ b/src/coordination/machines/command_dispatcher.cpp
@@ -119,6 +119,7 @@
 void CommandDispatcher::handle_response(Machine& machine, const HttpClientResponse& reply,
                                         double requested_at) {
   machine.exclusion_s = 0;
+  machine.unanswered_probes = 0;
   clear_failed_sends(machine);
   const auto status = decode_heartbeat(decode_map(reply.body));
   if (!status || status->machine != machine.id) return;
@@ -141,6 +142,7 @@
   if (!machine || !parse_endpoint(machine->address, endpoint)) co_return;
   const uint64_t fencing_token = callbacks_.fencing_token();
   const double requested_at = loop_.now();
+  const bool was_suspected = callbacks_.is_suspected(*machine);
   probes_in_progress_.insert(machine_id);
   const HttpClientResponse reply =
       co_await http_.request(endpoint, Method::get, "/show", {}, settings_.heartbeat_interval_s);
@@ -148,11 +150,14 @@
   machine = callbacks_.find_machine(machine_id);
   if (!machine || fencing_token != callbacks_.fencing_token()) co_return;
   if (!reply.answered()) {
+    if (was_suspected) co_return;
     machine->unanswered_probe_sent_at = requested_at;
+    ++machine->unanswered_probes;
     co_return;
   }
   const auto status = decode_heartbeat(decode_map(reply.body));
   if (reply.status != 200 || !status || status->machine != machine_id) co_return;
+  machine->unanswered_probes = 0;
   note_reachable(*machine);
   // The response to the next heartbeat carries the resulting commands.
   callbacks_.on_status(*machine, *status, requested_at);
--- a/src/coordination/machines/machine.hpp
+++ b/src/coordination/machines/machine.hpp
@@ -62,8 +62,10 @@
   static constexpr int max_failed_sends = 2;
   int failed_sends = 0;         ///< requests with commands without a response since the last one
   double unanswered_since = 0;  ///< when the first of these requests failed
-  /// When the last probe without a response was sent.
-  double unanswered_probe_sent_at = 0;
+  /// Probes in a row without a response that were sent while the machine's heartbeats arrived. A
+  /// silent machine's probes show no more than its silence.
+  int unanswered_probes = 0;
+  double unanswered_probe_sent_at = 0;  ///< when the last of them was sent
   /// For this many seconds from `unanswered_since` on, only the answer to a command includes the
   /// machine again.
   double exclusion_s = 0;
--- a/src/coordination/shard_leader/shard_leader.hpp
+++ b/src/coordination/shard_leader/shard_leader.hpp
@@ -304,6 +304,7 @@
   void detect_dead_machines();
   // Finds out whether the machines that left requests unanswered can be reached again.
   void review_unanswering_machines();
+  bool can_not_be_answered(const Machine& m) const;
   void stop_before_preemption(const Machine& m);
   void check_drains();
   void check_stragglers();
--- a/src/coordination/shard_leader/shard_leader_drains.cpp
+++ b/src/coordination/shard_leader/shard_leader_drains.cpp
@@ -10,9 +10,9 @@
 namespace damsonport {
 
 namespace {
-// Requests in a row without a response after which a machine counts as unreachable, if its agent
-// has restarted too.
-constexpr int failed_sends_of_unreachable = 3;
+// Requests with commands, or probes, in a row without a response after which a machine counts as
+// unreachable, if its agent has restarted too.
+constexpr int failures_of_unreachable = 3;
 // For how many leases after its restart an agent counts as restarted: one that gets no responses
 // restarts once a lease.
 constexpr double restart_memory_leases = 1.5;
@@ -63,18 +63,23 @@
     const bool empty = cache_.assignments_on(id).empty() && m.tasks.empty() && m.agent_epoch != 0;
     if (m.draining && empty && !in_dispute)
       scale_in_.request(id, "empty and drained (" + m.drain_reason + ")");
-    // Responses don't reach the machine: its agent has restarted although every heartbeat was
-    // answered.
-    const bool restarted =
-        m.agent_epoch_changed_at > 0 &&
-        now - m.agent_epoch_changed_at < restart_memory_leases * settings_.lease_s;
-    // The requests may have failed before the restart, in a partition that is over.
-    const bool unanswered_since_restart = m.unanswered_probe_sent_at > m.agent_epoch_changed_at;
-    if (m.failed_sends >= failed_sends_of_unreachable && restarted && unanswered_since_restart)
-      scale_in_.request(id, "it can't be answered");
+    if (can_not_be_answered(m)) scale_in_.request(id, "it can't be answered");
   }
 }
 
+// Responses don't reach the machine: its agent has restarted although every heartbeat was answered,
+// and requests go unanswered. Requests with commands may have failed before the restart, in a
+// partition that is over, so a probe has to go unanswered after it. A machine without new tasks may
+// get no further commands, so probes alone are enough.
+bool ShardLeader::can_not_be_answered(const Machine& m) const {
+  const bool restarted =
+      m.agent_epoch_changed_at > 0 &&
+      loop_.now() - m.agent_epoch_changed_at < restart_memory_leases * settings_.lease_s;
+  const bool unanswered_since_restart = m.unanswered_probe_sent_at > m.agent_epoch_changed_at;
+  return restarted && unanswered_since_restart && !m.answers_requests() &&
+         std::max(m.failed_sends, m.unanswered_probes) >= failures_of_unreachable;
+}
+
 // Drains a straggler once a replacement has sent its first heartbeat. If the cloud refuses machines
 // of the kind, returning the straggler is what makes room for a replacement, so the straggler is
 // drained at once. It is also drained if the replacement doesn't come in time.
