--- a/src/protocol/peer_heartbeat.hpp
+++ b/src/protocol/peer_heartbeat.hpp
@@ -29,9 +29,10 @@
   uint64_t echo_ms = 0;           ///< newest `sent_ms` that the sender got from the receiver
   uint64_t received_upto = 0;     ///< acknowledges the receiver's cancellations up to this number
 
-  // Cancellations that the sender knows and whose tasks may still exist. Each sender numbers its
-  // cancellations. `cancelled` lists those with numbers greater than `listed_after` and up to
-  // `listed_upto`.
+  // Cancellations that the sender has read in the records, for some time also those of jobs that
+  // have ended, and without contact to the store those that it has received. Each sender numbers
+  // them, and anew when the machines of the job change. `cancelled` lists those with numbers
+  // greater than `listed_after` and up to `listed_upto`.
   uint64_t listed_after = 0;
   uint64_t listed_upto = 0;
   uint64_t newest_number = 0;  ///< number of the sender's newest cancellation
