--- a/simulation/world.cpp
+++ b/simulation/world.cpp
@@ -70,8 +70,10 @@
   send(host, to,
        [this, from, host, to, method, target = std::move(target), body = std::move(body),
         on_response] {
-         ResponseHandler respond = [this, host, to, on_response](const HttpClientResponse& reply) {
+         ResponseHandler respond = [this, host, to, method, target, body,
+                                    on_response](const HttpClientResponse& reply) {
            report_traffic(to, host, std::to_string(reply.status), reply.body);
+           if (answer_observer_) answer_observer_({host, to, method, target, body, reply.status});
            send(to, host, [on_response, reply] { on_response(reply); });
          };
          auto server = servers_.find(to);
@@ -80,4 +82,14 @@
        });
 }
 
+void World::deliver_copy(const AnsweredRequest& request) {
+  report_traffic(request.from, request.to, "copy of " + request.target, request.body);
+  send(request.from, request.to, [this, request] {
+    auto server = servers_.find(request.to);
+    if (server == servers_.end()) return;
+    server->second(request.from, request.method, request.target, request.body,
+                   [](const HttpClientResponse&) {});
+  });
+}
+
 }  // namespace damsonport::simulation
--- a/simulation/world.hpp
+++ b/simulation/world.hpp
@@ -16,6 +16,16 @@
 /// Returns the fields of a request's query string, by name.
 std::map<std::string, std::string> query_of(const std::string& target);
 
+/// A request whose receiver has responded.
+struct AnsweredRequest {
+  std::string from;  ///< host of the sender
+  std::string to;    ///< host of the receiver
+  Method method = Method::get;
+  std::string target;
+  std::string body;
+  int status = 0;  ///< of the response
+};
+
 /// An event queue and a network. Events happen in the order of their times; events with equal times
 /// happen in the order in which they were added. All random draws come from one generator, so the
 /// order of the draws determines the run.
@@ -91,6 +101,12 @@
     return cuts_.contains({from, to});
   }
 
+  /// Called for each request when its receiver responds.
+  using AnswerObserver = std::function<void(const AnsweredRequest& request)>;
+  void observe_answers(AnswerObserver observer) { answer_observer_ = std::move(observer); }
+  /// Delivers the request to its receiver once more, on no connection; nobody gets the response.
+  void deliver_copy(const AnsweredRequest& request);
+
   /// Called with the bytes of every request, response and stream message when it is sent.
   using TrafficObserver = std::function<void(const std::string& from, const std::string& to,
                                              std::string_view header, std::string_view body)>;
@@ -123,6 +139,7 @@
   std::map<std::string, RequestHandler> servers_;  // by host
   std::map<Direction, CutState> cuts_;
   TrafficObserver traffic_observer_;
+  AnswerObserver answer_observer_;
 };
 
 }  // namespace damsonport::simulation
--- a/tests/scenarios/scenario_actions.cpp
+++ b/tests/scenarios/scenario_actions.cpp
@@ -1,5 +1,6 @@
 #include "scenarios/scenario_actions.hpp"
 
+#include <algorithm>
 #include <map>
 
 namespace damsonport::simulation {
@@ -8,6 +9,8 @@
 constexpr double unlimited_duration_s = 1e6;  // for a fault without `for`
 constexpr double default_crash_s = 6;
 constexpr double normal_store_delay_s = 0.004;
+constexpr double quick_return_s = 1;      // copies of old requests follow a return within this time
+constexpr double after_return_s = 0.005;  // from the return to these copies
 
 double duration_of(const ScenarioEvent& event) {
   return event.options.number("for", unlimited_duration_s);
@@ -23,6 +26,7 @@
       {"crash", &ScenarioActions::crash},
       {"crash_on_write", &ScenarioActions::crash_on_write},
       {"cut", &ScenarioActions::cut},
+      {"copies", &ScenarioActions::repeat_requests},
       {"deaf", &ScenarioActions::drop_incoming_messages},
       {"die", &ScenarioActions::terminate_machines},
       {"fate", &ScenarioActions::set_transaction_fault},
@@ -147,8 +151,32 @@
 
 // crash CONTROLLERS [for=S]
 void ScenarioActions::crash(const ScenarioEvent& event) {
+  const double downtime_s = event.options.number("for", default_crash_s);
   for (auto* controller : deployment_.select_controllers(event.target))
-    controller->crash(event.options.number("for", default_crash_s));
+    controller->crash(downtime_s);
+  release_copies_on_return(downtime_s);
+}
+
+// copies HOSTS [share=P] after=S [before=S] [for=S], or copies HOSTS [share=P] on_return [for=S]:
+// requests to the hosts that were carried out and answered arrive there once more
+void ScenarioActions::repeat_requests(const ScenarioEvent& event) {
+  RepeatRule rule;
+  rule.applies_to = [this, receivers = event.target](const std::string& host) {
+    const auto hosts = deployment_.select_hosts(receivers);
+    return std::find(hosts.begin(), hosts.end(), host) != hosts.end();
+  };
+  rule.share = event.options.number("share", 1);
+  if (!event.options.contains("on_return")) {
+    const double min_s = event.options.number("after");
+    rule.delay = RepeatRule::Delay{min_s, event.options.number("before", min_s)};
+  }
+  rule.until = world_.now() + duration_of(event);
+  repeater_.add(std::move(rule));
+}
+
+void ScenarioActions::release_copies_on_return(double downtime_s) {
+  if (downtime_s < quick_return_s)
+    world_.in(downtime_s + after_return_s, [this] { repeater_.release_kept(); });
 }
 
 // crash_on_write JOB [times=N] [after=S] [for=S]: the next writes to the job's records crash the
@@ -214,6 +242,7 @@
 // hang MACHINES [for=S]: pauses the whole machines
 void ScenarioActions::hang(const ScenarioEvent& event) {
   for (auto* worker : deployment_.select_machines(event.target)) worker->hang(duration_of(event));
+  release_copies_on_return(duration_of(event));
 }
 
 // deaf MACHINES [for=S]: the workers receive neither requests nor responses
--- a/tests/scenarios/scenario_actions.hpp
+++ b/tests/scenarios/scenario_actions.hpp
@@ -6,6 +6,7 @@
 
 #include "scenarios/scenario_deployment.hpp"
 #include "scenarios/scenario_users.hpp"
+#include "simulation/request_repeater.hpp"
 
 namespace damsonport::simulation {
 
@@ -14,7 +15,7 @@
  public:
   ScenarioActions(World& world, const ScenarioPlan& plan, ScenarioDeployment& deployment,
                   ScenarioUsers& users)
-      : world_(world), plan_(plan), deployment_(deployment), users_(users) {}
+      : world_(world), plan_(plan), deployment_(deployment), users_(users), repeater_(world) {}
   /// Starts the action now. Returns false if the verb is unknown.
   [[nodiscard]] bool apply(const ScenarioEvent& event);
 
@@ -40,6 +41,9 @@
   void write_old_version(const ScenarioEvent& event);
   void stall(const ScenarioEvent& event);
   void cut(const ScenarioEvent& event);
+  void repeat_requests(const ScenarioEvent& event);
+  /// Releases the kept copies after `downtime_s` if that is under a second.
+  void release_copies_on_return(double downtime_s);
   // Faults of the cloud and of machines.
   void cloud_outage(const ScenarioEvent& event);
   void change_boot_time(const ScenarioEvent& event);
@@ -62,6 +66,7 @@
   const ScenarioPlan& plan_;
   ScenarioDeployment& deployment_;
   ScenarioUsers& users_;
+  RequestRepeater repeater_;
 };
 
 }  // namespace damsonport::simulation
