An exited attempt is removed only under a fencing token that voids all copies of its start command

Cause: an argument from delivery. The shard leader took the response to a start command for the proof that no copy of it can arrive, removed the exited attempt from the worker, and the worker then knew nothing that makes it reject a copy: the token and the agent epoch of the copy are still the current ones. By the protocol a `run` of an attempt that the worker has forgotten starts it again. The class: a right (the start command) that was taken to have lapsed because it had been used.

Fix: the leader notes for each start command in a request the fencing token of the request, answered or not, and removes the exited attempt only by a message under a higher token. The worker learns that token before it forgets the attempt, so from then on it rejects every copy, however late. Higher tokens cost no further writes: a renewal of the shard lease replaces a value of the shard table, and its revision is a valid token of the same lease, unique, and lower than that of any later lease (which is the revision of a later table). Renewals raise the token only while a worker keeps exits that wait for it; the machines get it with their removals and not before. Until then the worker keeps the exit, which makes it ignore copies by itself.

- Without the store no token can be raised, so exits stay; but nothing is started either, so no report grows.
- Bound: from 85 kept exits on the token is raised about once a second, and from 170 (a quarter of a report) the machine gets no new tasks.
Exits beside a later attempt of the same task were hidden and never removed while that attempt ran; now they are.
Controllers that answer for the leader accept every token of its lease, and the leader takes exits forwarded under any of them.
- A start without a response is void as well once its worker has learned a higher token, so such a machine can be empty again.

The check attempt_reused is as strict as before for commands that a leader sends anew: the simulated worker forgets what was removed when the lease changes, not when its token is raised. AStartWithoutResponseStaysOutstanding and removal_waits_for_token_that_voids_start (before: reap_waits_for_limbo) expect the same as before by the new name of the state.

--- a/simulation/simulated_fleet.hpp
+++ b/simulation/simulated_fleet.hpp
@@ -1,6 +1,7 @@
 /// All simulated machines of one deployment: their workers, the cloud that rents them out, and the
 /// state that the workers share.
 #pragma once
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -56,6 +57,12 @@
   void set_broken_jobs(std::set<std::string> jobs) { broken_jobs_ = std::move(jobs); }
   bool is_broken(const std::string& job) const { return broken_jobs_.contains(job); }
 
+  /// Returns a name of the shard lease to which a fencing token belongs. By default each token is a
+  /// lease of its own.
+  std::function<std::string(uint64_t fencing_token)> lease_of = [](uint64_t fencing_token) {
+    return std::to_string(fencing_token);
+  };
+
   // --- state that survives the loss of machines
 
   /// The saved progress of a task, in seconds of its run time.
--- a/simulation/worker.cpp
+++ b/simulation/worker.cpp
@@ -174,9 +174,9 @@
 
 void Worker::learn_fencing_token(uint64_t fencing_token) {
   if (fencing_token <= fencing_token_) return;
+  // Exits that were reported under an earlier lease are no proof any more.
+  if (fleet_.lease_of(fencing_token) != fleet_.lease_of(fencing_token_)) removed_.clear();
   fencing_token_ = fencing_token;
-  // Exits that were reported under an earlier token are no proof any more.
-  removed_.clear();
   on_change();
 }
 
--- a/simulation/worker.hpp
+++ b/simulation/worker.hpp
@@ -114,7 +114,7 @@
   bool accept_commands(const Json& message);
   void execute(const Json& commands);
   /// Reports a violation if a controller has removed this attempt in the current agent epoch under
-  /// the current fencing token.
+  /// the current shard lease.
   void check_not_removed(const TaskAttempt& attempt) const;
   void start(const TaskAttempt& attempt);
   bool has_room_for_all_tasks() const;
@@ -148,7 +148,7 @@
   World::EventId next_heartbeat_;
   World::EventId lease_end_;
   std::map<TaskAttempt, RunningTask> tasks_;
-  // Attempts that were removed in the current agent epoch under the current fencing token.
+  // Attempts that were removed in the current agent epoch under the current shard lease.
   std::set<TaskAttempt> removed_;
   std::set<std::string> images_;
   std::string kept_heartbeat_;
--- a/simulation/worker_tasks.cpp
+++ b/simulation/worker_tasks.cpp
@@ -64,7 +64,7 @@
   if (!removed_.contains(attempt)) return;
   fleet_.rules().report_violation(
       "attempt_reused", attempt.task.text() + " attempt " + std::to_string(attempt.number) +
-                            " is started on " + id + " again in one agent epoch under one token");
+                            " is started on " + id + " again in one agent epoch under one lease");
 }
 
 void Worker::clear_timer(RunningTask& task) {
--- a/src/coordination/autoscaling/autoscaler_driver.cpp
+++ b/src/coordination/autoscaling/autoscaler_driver.cpp
@@ -152,7 +152,7 @@
   state.schedulable = deps_.is_schedulable(machine);
   state.total = total_resources(machine, deps_.catalog);
   state.free = free_resources(machine, deps_.catalog, deps_.cache);
-  state.empty = deps_.cache.assignments_on(machine.id).empty() && machine.tasks.empty();
+  state.empty = deps_.cache.assignments_on(machine.id).empty() && !machine.has_live_tasks();
   state.idle_s = now - machine.idle_since;
   for (auto& [image, use] : machine.images.images()) state.images_gb += use.second;
   // A machine that is up but has not sent its first heartbeat counts as booting.
--- a/src/coordination/controller.cpp
+++ b/src/coordination/controller.cpp
@@ -231,7 +231,7 @@
   heartbeat.records_loaded = cache_.loaded();
   heartbeat.misrouted_machines = shard_leader_.misrouted_machines();
   heartbeat.writes_per_s = static_cast<uint64_t>(std::ceil(wanted_writes()));
-  heartbeat.fencing_token = shard_leader_.fencing_token();
+  heartbeat.fencing_token = shard_leader_.newest_fencing_token();
   return heartbeat;
 }
 
--- a/src/coordination/leadership/lease_renewal.cpp
+++ b/src/coordination/leadership/lease_renewal.cpp
@@ -134,15 +134,16 @@
                                  const ShardLease& recorded, const std::string& shard_leader) {
   machine.was_answered = true;
   const auto commands = stop_commands_for_cancelled_tasks(heartbeat);
-  forward_exits(heartbeat, recorded.fencing_token);
+  forward_exits(heartbeat, recorded.first_fencing_token());
   spdlog::debug("answered {} for {}", heartbeat.machine, shard_leader);
-  return {ok, encode_heartbeat_response(recorded.fencing_token, commands), 0};
+  const uint64_t token = std::max(heartbeat.fencing_token, recorded.first_fencing_token());
+  return {ok, encode_heartbeat_response(token, commands), 0};
 }
 
-void LeaseRenewal::forward_exits(const Heartbeat& heartbeat, uint64_t fencing_token) {
-  // Until the machine has learned the token, commands of an earlier shard leader may still reach
-  // it.
-  if (heartbeat.fencing_token == fencing_token) exit_forwarder_.forward(fencing_token, heartbeat);
+void LeaseRenewal::forward_exits(const Heartbeat& heartbeat, uint64_t first_token) {
+  // Until the machine has learned a token of this lease, commands of an earlier shard leader may
+  // still reach it.
+  if (heartbeat.fencing_token >= first_token) exit_forwarder_.forward(first_token, heartbeat);
 }
 
 uint64_t LeaseRenewal::misrouted_machines() const {
--- a/src/coordination/leadership/lease_renewal.hpp
+++ b/src/coordination/leadership/lease_renewal.hpp
@@ -61,7 +61,7 @@
   HttpResponse renew(MisroutedMachine& machine, const Heartbeat& heartbeat,
                      const ShardLease& recorded, const std::string& shard_leader);
   std::vector<Command> stop_commands_for_cancelled_tasks(const Heartbeat& heartbeat) const;
-  void forward_exits(const Heartbeat& heartbeat, uint64_t fencing_token);
+  void forward_exits(const Heartbeat& heartbeat, uint64_t first_token);
 
   Loop& loop_;
   const Settings& settings_;
--- a/src/coordination/leadership/shard_lease_keeper.cpp
+++ b/src/coordination/leadership/shard_lease_keeper.cpp
@@ -7,6 +7,8 @@
 namespace {
 /// Renewals per duration of the lease; the rest of the lease has to outlast an outage of the store.
 constexpr double renewals_per_lease = 6;
+/// Renewals per duration of the lease while a higher token is requested at once.
+constexpr double urgent_renewals_per_lease = 30;
 /// Pause after a renewal that failed or whose outcome is unknown.
 constexpr double renewal_retry_s = 0.2;
 /// A healthy machine sends at least one heartbeat in this many heartbeat intervals.
@@ -28,7 +30,7 @@
 }
 
 bool ShardLeaseKeeper::is_deposed() const {
-  return fencing_token_ != 0 && deps_.peer_network.newest_fencing_token() > fencing_token_;
+  return tokens_.first != 0 && deps_.peer_network.newest_fencing_token() > tokens_.newest;
 }
 
 bool ShardLeaseKeeper::leads_cluster_and_shard() const {
@@ -40,13 +42,37 @@
 }
 
 void ShardLeaseKeeper::note_acquired() {
-  fencing_token_ = own_lease()->fencing_token;
+  tokens_ = {own_lease()->first_fencing_token(), own_lease()->fencing_token};
+  requested_token_.reset();
   required_revision_ = deps_.cache.shard_table_version();
   acquired_at_ = deps_.loop.now();
   unreachable_since_.reset();
   callbacks_.on_acquired();
 }
 
+void ShardLeaseKeeper::note_raised() {
+  tokens_.newest = own_lease()->fencing_token;
+  requested_token_.reset();
+  spdlog::debug("fencing token raised from {} to {}, which rests on revision {} of the shard table",
+                tokens_.first, tokens_.newest, deps_.cache.shard_table_version());
+  callbacks_.on_token_raised();
+}
+
+void ShardLeaseKeeper::apply_own_lease(const ShardLease& own) {
+  if (own.first_fencing_token() != tokens_.first) return note_acquired();
+  if (own.fencing_token != tokens_.newest) note_raised();
+}
+
+void ShardLeaseKeeper::request_higher_token(TokenUrgency urgency) {
+  requested_token_ = std::max(requested_token_.value_or(urgency), urgency);
+}
+
+bool ShardLeaseKeeper::is_renewal_due() const {
+  const double now = deps_.loop.now();
+  return now >= next_renewal_at_ ||
+         (requested_token_ == TokenUrgency::at_once && now >= earliest_renewal_at_);
+}
+
 Transaction ShardLeaseKeeper::renewal_transaction() const {
   const uint64_t replaced = deps_.cache.shard_table_version();
   ShardTable next = deps_.cache.shard_table();
@@ -59,6 +85,12 @@
     lease.fencing_token = replaced ? replaced : deps_.cache.leader_version();
     lease.covers_unassigned = true;
     next.leases = {lease};
+  } else if (requested_token_) {
+    for (auto& lease : next.leases) {
+      if (lease.controller != deps_.settings.controller_name) continue;
+      lease.acquired_fencing_token = lease.first_fencing_token();
+      lease.fencing_token = replaced;
+    }
   }
   ++next.renewals;
   Transaction transaction;
@@ -76,19 +108,18 @@
 }
 
 Task<ShardRole> ShardLeaseKeeper::renew(std::stop_token stop_token) {
-  const double now = deps_.loop.now();
   const ShardLease* own = own_lease();
-  if (own && fencing_token_ != own->fencing_token) note_acquired();
-  if (!own && fencing_token_ != 0) {
-    spdlog::info("shard lease with fencing token {} lost to another controller", fencing_token_);
-    fencing_token_ = 0;
+  if (own) apply_own_lease(*own);
+  if (!own && tokens_.first != 0) {
+    spdlog::info("shard lease with fencing tokens {} to {} lost to another controller",
+                 tokens_.first, tokens_.newest);
+    tokens_ = {};
     callbacks_.on_lost();
   }
   if (!deps_.election.is_leading())
-    co_return fencing_token_ != 0 ? ShardRole::leader : ShardRole::follower;
-  if (own && now < next_renewal_at_) co_return ShardRole::leader;
+    co_return tokens_.first != 0 ? ShardRole::leader : ShardRole::follower;
+  if (own && !is_renewal_due()) co_return ShardRole::leader;
 
-  const bool is_acquisition = !own;
   Transaction transaction = renewal_transaction();
   const auto writes = transaction.writes;
   const double requested_at = deps_.loop.now();
@@ -96,14 +127,16 @@
       co_await deps_.store.compare_and_swap(std::move(transaction), RequestPriority::lease);
   if (result.outcome == TransactionOutcome::committed) {
     deps_.cache.apply_writes(writes, result.revision);
-    next_renewal_at_ = requested_at + deps_.settings.tuning.shard_lease_s / renewals_per_lease;
-    if (is_acquisition) note_acquired();
+    const double lease_s = deps_.settings.tuning.shard_lease_s;
+    next_renewal_at_ = requested_at + lease_s / renewals_per_lease;
+    earliest_renewal_at_ = requested_at + lease_s / urgent_renewals_per_lease;
+    if (const ShardLease* renewed = own_lease()) apply_own_lease(*renewed);
     co_return ShardRole::leader;
   }
   const bool is_table_uncertain = result.outcome == TransactionOutcome::conflict ||
                                   result.outcome == TransactionOutcome::unknown;
   if (is_table_uncertain) co_await reread_records();
-  next_renewal_at_ = deps_.loop.now() + renewal_retry_s;
+  next_renewal_at_ = earliest_renewal_at_ = deps_.loop.now() + renewal_retry_s;
   const bool still_leading = !stop_token.stop_requested() && is_leading();
   co_return still_leading ? ShardRole::leader : ShardRole::follower;
 }
--- a/src/coordination/machines/command_dispatcher.cpp
+++ b/src/coordination/machines/command_dispatcher.cpp
@@ -44,14 +44,24 @@
   return commands;
 }
 
-Task<HttpClientResponse> CommandDispatcher::post_commands(std::string address, uint64_t agent_epoch,
-                                                          std::vector<Command> commands) {
+std::string CommandDispatcher::encode_request(Machine& machine,
+                                              const std::vector<Command>& commands) const {
+  const uint64_t token = callbacks_.take_message_token(machine, commands);
+  for (auto& command : commands) {
+    log_command(command, machine, token, "in a request");
+    if (command.op != Command::Op::start) continue;
+    const AttemptKey key{command.task, command.attempt};
+    machine.starts_in_flight.insert(key);
+    machine.starts_in_requests[key] = token;
+  }
+  return encode_direct_commands(token, machine.agent_epoch, commands);
+}
+
+Task<HttpClientResponse> CommandDispatcher::post_commands(std::string address, std::string body) {
   Endpoint endpoint;
   if (!parse_endpoint(address, endpoint)) co_return HttpClientResponse{};
-  co_return co_await http_.request(
-      endpoint, Method::post, "/commands",
-      encode_direct_commands(callbacks_.fencing_token(), agent_epoch, commands),
-      std::max(min_send_timeout_s, settings_.heartbeat_interval_s));
+  co_return co_await http_.request(endpoint, Method::post, "/commands", std::move(body),
+                                   std::max(min_send_timeout_s, settings_.heartbeat_interval_s));
 }
 
 Task<void> CommandDispatcher::send_until_empty(std::string machine_id) {
@@ -63,24 +73,16 @@
       machine->sending = false;
       co_return;
     }
-    std::set<AttemptKey> starts;
-    for (auto& command : commands)
-      if (command.op == Command::Op::start) starts.insert({command.task, command.attempt});
-    machine->starts_in_flight.insert(starts.begin(), starts.end());
     const uint64_t agent_epoch = machine->agent_epoch;
     const uint64_t fencing_token = callbacks_.fencing_token();
     const double requested_at = loop_.now();
-    const HttpClientResponse reply =
-        co_await post_commands(machine->address, agent_epoch, std::move(commands));
+    std::string body = encode_request(*machine, commands);
+    const HttpClientResponse reply = co_await post_commands(machine->address, std::move(body));
     machine = callbacks_.find_machine(machine_id);
     if (!machine || fencing_token != callbacks_.fencing_token()) co_return;
-    if (machine->agent_epoch == agent_epoch) {
-      for (auto& start : starts) {
-        machine->starts_in_flight.erase(start);
-        // The worker may still receive the command at any time in this epoch.
-        if (!reply.answered()) machine->starts_unacknowledged.insert(start);
-      }
-    }
+    if (machine->agent_epoch == agent_epoch)
+      for (auto& command : commands)
+        machine->starts_in_flight.erase({command.task, command.attempt});
     if (!reply.answered()) {
       handle_missing_response(*machine);
       co_return;
--- a/src/coordination/machines/command_dispatcher.hpp
+++ b/src/coordination/machines/command_dispatcher.hpp
@@ -24,9 +24,9 @@
 /// Invariants:
 /// - A machine is in the queue, or one request to it is in progress, exactly while
 ///   `Machine::sending` is set (within one lease: see begin_lease()).
-/// - Every start command in a request without a response is in `Machine::starts_in_flight`; if the
-///   request fails, the command moves to `Machine::starts_unacknowledged`, because the worker may
-///   still receive it.
+/// - Every start command in a request without a response is in `Machine::starts_in_flight`. Every
+///   one that was sent is in `Machine::starts_in_requests`, whether or not it was answered, because
+///   the worker may still receive it or a copy of it.
 /// - Undelivered commands are dropped. Reconciling the machine's next heartbeat with the records
 ///   generates again the commands that are still needed.
 ///
@@ -38,8 +38,10 @@
   /// Queries and notifications to the shard leader. All are called on the loop's thread, and none
   /// may suspend.
   struct Callbacks {
-    /// Fencing token of the latest lease; 0 if another controller has acquired the lease.
+    /// First fencing token of the latest lease; 0 if another controller has acquired the lease.
     std::function<uint64_t()> fencing_token;
+    /// The fencing token of the next request to the machine, which carries these commands.
+    std::function<uint64_t(Machine&, const std::vector<Command>&)> take_message_token;
     /// Whether this controller holds the lease.
     std::function<bool()> is_leading;
     /// Returns null if the machine is unknown or was removed.
@@ -96,8 +98,9 @@
   Task<void> send_until_empty(std::string machine_id);
   /// Removes the machine's pending commands and returns those that are still needed.
   std::vector<Command> take_needed_commands(Machine& machine) const;
-  Task<HttpClientResponse> post_commands(std::string address, uint64_t agent_epoch,
-                                         std::vector<Command> commands);
+  Task<HttpClientResponse> post_commands(std::string address, std::string body);
+  /// Notes the start commands and encodes the request.
+  std::string encode_request(Machine& machine, const std::vector<Command>& commands) const;
   void handle_missing_response(Machine& machine);
   void clear_failed_sends(Machine& machine);
   void handle_response(Machine& machine, const HttpClientResponse& reply, double requested_at);
--- a/src/coordination/machines/machine.hpp
+++ b/src/coordination/machines/machine.hpp
@@ -5,8 +5,10 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
+#include "coordination/machines/fencing_tokens.hpp"
 #include "protocol/messages.hpp"
 
 namespace damsonport {
@@ -50,12 +52,23 @@
   std::optional<double> preempted_at;  ///< announced time of the preemption
   std::map<TaskId, TaskStatus> tasks;
 
+  /// Exited attempts of tasks of which the worker lists another attempt too, which is in `tasks`.
+  std::set<AttemptKey> other_exits;
+
   // Start commands of this lease that may still reach the worker in its current epoch.
-  std::set<AttemptKey> starts_in_flight;       ///< in a request without a response yet
-  std::set<AttemptKey> starts_unacknowledged;  ///< in a failed request, may arrive late
-  std::set<AttemptKey> starts_in_response;     ///< in the response to the last heartbeat
-  std::vector<Command> pending_commands;       ///< commands of the next request
-  bool sending = false;                        ///< a request is queued or in progress
+  std::set<AttemptKey> starts_in_flight;    ///< in a request without a response yet
+  std::set<AttemptKey> starts_in_response;  ///< in the response to the last heartbeat
+  /// Start commands in requests, answered or not, with the fencing token of the request. A copy of
+  /// the request may arrive at any time; the worker rejects it once it has learned a higher token.
+  std::map<AttemptKey, uint64_t> starts_in_requests;
+  uint64_t sent_fencing_token = 0;        ///< the highest one in a message to the worker
+  std::vector<Command> pending_commands;  ///< commands of the next request
+  bool sending = false;                   ///< a request is queued or in progress
+  /// From this many kept exits on the machine gets no new tasks: a quarter of a report of 64 KiB,
+  /// at up to 96 bytes an entry.
+  static constexpr size_t max_kept_exits = 64 * 1024 / 4 / 96;
+  /// Exited attempts whose removal has to wait for a higher fencing token (may_remove()).
+  size_t kept_exits = 0;
 
   /// From this many requests with commands in a row without a response on, the machine gets no new
   /// tasks, and is probed until it answers.
@@ -100,13 +113,30 @@
   /// first request failed: without one its epoch ends after `worker_lease_s` seconds. `margin_s`
   /// allows for messages on the way.
   [[nodiscard]] bool receives_responses(double worker_lease_s, double margin_s) const;
-  /// Whether a start command of this attempt may still reach the worker.
+  /// Whether a start command of this attempt, or a copy of one, may still reach the worker under a
+  /// token that the worker accepts.
   [[nodiscard]] bool has_outstanding_start(const AttemptKey& key) const {
-    return starts_in_flight.contains(key) || starts_unacknowledged.contains(key) ||
+    return starts_in_flight.contains(key) || starts_in_requests.contains(key) ||
            starts_in_response.contains(key);
   }
+  /// Whether the worker may forget the exited attempt on a command under this fencing token.
+  /// Afterwards a copy of the attempt's start command would begin the attempt again, so the token
+  /// must be one that makes the worker reject all copies.
+  [[nodiscard]] bool may_remove(const AttemptKey& key, uint64_t fencing_token) const;
+  /// Whether the worker lists a task that has not exited.
+  [[nodiscard]] bool has_live_tasks() const;
 };
 
+/// The fencing token for the next message to the machine, with these commands: the lowest one of
+/// the lease that the worker accepts and that allows the removals among the commands. Notes it as
+/// sent.
+[[nodiscard]] uint64_t take_message_token(Machine& machine, const std::vector<Command>& commands,
+                                          const FencingTokens& tokens);
+
+/// Logs at debug that the command is sent under this token; `way` says how.
+void log_command(const Command& command, const Machine& machine, uint64_t fencing_token,
+                 std::string_view way);
+
 /// Updates the machine from a worker's message. Returns false, without any change, if the message
 /// is not newer than the last processed one. `direct`: the message is the response to a request of
 /// this controller and renews no lease. `as_of`: earliest time at which the worker can have created
--- a/src/coordination/shard_leader/shard_leader.cpp
+++ b/src/coordination/shard_leader/shard_leader.cpp
@@ -30,7 +30,8 @@
       cache_(deps.cache),
       lease_({loop_, settings_, deps.store, cache_, deps.election, deps.peer_network,
               deps.incarnation},
-             {[this] { on_lease_acquired(); }, [this] { on_lease_lost(); }}),
+             {[this] { on_lease_acquired(); }, [this] { on_lease_lost(); },
+              [this] { on_token_raised(); }}),
       contact_(settings_, deps.store),
       lease_renewal_(loop_, settings_, cache_, deps.peer_network, deps.cancellations,
                      deps.exit_forwarder, contact_),
@@ -62,6 +63,9 @@
 CommandDispatcher::Callbacks ShardLeader::dispatcher_callbacks() {
   CommandDispatcher::Callbacks callbacks;
   callbacks.fencing_token = [this] { return lease_.fencing_token(); };
+  callbacks.take_message_token = [this](Machine& m, const std::vector<Command>& commands) {
+    return take_message_token(m, commands, lease_.tokens());
+  };
   callbacks.is_leading = [this] { return is_leading(); };
   callbacks.find_machine = [this](const std::string& id) {
     auto it = machines_.find(id);
@@ -131,7 +135,9 @@
   if (!lease_.records_current()) return;
   std::set<ForwardedExit> outdated;
   for (auto& [controller, forwarded] : cache_.forwarded_exits()) {
-    if (forwarded.fencing_token != lease_.fencing_token()) continue;
+    if (forwarded.fencing_token < lease_.tokens().first ||
+        forwarded.fencing_token > lease_.tokens().newest)
+      continue;
     for (auto& exit : forwarded.exits) {
       const bool is_committed = !cache_.has_assignment(exit.task, exit.attempt, exit.machine);
       if (is_committed || exits_.contains(exit.task)) continue;
@@ -190,14 +196,24 @@
     replicas_.add_job(*job);
     snapshot_builder_.mark_job_changed(*job);
   }
-  spdlog::info("shard lease with fencing token {} acquired: {} machines in the records, {} jobs",
-               lease_.fencing_token(), machines_.size(), cache_.jobs().size());
+  spdlog::info(
+      "shard lease with fencing token {} acquired, records read up to revision {}: {} machines in "
+      "the "
+      "records, {} jobs",
+      lease_.fencing_token(), cache_.revision(), machines_.size(), cache_.jobs().size());
   if (deps_.quotas.divided() && !deps_.quotas.exchanging())
     spdlog::warn(
         "the teams' limits are divided by the records, but no regions file is given: "
         "this controller transfers no quota between regions");
 }
 
+// A repeated heartbeat gets no commands, so one with exits that may be removed now has to be
+// processed.
+void ShardLeader::on_token_raised() {
+  for (auto& [id, m] : machines_)
+    if (m.kept_exits > 0) deduplicator_.forget(id);
+}
+
 void ShardLeader::on_lease_lost() {
   scale_in_.end_lease();
   autoscaler_.end_lease();
@@ -318,7 +334,7 @@
                                                           uint64_t fencing_token) {
   // A newer shard leader exists: a response of 200 would only keep the worker here while its lease
   // runs out.
-  if (fencing_token > lease_.fencing_token()) return HttpResponse{421, encode_redirect({}), 0};
+  if (fencing_token > lease_.tokens().newest) return HttpResponse{421, encode_redirect({}), 0};
   const bool lacks_contact = deps_.peer_network.is_isolated() && !contact_.in_contact();
   if (!lease_renewal_.may_renew(lacks_contact ? lease_renewal_.note_heartbeat(machine)
                                               : HeartbeatOccurrence::repeated))
@@ -353,9 +369,10 @@
   m.sequence = repeat->sequence;
   m.last_heartbeat_at = m.last_repeated_heartbeat_at = now;
   m.tasks_as_of = std::max(m.tasks_as_of, request.previous_response_at);
-  if (!m.tasks.empty()) m.idle_since = now;
+  if (m.has_live_tasks()) m.idle_since = now;
   m.starts_in_response.clear();
-  return HttpResponse{200, encode_heartbeat_response(lease_.fencing_token(), {}), 0};
+  const uint64_t token = take_message_token(m, {}, lease_.tokens());
+  return HttpResponse{200, encode_heartbeat_response(token, {}), 0};
 }
 
 HttpResponse ShardLeader::on_decoded_heartbeat(const Heartbeat& heartbeat,
@@ -373,14 +390,12 @@
     if (process_heartbeat(m, heartbeat, false, request.previous_response_at, commands))
       deduplicator_.remember(m.id, request.body, heartbeat.sequence);
     std::erase_if(commands, [&](const Command& c) { return !is_still_wanted(m, c); });
-    for (auto& c : commands) {
-      if (c.op != Command::Op::start) continue;
-      m.starts_in_response.insert({c.task, c.attempt});
-      spdlog::debug("start {} attempt {} on {} in the response to a heartbeat of agent epoch {}",
-                    c.task.text(), c.attempt, m.id, m.agent_epoch);
-    }
+    for (auto& c : commands)
+      if (c.op == Command::Op::start) m.starts_in_response.insert({c.task, c.attempt});
   }
-  return {200, encode_heartbeat_response(lease_.fencing_token(), commands), 0};
+  const uint64_t token = take_message_token(m, commands, lease_.tokens());
+  for (auto& c : commands) log_command(c, m, token, "in the response to a heartbeat");
+  return {200, encode_heartbeat_response(token, commands), 0};
 }
 
 }  // namespace damsonport
--- a/src/coordination/shard_leader/shard_leader.hpp
+++ b/src/coordination/shard_leader/shard_leader.hpp
@@ -80,8 +80,10 @@
   HttpResponse on_heartbeat(const HttpRequest& request);
   /// Whether this controller holds the shard lease, as far as is known here.
   bool is_leading() const { return lease_.is_leading(); }
-  /// The fencing token of the lease held; 0: none is held.
+  /// The fencing token with which the lease held was acquired; 0: none is held.
   uint64_t fencing_token() const { return is_leading() ? lease_.fencing_token() : 0; }
+  /// The newest fencing token of the lease held; 0: none is held.
+  uint64_t newest_fencing_token() const { return is_leading() ? lease_.tokens().newest : 0; }
   /// Whether this controller is in contact with the key-value store.
   bool reaches_store() const { return contact_.in_contact(); }
   /// Tasks that the last scheduling cycle could not place.
@@ -155,6 +157,7 @@
   Task<void> scale_in_and_out(std::stop_token stop_token);
   void on_lease_acquired();
   void on_lease_lost();
+  void on_token_raised();
   void step_down_if_unreachable();
 
   // --- cancelled jobs (shard_leader_cancellations.cpp)
@@ -259,6 +262,10 @@
   // `direct`, `as_of`: see apply_heartbeat().
   bool process_heartbeat(Machine& m, const Heartbeat& heartbeat, bool direct, double as_of,
                          std::vector<Command>& commands);
+  // Logs the attempts that are stopped because the records don't place them on the machine.
+  void log_strays(const Machine& m, const std::vector<Command>& commands) const;
+  // Notes the exits that the machine keeps, and requests the token that allows their removal.
+  void note_kept_exits(Machine& m, size_t kept_exits);
   bool may_deduplicate(const Machine& m, const Heartbeat& heartbeat,
                        const ReconcileResult& outcome) const;
   // The scheduler's view of the machine, or its desired state, has changed.
--- a/src/coordination/shard_leader/shard_leader_cancellations.cpp
+++ b/src/coordination/shard_leader/shard_leader_cancellations.cpp
@@ -47,9 +47,12 @@
 bool ShardLeader::has_released_task(const std::string& id, const TaskId& task,
                                     uint64_t attempt) const {
   const Machine* m = find_machine(id);
-  if (!m || !has_recent_message(*m) || m->has_outstanding_start({task, attempt})) return false;
+  if (!m || !has_recent_message(*m)) return false;
   auto t = m->tasks.find(task);
-  return t == m->tasks.end() || t->second.state == TaskState::exited;
+  if (t != m->tasks.end() && t->second.state != TaskState::exited) return false;
+  // An exited attempt that the worker still has can't begin again.
+  const bool is_listed = t != m->tasks.end() && t->second.attempt == attempt;
+  return is_listed || !m->has_outstanding_start({task, attempt});
 }
 
 bool ShardLeader::has_released_job(const std::string& id, const std::string& job) const {
--- a/src/coordination/shard_leader/shard_leader_drains.cpp
+++ b/src/coordination/shard_leader/shard_leader_drains.cpp
@@ -60,7 +60,8 @@
     // The jobs that failed here are tried on other machines first, which may show that the jobs are
     // at fault.
     const bool in_dispute = m.faulty_since > 0 && now - m.faulty_since < settings_.lease_s;
-    const bool empty = cache_.assignments_on(id).empty() && m.tasks.empty() && m.agent_epoch != 0;
+    const bool empty =
+        cache_.assignments_on(id).empty() && !m.has_live_tasks() && m.agent_epoch != 0;
     if (m.draining && empty && !in_dispute)
       scale_in_.request(id, "empty and drained (" + m.drain_reason + ")");
     if (can_not_be_answered(m)) scale_in_.request(id, "it can't be answered");
--- a/src/coordination/shard_leader/shard_leader_failures.cpp
+++ b/src/coordination/shard_leader/shard_leader_failures.cpp
@@ -73,7 +73,7 @@
   // heartbeat with the task causes another one.
   if (auto t = m.tasks.find(task); t != m.tasks.end() && t->second.attempt == exit.attempt &&
                                    t->second.state == TaskState::exited &&
-                                   !m.has_outstanding_start({task, exit.attempt}))
+                                   m.may_remove({task, exit.attempt}, lease_.tokens().newest))
     commands_.dispatch(m, {Command::Op::remove, task, exit.attempt, 0});
   process_cause(m, *job, task, exit, seen);
 }
--- a/src/coordination/shard_leader/shard_leader_heartbeats.cpp
+++ b/src/coordination/shard_leader/shard_leader_heartbeats.cpp
@@ -25,7 +25,7 @@
 bool ShardLeader::is_schedulable(const Machine& m) const {
   return m.agent_epoch != 0 && !m.draining && !m.preempted_at && !scale_in_.is_leaving(m.id) &&
          !scale_in_.tracker().is_returned(m.id) && m.answers_requests() &&
-         !failure_detector_.is_suspected(m, loop_.now());
+         m.kept_exits < Machine::max_kept_exits && !failure_detector_.is_suspected(m, loop_.now());
 }
 
 std::vector<DesiredTask> ShardLeader::desired_tasks_on(const Machine& m) const {
@@ -61,6 +61,7 @@
   // The time left in a preemption notice shrinks, and each heartbeat updates the observations of a
   // gang, so neither kind of heartbeat may be skipped.
   const bool any_gang = std::any_of(m.tasks.begin(), m.tasks.end(), [&](auto& task) {
+    if (task.second.state == TaskState::exited) return false;
     const Job* job = cache_.job(task.first.job);
     return !job || job->spec.kind == JobKind::gang;
   });
@@ -93,7 +94,9 @@
   note_task_states(m);
   note_missing_parts(m);
   auto reconciliation =
-      reconcile(m, desired_tasks_on(m), lease_.fencing_token(), lease_.records_current());
+      reconcile(m, desired_tasks_on(m), lease_.tokens(), lease_.records_current());
+  note_kept_exits(m, reconciliation.kept_exits);
+  log_strays(m, reconciliation.commands);
   for (auto& e : reconciliation.exits) {
     if (exits_.contains(e.task)) continue;
     spdlog::debug("{} attempt {} ended on {}: cause {}", e.task.text(), e.attempt, m.id,
@@ -113,6 +116,31 @@
   return repeatable;
 }
 
+void ShardLeader::log_strays(const Machine& m, const std::vector<Command>& commands) const {
+  size_t strays = 0;
+  const Command* first = nullptr;
+  for (auto& command : commands) {
+    if (command.op != Command::Op::stop ||
+        cache_.has_assignment(command.task, command.attempt, m.id))
+      continue;
+    if (++strays == 1) first = &command;
+  }
+  if (first)
+    spdlog::info(
+        "{} runs {} attempt {} ({} such attempts), which the records don't place there: stopping",
+        m.id, first->task.text(), first->attempt, strays);
+}
+
+void ShardLeader::note_kept_exits(Machine& m, size_t kept_exits) {
+  const bool was_full = m.kept_exits >= Machine::max_kept_exits;
+  m.kept_exits = kept_exits;
+  if (was_full && kept_exits < Machine::max_kept_exits) scheduling_requested_ = true;
+  if (kept_exits == 0) return;
+  using Urgency = ShardLeaseKeeper::TokenUrgency;
+  const bool is_urgent = kept_exits >= Machine::max_kept_exits / 2;
+  lease_.request_higher_token(is_urgent ? Urgency::at_once : Urgency::with_next_renewal);
+}
+
 void ShardLeader::assignment_changed(const std::string& machine, const Job& job, bool added) {
   if (lease_.fencing_token() != 0) mark_machine_changed(machine);
   if (!added) return;
@@ -181,7 +209,7 @@
       gangs_.note_running(*job, gang_range(spec, 0), t.attempt);
     if (t.state == TaskState::running) note_running(m, name, t.attempt);
   }
-  if (!m.tasks.empty()) m.idle_since = now;
+  if (m.has_live_tasks()) m.idle_since = now;
 }
 
 // Other tasks that a machine doesn't report are started again. A part of a replica is not: a
--- a/src/storage/record_encoding.cpp
+++ b/src/storage/record_encoding.cpp
@@ -64,6 +64,8 @@
                 {fields::fencing_token, lease.fencing_token}};
   if (lease.covers_unassigned) value[fields::covers_unassigned] = true;
   if (!lease.machines.empty()) value[fields::machines] = lease.machines;
+  if (lease.acquired_fencing_token != 0)
+    value[fields::acquired_fencing_token] = lease.acquired_fencing_token;
   return value;
 }
 
@@ -73,6 +75,7 @@
   lease.incarnation = value.value(fields::incarnation, uint64_t{0});
   lease.fencing_token = value.value(fields::fencing_token, uint64_t{0});
   lease.covers_unassigned = value.value(fields::covers_unassigned, false);
+  lease.acquired_fencing_token = value.value(fields::acquired_fencing_token, uint64_t{0});
   if (auto machines = value.find(fields::machines); machines != value.end())
     lease.machines = machines->get<std::vector<std::string>>();
   return lease;
--- a/src/storage/record_fields.hpp
+++ b/src/storage/record_fields.hpp
@@ -29,6 +29,7 @@
 inline constexpr const char* controller = "node";
 inline constexpr const char* incarnation = "inc";
 inline constexpr const char* fencing_token = "term";
+inline constexpr const char* acquired_fencing_token = "first";
 inline constexpr const char* covers_unassigned = "rest";
 inline constexpr const char* machines = "machines";  // also in tombstones
 inline constexpr const char* exits = "exits";
--- a/src/storage/record_types.hpp
+++ b/src/storage/record_types.hpp
@@ -17,6 +17,14 @@
   uint64_t fencing_token = 0;         // workers obey the highest token that they have seen
   std::vector<std::string> machines;  // machines of the shard
   bool covers_unassigned = false;     // also every machine and team named in no other lease
+  // The token with which the lease was acquired, if it has been raised since; 0: it has not.
+  uint64_t acquired_fencing_token = 0;
+
+  /// The token with which the lease was acquired. All tokens from it up to `fencing_token` belong
+  /// to this lease.
+  uint64_t first_fencing_token() const {
+    return acquired_fencing_token != 0 ? acquired_fencing_token : fencing_token;
+  }
 };
 
 /// All shard leases, in one record.
--- a/tests/leadership/shard_lease_keeper_test.cpp
+++ b/tests/leadership/shard_lease_keeper_test.cpp
@@ -95,10 +95,10 @@
   CancellationGossip cancellations_{incarnation, {"n1"}};
   PeerNetwork peer_network_{loop_, network_, settings_, cancellations_};
   Election election_{loop_, settings_, store_, cache_, incarnation, changed_};
-  int acquired_ = 0, lost_ = 0;
+  int acquired_ = 0, lost_ = 0, raised_ = 0;
   ShardLeaseKeeper keeper_{
       {loop_, settings_, store_, cache_, election_, peer_network_, incarnation},
-      {[this] { ++acquired_; }, [this] { ++lost_; }}};
+      {[this] { ++acquired_; }, [this] { ++lost_; }, [this] { ++raised_; }}};
 };
 
 TEST_F(ShardLeaseKeeperTest, AFollowerWritesNothing) {
@@ -148,6 +148,68 @@
   EXPECT_GT(keeper_.fencing_token(), first_token);
 }
 
+TEST_F(ShardLeaseKeeperTest, ARequestedTokenIsRaisedByTheNextRenewalAndKeepsTheLease) {
+  become_leader();
+  const FencingTokens before = keeper_.tokens();
+  const uint64_t replaced = cache_.shard_table_version();
+  keeper_.request_higher_token(ShardLeaseKeeper::TokenUrgency::with_next_renewal);
+  EXPECT_EQ(renew(), ShardRole::leader);
+  EXPECT_EQ(keeper_.tokens().newest, before.newest) << "the renewal is not due yet";
+  run(settings_.tuning.shard_lease_s / 6);
+  EXPECT_EQ(renew(), ShardRole::leader);
+  EXPECT_EQ(keeper_.tokens().first, before.first);
+  EXPECT_EQ(keeper_.tokens().newest, replaced);
+  EXPECT_EQ(stored_table().leases[0].fencing_token, replaced);
+  EXPECT_EQ(stored_table().leases[0].first_fencing_token(), before.first);
+  EXPECT_LT(keeper_.tokens().newest, cache_.shard_table_version())
+      << "the next lease's token is this revision or a later one";
+  EXPECT_EQ(acquired_, 1);
+  EXPECT_EQ(raised_, 1);
+}
+
+TEST_F(ShardLeaseKeeperTest, AnUrgentlyRequestedTokenIsRaisedBeforeTheRenewalIsDue) {
+  become_leader();
+  run(settings_.tuning.shard_lease_s / 30);
+  keeper_.request_higher_token(ShardLeaseKeeper::TokenUrgency::at_once);
+  EXPECT_EQ(renew(), ShardRole::leader);
+  EXPECT_EQ(raised_, 1);
+}
+
+TEST_F(ShardLeaseKeeperTest, ARaisedTokenOfUnknownOutcomeIsUsedOnlyOnceTheTableIsRead) {
+  become_leader();
+  const FencingTokens before = keeper_.tokens();
+  run(settings_.tuning.shard_lease_s / 6);
+  keeper_.request_higher_token(ShardLeaseKeeper::TokenUrgency::with_next_renewal);
+  store_service_.set_transaction_fault(simulation::KeyValueStore::TransactionFault::response_lost,
+                                       {});
+  loop_.spawn("renewal", [](ShardLeaseKeeper& keeper, std::stop_token stop_token) -> Task<void> {
+    (void)co_await keeper.renew(stop_token);
+  }(keeper_, loop_.stop_token()));
+  run(0.5);
+  EXPECT_GT(stored_table().leases[0].fencing_token, before.newest);
+  EXPECT_EQ(keeper_.tokens().newest, before.newest);
+  store_service_.set_transaction_fault(simulation::KeyValueStore::TransactionFault::none, {});
+  run(10);
+  EXPECT_EQ(renew(), ShardRole::leader);
+  EXPECT_EQ(keeper_.tokens().newest, stored_table().leases[0].fencing_token);
+  EXPECT_EQ(keeper_.tokens().first, before.first);
+  EXPECT_EQ(acquired_, 1);
+}
+
+TEST_F(ShardLeaseKeeperTest, TheTokenOfTheNextLeaseIsHigherThanAllRaisedTokens) {
+  become_leader();
+  for (int n = 0; n < 3; ++n) {
+    keeper_.request_higher_token(ShardLeaseKeeper::TokenUrgency::with_next_renewal);
+    run(settings_.tuning.shard_lease_s / 6);
+    EXPECT_EQ(renew(), ShardRole::leader);
+  }
+  const uint64_t newest = keeper_.tokens().newest;
+  give_lease_to_other();
+  EXPECT_EQ(renew(), ShardRole::leader);
+  EXPECT_EQ(acquired_, 2);
+  EXPECT_GT(keeper_.tokens().first, newest);
+}
+
 TEST_F(ShardLeaseKeeperTest, AFailedRenewalIsTriedAgainAfterAPause) {
   become_leader();
   run(settings_.tuning.shard_lease_s / 6);
--- a/tests/machines/command_dispatcher_test.cpp
+++ b/tests/machines/command_dispatcher_test.cpp
@@ -45,6 +45,9 @@
   CommandDispatcher::Callbacks callbacks() {
     CommandDispatcher::Callbacks callbacks;
     callbacks.fencing_token = [this] { return fencing_token_; };
+    callbacks.take_message_token = [this](Machine& machine, const std::vector<Command>& commands) {
+      return take_message_token(machine, commands, {fencing_token_, fencing_token_});
+    };
     callbacks.is_leading = [this] { return is_leading_; };
     callbacks.find_machine = [this](const std::string& id) {
       auto it = machines_.find(id);
@@ -150,7 +153,19 @@
   EXPECT_TRUE(requests_.empty());
 }
 
-TEST_F(CommandDispatcherTest, AStartWithoutResponseStaysUnacknowledged) {
+TEST_F(CommandDispatcherTest, AnAnsweredStartStaysOutstandingBecauseACopyMayArrive) {
+  Machine& machine = add_machine("i-1");
+  dispatcher_.dispatch(machine, command(Command::Op::start, 0));
+  run();
+  requests_[0].answer({200, status_of("i-1")});
+  run();
+  EXPECT_TRUE(machine.starts_in_flight.empty());
+  EXPECT_TRUE(machine.has_outstanding_start({{"run-1", 0}, 1}));
+  EXPECT_FALSE(machine.may_remove({{"run-1", 0}, 1}, fencing_token_));
+  EXPECT_TRUE(machine.may_remove({{"run-1", 0}, 1}, fencing_token_ + 1));
+}
+
+TEST_F(CommandDispatcherTest, AStartWithoutResponseStaysOutstanding) {
   Machine& machine = add_machine("i-1");
   dispatcher_.dispatch(machine, command(Command::Op::start, 0));
   run();
@@ -159,7 +174,8 @@
   EXPECT_EQ(machine.failed_sends, 1);
   EXPECT_EQ(failed_, std::vector<std::string>{"i-1"});
   EXPECT_TRUE(machine.starts_in_flight.empty());
-  EXPECT_EQ(machine.starts_unacknowledged, (std::set<AttemptKey>{{{"run-1", 0}, 1}}));
+  EXPECT_EQ(machine.starts_in_requests,
+            (std::map<AttemptKey, uint64_t>{{{{"run-1", 0}, 1}, fencing_token_}}));
   EXPECT_TRUE(machine.pending_commands.empty())
       << "the next heartbeat generates again the commands that are still needed";
   EXPECT_FALSE(machine.sending);
--- a/tests/scenarios/scenario_deployment.cpp
+++ b/tests/scenarios/scenario_deployment.cpp
@@ -39,9 +39,12 @@
   for (int i = 0; i < plan_.controller_count; ++i)
     controller_addresses_.push_back({"n" + std::to_string(i), "10.0.0." + std::to_string(i + 1)});
   store_ = std::make_unique<KeyValueStore>(world_, store_host, plan_.store_limits);
-  store_->on_change = [this](const std::string& key, const Json&) { on_record_change(key); };
+  store_->on_change = [this](const std::string& key, const Json& value) {
+    on_record_change(key, value);
+  };
   fleet_ = std::make_unique<SimulatedFleet>(world_, plan_.settings, plan_.machine_types,
                                             controller_addresses_);
+  fleet_->lease_of = [this](uint64_t token) { return lease_by_token_[token]; };
   fleet_->cloud().set_capacity(plan_.cloud_capacity);
   fleet_->cloud().set_boot_time(plan_.boot_s);
   fleet_->cloud().set_page_size(plan_.cloud_page_size);
@@ -75,8 +78,17 @@
   }
 }
 
-void ScenarioDeployment::on_record_change(const std::string& key) {
+// A lease keeps its holder and the token with which it was acquired when its token is raised.
+void ScenarioDeployment::note_leases(const Json& shard_table) {
+  for (auto& lease : decode_shard_table(shard_table).leases)
+    lease_by_token_[lease.fencing_token] = lease.controller + "#" +
+                                           std::to_string(lease.incarnation) + "#" +
+                                           std::to_string(lease.first_fencing_token());
+}
+
+void ScenarioDeployment::on_record_change(const std::string& key, const Json& value) {
   ++writes_[key];
+  if (key == keys::shard_table) note_leases(value);
   if (crash_on_write_.times == 0 || !key.starts_with(crash_on_write_.key_prefix)) return;
   --crash_on_write_.times;
   world_.in(crash_on_write_.after_s, [this, down_s = crash_on_write_.down_s] {
--- a/tests/scenarios/scenario_deployment.hpp
+++ b/tests/scenarios/scenario_deployment.hpp
@@ -66,7 +66,8 @@
   std::string leader() const;
   std::string machine_name(const std::string& id) const;
   static bool runs_task_of(const Worker& worker, const std::string& job_or_task);
-  void on_record_change(const std::string& key);
+  void on_record_change(const std::string& key, const Json& value);
+  void note_leases(const Json& shard_table);
 
   World& world_;
   ScenarioPlan& plan_;
@@ -78,6 +79,7 @@
   std::vector<std::string> initial_machines_;  // ids, in the order of the trace
   std::map<std::string, int> writes_;          // number of changes, by key
   CrashOnWrite crash_on_write_;
+  std::map<uint64_t, std::string> lease_by_token_;
 };
 
 }  // namespace damsonport::simulation
--- a/tests/storage/record_encoding_test.cpp
+++ b/tests/storage/record_encoding_test.cpp
@@ -29,9 +29,22 @@
   EXPECT_EQ(decode_forwarded_exits(Json::parse(stored)).exits, forwarded.exits);
 }
 
+// The stored form is a contract: versions without the field take "term" for the token of the lease.
+TEST(ShardTable, TheFirstTokenIsStoredBesideARaisedOne) {
+  ShardTable table;
+  table.leases.push_back({"n", 7, 41, {}, true, 30});
+  const Json stored = encode_shard_table(table);
+  EXPECT_EQ(stored.at("grants").at(0).at("term"), 41);
+  EXPECT_EQ(stored.at("grants").at(0).at("first"), 30);
+  EXPECT_EQ(decode_shard_table(stored).leases[0].first_fencing_token(), 30u);
+  table.leases[0].acquired_fencing_token = 0;
+  EXPECT_FALSE(encode_shard_table(table).at("grants").at(0).contains("first"));
+  EXPECT_EQ(decode_shard_table(encode_shard_table(table)).leases[0].first_fencing_token(), 41u);
+}
+
 TEST(ShardTable, RoundTripsThroughItsEncoding) {
   ShardTable table;
-  table.leases.push_back({"n", 7, 41, {"i-1"}, true});
+  table.leases.push_back({"n", 7, 41, {"i-1"}, true, 0});
   auto decoded = decode_shard_table(encode_shard_table(table));
   ASSERT_EQ(decoded.leases.size(), 1u);
   EXPECT_EQ(decoded.leases[0].fencing_token, 41u);
--- a/tests/trace_test.cpp
+++ b/tests/trace_test.cpp
@@ -105,15 +105,16 @@
       e.cancelled = w.contains("cancelled");
       if (w.contains("stop")) e.stop = num(w, "stop");
       records_.push_back(e);
-    } else if (verb == "sent") {  // sent TASK attempt=N how=flight|limbo|answer
+    } else if (verb == "sent") {  // sent TASK attempt=N how=flight|request|answer [token=N]
       AttemptKey key;
       ASSERT_TRUE(parse_task_id(name, key.first));
       key.second = static_cast<uint64_t>(num(w, "attempt", 1));
       auto how = str(w, "how");
-      (how == "flight"  ? machine_.starts_in_flight
-       : how == "limbo" ? machine_.starts_unacknowledged
-                        : machine_.starts_in_response)
-          .insert(key);
+      if (how == "request") {
+        machine_.starts_in_requests[key] = static_cast<uint64_t>(num(w, "token"));
+      } else {
+        (how == "flight" ? machine_.starts_in_flight : machine_.starts_in_response).insert(key);
+      }
     } else if (verb == "type") {  // type NAME cpus=N gpus=N price=N spot_price=N zones=Z,... boot=S
                                   // fetch=GB/s
       MachineType t;
@@ -321,8 +322,10 @@
     for (auto& id : plan.scale_in) actual_.push_back("give back " + id);
   }
   void run_reconcile(const Words& w) {
-    auto out = reconcile(machine_, records_, static_cast<uint64_t>(num(w, "term", 1)),
-                         !w.contains("stale"));
+    const auto first = static_cast<uint64_t>(num(w, "term", 1));
+    const auto newest = static_cast<uint64_t>(num(w, "newest", static_cast<double>(first)));
+    auto out = reconcile(machine_, records_, {first, newest}, !w.contains("stale"));
+    if (out.kept_exits > 0) actual_.push_back("keep " + std::to_string(out.kept_exits));
     for (auto& c : out.commands)
       actual_.push_back((c.op == Command::Op::start  ? "start "
                          : c.op == Command::Op::stop ? "stop "
