--- a/tests/fault_scenario_test.cpp
+++ b/tests/fault_scenario_test.cpp
@@ -66,13 +66,13 @@
 // Groups of three. SCENARIO_FIRST and SCENARIO_COUNT play others than those of the suite.
 constexpr uint64_t random_groups = 8, seeds_in_a_group = 3;
 
-using DrawScenario = std::vector<std::string> (*)(uint64_t seed);
+using DrawScenario = std::vector<std::string> (*)(uint64_t seed, RepeatedRequests copies);
 
-void play_seed(uint64_t seed, DrawScenario draw) {
+void play_seed(uint64_t seed, DrawScenario draw, RepeatedRequests copies) {
   FaultScenario scenario(seed);
   shown = &scenario.world();
   spdlog::info("--- seed {}", seed);
-  for (auto& text : draw(seed)) {
+  for (auto& text : draw(seed, copies)) {
     spdlog::info("{}", text);
     const auto error = scenario.add_line(text);
     ASSERT_FALSE(error) << *error;
@@ -87,7 +87,8 @@
   const char* count = std::getenv("SCENARIO_COUNT");
   const uint64_t n = count ? std::stoull(count) : seeds_in_a_group;
   const uint64_t from = (first ? std::stoull(first) : 1) + group * n;
-  for (uint64_t seed = from; seed < from + n; ++seed) play_seed(seed, draw);
+  for (uint64_t seed = from; seed < from + n; ++seed)
+    play_seed(seed, draw, RepeatedRequests::drawn);
 }
 
 class RandomScenarios : public testing::TestWithParam<uint64_t> {};
@@ -100,7 +101,9 @@
 // had the cancellation from its peers only, and because three controllers left them to one another.
 class RegressionSeeds : public testing::TestWithParam<uint64_t> {};
 
-TEST_P(RegressionSeeds, KeepProtocolRules) { play_seed(GetParam(), random_scenario); }
+TEST_P(RegressionSeeds, KeepProtocolRules) {
+  play_seed(GetParam(), random_scenario, RepeatedRequests::none);
+}
 
 INSTANTIATE_TEST_SUITE_P(Suite, RegressionSeeds, testing::Values(5862, 7392));
 
@@ -116,7 +119,7 @@
 class ReplicaRegressionSeeds : public testing::TestWithParam<uint64_t> {};
 
 TEST_P(ReplicaRegressionSeeds, KeepProtocolRules) {
-  play_seed(GetParam(), random_replica_scenario);
+  play_seed(GetParam(), random_replica_scenario, RepeatedRequests::none);
 }
 
 INSTANTIATE_TEST_SUITE_P(Suite, ReplicaRegressionSeeds,
--- a/tests/scenarios/random_replica_scenario.cpp
+++ b/tests/scenarios/random_replica_scenario.cpp
@@ -122,8 +122,11 @@
 
 }  // namespace
 
-std::vector<std::string> random_replica_scenario(uint64_t seed) {
-  return ReplicaScenarioGenerator(seed).generate();
+std::vector<std::string> random_replica_scenario(uint64_t seed, RepeatedRequests copies) {
+  auto lines = ReplicaScenarioGenerator(seed).generate();
+  if (copies == RepeatedRequests::drawn)
+    for (auto& line : random_copies(seed)) lines.push_back(line);
+  return lines;
 }
 
 }  // namespace damsonport::simulation
--- a/tests/scenarios/random_scenario.cpp
+++ b/tests/scenarios/random_scenario.cpp
@@ -266,8 +266,11 @@
 
 }  // namespace
 
-std::vector<std::string> random_scenario(uint64_t seed) {
-  return ScenarioGenerator(seed).generate();
+std::vector<std::string> random_scenario(uint64_t seed, RepeatedRequests copies) {
+  auto lines = ScenarioGenerator(seed).generate();
+  if (copies == RepeatedRequests::drawn)
+    for (auto& line : random_copies(seed)) lines.push_back(line);
+  return lines;
 }
 
 }  // namespace damsonport::simulation
--- a/tests/scenarios/scenario_digest.cpp
+++ b/tests/scenarios/scenario_digest.cpp
@@ -82,10 +82,10 @@
   TrafficHash hash;
   if (name.starts_with(random_prefix)) {
     const uint64_t seed = parse_seed(name, random_prefix);
-    play(random_scenario(seed), seed, hash);
+    play(random_scenario(seed, RepeatedRequests::none), seed, hash);
   } else if (name.starts_with(random_replica_prefix)) {
     const uint64_t seed = parse_seed(name, random_replica_prefix);
-    play(random_replica_scenario(seed), seed, hash);
+    play(random_replica_scenario(seed, RepeatedRequests::none), seed, hash);
   } else {
     std::ifstream in(scenario_path(TRACE_DIR, name));
     if (!in) throw std::runtime_error(name + ": there is no such scenario");
