--- a/simulation/worker.cpp
+++ b/simulation/worker.cpp
@@ -94,6 +94,12 @@
           {"hands", task_reports()}};
 }
 
+void Worker::note_size(const Json& heartbeat) {
+  if (tasks_.size() <= most_tasks_) return;
+  most_tasks_ = tasks_.size();
+  largest_report_bytes_ = heartbeat.dump().size();
+}
+
 void Worker::schedule_heartbeat(double seconds) {
   world_.cancel(next_heartbeat_);
   next_heartbeat_ = world_.in(seconds, [this] { send_heartbeat(); });
@@ -119,7 +125,9 @@
     if (gone || number != heartbeat_number_ || !awaits_response_) return;
     on_heartbeat_response(0, Json(), agent_epoch_, 0);
   });
-  auto body = encode(heartbeat());
+  const Json report = heartbeat();
+  note_size(report);
+  auto body = encode(report);
   if (loses_heartbeats) return;
   world_.send_request(
       connection(), fleet_.controllers[controller_].host, Method::post, "/hello", std::move(body),
--- a/simulation/worker.hpp
+++ b/simulation/worker.hpp
@@ -53,6 +53,8 @@
   const std::map<TaskAttempt, RunningTask>& tasks() const { return tasks_; }
   /// The agent epoch starts at 1 and increases with each loss of the lease.
   uint64_t agent_epoch() const { return agent_epoch_; }
+  /// Size of the heartbeat with the most tasks so far, in bytes of JSON.
+  size_t largest_report_bytes() const { return largest_report_bytes_; }
 
   // --- called by GangRuns
 
@@ -90,6 +92,7 @@
   // --- heartbeats and lease (worker.cpp)
   Json heartbeat();
   Json task_reports() const;
+  void note_size(const Json& heartbeat);
   void schedule_heartbeat(double seconds);
   void send_heartbeat();
   void on_change();
@@ -152,6 +155,8 @@
   std::set<TaskAttempt> removed_;
   std::set<std::string> images_;
   std::string kept_heartbeat_;
+  size_t most_tasks_ = 0;  // in a heartbeat
+  size_t largest_report_bytes_ = 0;
 };
 
 }  // namespace damsonport::simulation
--- a/tests/fault_scenario_test.cpp
+++ b/tests/fault_scenario_test.cpp
@@ -98,14 +98,15 @@
 INSTANTIATE_TEST_SUITE_P(Suite, RandomScenarios, testing::Range(uint64_t{0}, random_groups));
 
 // Seeds that failed once: a hung machine kept cancelled tasks because the controller that was left
-// had the cancellation from its peers only, and because three controllers left them to one another.
+// had the cancellation from its peers only, because three controllers left them to one another, and
+// because every controller that had it was down, paused or cut off (7204).
 class RegressionSeeds : public testing::TestWithParam<uint64_t> {};
 
 TEST_P(RegressionSeeds, KeepProtocolRules) {
   play_seed(GetParam(), random_scenario, RepeatedRequests::none);
 }
 
-INSTANTIATE_TEST_SUITE_P(Suite, RegressionSeeds, testing::Values(5862, 7392));
+INSTANTIATE_TEST_SUITE_P(Suite, RegressionSeeds, testing::Values(5862, 7204, 7392));
 
 class RandomReplicaScenarios : public testing::TestWithParam<uint64_t> {};
 
--- a/tests/scenarios/scenario_checks.cpp
+++ b/tests/scenarios/scenario_checks.cpp
@@ -22,6 +22,7 @@
       {"replicas_ready", &ScenarioChecks::check_replicas_ready},
       {"replicas_repaired", &ScenarioChecks::check_replicas_repaired},
       {"replicas_whole", &ScenarioChecks::check_replicas_whole},
+      {"reports", &ScenarioChecks::check_reports},
       {"returned", &ScenarioChecks::check_machines_returned},
       {"running", &ScenarioChecks::check_running},
       {"served", &ScenarioChecks::check_served},
@@ -72,6 +73,15 @@
   }
 }
 
+// reports MACHINES most=BYTES: bounds the size of each worker's largest heartbeat
+void ScenarioChecks::check_reports(const ScenarioEvent& event) {
+  for (auto* worker : deployment_.select_machines(event.target)) {
+    const size_t bytes = worker->largest_report_bytes();
+    if (bytes > static_cast<size_t>(event.options.integer("most")))
+      add_mismatch(event, "of " + worker->id + ": " + std::to_string(bytes) + " bytes");
+  }
+}
+
 // writes JOBS most=N: bounds the writes to all records of a job
 void ScenarioChecks::check_writes(const ScenarioEvent& event) {
   for (auto& job : expand_names(event.target)) {
--- a/tests/scenarios/scenario_checks.hpp
+++ b/tests/scenarios/scenario_checks.hpp
@@ -29,6 +29,7 @@
   // Machines and the key-value store.
   void check_machines_returned(const ScenarioEvent& event);
   void check_machines_rented(const ScenarioEvent& event);
+  void check_reports(const ScenarioEvent& event);
   void check_sessions(const ScenarioEvent& event);
   void check_writes(const ScenarioEvent& event);
   void check_refused_for_size(const ScenarioEvent& event);
