Exits that machines report again under a later lease are recorded again

Cause: a controller compared only the exits with its record, not the fencing token of the record. After a change of leader the same exits, reported again, stayed under the earlier token, and a late copy of an earlier write put them back there: the shard leader ignores such a record, so a task's end stayed unknown to it until the machine reached it. A check in one path (the leader's) and not in the other.

TheSameExitsUnderALaterTokenAreRecordedAgain failed before (41 instead of 42, after the change and after the copy).

--- a/src/coordination/leadership/exit_forwarder.cpp
+++ b/src/coordination/leadership/exit_forwarder.cpp
@@ -62,7 +62,8 @@
 bool ExitForwarder::is_recorded(const ForwardedExits& record) const {
   auto written = cache_.forwarded_exits().find(settings_.controller_name);
   if (written == cache_.forwarded_exits().end()) return record.exits.empty();
-  return written->second.exits == record.exits;
+  return written->second.exits == record.exits &&
+         (record.exits.empty() || written->second.fencing_token == record.fencing_token);
 }
 
 // Only this controller writes the key. A late copy of an earlier write does no harm, because each
--- a/tests/leadership/exit_forwarder_test.cpp
+++ b/tests/leadership/exit_forwarder_test.cpp
@@ -84,6 +84,12 @@
     return out;
   }
 
+  /// The fencing token of the exits in the store.
+  uint64_t recorded_token() const {
+    const Json* value = store_service_.value(keys::forwarded_exits("n0"));
+    return value ? decode_forwarded_exits(*value).fencing_token : 0;
+  }
+
   simulation::World world_{1};
   Settings settings_ = test_settings();
   simulation::KeyValueStore store_service_{world_, store_host, limits};
@@ -120,6 +126,22 @@
   EXPECT_EQ(recorded(), Descriptions{"run-1/60 on i-2 in epoch 1"});
 }
 
+// Guards against exits that no shard leader accepts, because the record has the token of an earlier
+// lease.
+TEST_F(ExitForwarderTest, TheSameExitsUnderALaterTokenAreRecordedAgain) {
+  forwarder_.forward(fencing_token, heartbeat_with_failed("i-1", 1, {0}));
+  run(1);
+  const Json earlier_record = *store_service_.value(keys::forwarded_exits("n0"));
+  forwarder_.forward(fencing_token + 1, heartbeat_with_failed("i-1", 1, {0}));
+  run(1);
+  EXPECT_EQ(recorded_token(), fencing_token + 1);
+  store_service_.write(keys::forwarded_exits("n0"),
+                       earlier_record);  // a late copy of the first write
+  run(2);
+  EXPECT_EQ(recorded_token(), fencing_token + 1);
+  EXPECT_EQ(recorded(), Descriptions{"run-1/0 on i-1 in epoch 1"});
+}
+
 // Guards against outdated exits that stay in the record, since the shard leader never commits them,
 // until they leave no space for others.
 TEST_F(ExitForwarderTest, ExitsThatAreNotRepeatedForALeaseMakeSpaceForOthers) {
