--- a/tests/scenarios/random_copies.cpp
+++ b/tests/scenarios/random_copies.cpp
@@ -40,6 +40,7 @@
   RandomDraw draw(seed ^ seed_mask);
   std::vector<std::string> lines;
   const int copies = draw.below(3);
+  lines.reserve(2 * static_cast<size_t>(copies));
   for (int i = 0; i < copies; ++i) lines.push_back(draw_copies(draw));
   for (int i = 0; i < copies; ++i) lines.push_back(draw_quick_return(draw));
   return lines;
