--- a/src/coordination/leadership/exit_forwarder.hpp
+++ b/src/coordination/leadership/exit_forwarder.hpp
@@ -2,12 +2,13 @@
 /// leader through a record in the key-value store.
 ///
 /// In a partition a machine sends its heartbeats to a controller on its side, which renews the
-/// worker's lease under the shard leader's fencing token (LeaseRenewal). Within the agent epoch of
-/// such a heartbeat its exits stay true: the worker keeps an exited attempt until the shard leader
-/// sends the command to remove it, and a late copy of the start has no effect meanwhile. In the
-/// next epoch the worker has forgotten the attempt, and the shard leader may have started it again.
-/// Each exit is therefore recorded with the epoch, and the shard leader decides whether it still
-/// counts (proves_exit()). Nothing else in the heartbeat is forwarded.
+/// worker's lease under a fencing token of the shard leader's lease (LeaseRenewal). Within the
+/// agent epoch of such a heartbeat its exits stay true: the worker keeps an exited attempt until
+/// the shard leader sends the command to remove it, and a late copy of the start has no effect
+/// (Machine::may_remove()). In the next epoch the worker has forgotten the attempt, and the shard
+/// leader may have started it again. Each exit is therefore recorded with the epoch, and the shard
+/// leader decides whether it still counts (proves_exit()). Nothing else in the heartbeat is
+/// forwarded.
 #pragma once
 #include <map>
 #include <set>
@@ -27,10 +28,11 @@
   ExitForwarder(Loop& loop, const Settings& settings, KeyValueClient& store, RecordCache& cache)
       : loop_(loop), settings_(settings), store_(store), cache_(cache), changed_(loop) {}
 
-  /// Adds the exits in a heartbeat, sent by a worker that has learned this fencing token, to the
-  /// record. Exits that are committed already are left out, and so is a heartbeat of an earlier
-  /// token or of an earlier agent epoch of the machine than one seen before. Exits noted under an
-  /// earlier token, or in an earlier epoch of the machine, are discarded.
+  /// Adds the exits in a heartbeat to the record. `fencing_token`: the first one of a shard lease,
+  /// of which the worker has learned a token. Exits that are committed already are left out, and so
+  /// is a heartbeat of an earlier token or of an earlier agent epoch of the machine than one seen
+  /// before. Exits noted under an earlier token, or in an earlier epoch of the machine, are
+  /// discarded.
   void forward(uint64_t fencing_token, const Heartbeat& heartbeat);
   /// Keeps the record up to date, until stopped. Exits that the shard leader has committed are
   /// removed from it, and so are the exits of a machine that has not repeated them here for the
--- a/src/coordination/leadership/lease_renewal.hpp
+++ b/src/coordination/leadership/lease_renewal.hpp
@@ -3,10 +3,11 @@
 ///
 /// Usually the answer is a redirect to the shard leader. But if a partition separates a machine
 /// from its shard leader, the machine keeps sending its heartbeats here, and without a renewal its
-/// tasks would end with its worker's lease. Any controller that knows the shard leader's fencing
-/// token from the store may renew that lease: only the shard leader changes records, no start is
-/// commanded and no exit is removed here, and missed heartbeats never prove to the shard leader
-/// that a task is gone. Tasks of cancelled jobs are stopped, since the shard leader can't do that.
+/// tasks would end with its worker's lease. Any controller that knows the fencing tokens of the
+/// shard leader's lease from the store may renew that lease: only the shard leader changes records,
+/// no start is commanded and no exit is removed here, and missed heartbeats never prove to the
+/// shard leader that a task is gone. Tasks of cancelled jobs are stopped, since the shard leader
+/// can't do that.
 #pragma once
 #include <string>
 #include <unordered_map>
--- a/src/coordination/machines/reconcile.hpp
+++ b/src/coordination/machines/reconcile.hpp
@@ -45,17 +45,17 @@
                                         const std::vector<DesiredTask>& desired_tasks,
                                         const FencingTokens& tokens, bool records_current);
 
-/// Whether an exit that another controller forwarded under the current lease's fencing token proves
-/// that the attempt has ended. `machine`: the machine that reported the exit; null if this lease
-/// has received no message from it.
+/// Whether an exit that another controller forwarded under a fencing token of the current lease
+/// proves that the attempt has ended. `machine`: the machine that reported the exit; null if this
+/// lease has received no message from it.
 ///
 /// The worker forgets an exited attempt when its agent epoch ends, and reconcile() then starts the
 /// attempt again. So an exit of an earlier epoch than the machine's current one says nothing about
 /// the present, except that a task that was done stays done. An exit of the current epoch is proof,
 /// because the worker keeps it until its end is committed and no copy of its start command is
 /// accepted any more, and because a gang's attempt isn't started there again later
-/// (GangTracker::may_place()). An exit of a later epoch is proof, because
-/// start commands of this lease can only have reached the worker in epochs up to the current one.
+/// (GangTracker::may_place()). An exit of a later epoch is proof, because start commands of this
+/// lease can only have reached the worker in epochs up to the current one.
 [[nodiscard]] bool proves_exit(const ForwardedExit& exit, const Machine* machine);
 
 }  // namespace damsonport
--- a/src/coordination/scheduling/gang_tracker.hpp
+++ b/src/coordination/scheduling/gang_tracker.hpp
@@ -25,8 +25,8 @@
 /// Owned by the shard leader and called on its event loop. The observations are kept in memory
 /// only. After a failover an attempt that could have continued may be abandoned. Where tasks of the
 /// attempt have ended is learned again from heartbeats: a worker lists an exit until this leader
-/// removes it, and exits that it no longer lists under this leader's fencing token can't be
-/// reported to this leader any more.
+/// removes it, and exits that it no longer lists under a fencing token of this leader's lease can't
+/// be reported to this leader any more.
 class GangTracker {
  public:
   /// All references have to outlive the tracker.
--- a/src/coordination/shard_leader/shard_leader.cpp
+++ b/src/coordination/shard_leader/shard_leader.cpp
@@ -197,9 +197,8 @@
     snapshot_builder_.mark_job_changed(*job);
   }
   spdlog::info(
-      "shard lease with fencing token {} acquired, records read up to revision {}: {} machines in "
-      "the "
-      "records, {} jobs",
+      "shard lease with fencing token {} acquired, records read up to revision {}: "
+      "{} machines in the records, {} jobs",
       lease_.fencing_token(), cache_.revision(), machines_.size(), cache_.jobs().size());
   if (deps_.quotas.divided() && !deps_.quotas.exchanging())
     spdlog::warn(
