Bodies are decoded in one pass without recursion

What callers saw: a request with nested strings was never answered and ended the controller; its user sent it again, and it took the next one. A count of 2^62 items got 500 instead of 400, text that is not UTF-8 was taken in, and an unknown field with a tag, an undefined or unassigned simple value, or a number as its key refused the whole job.

Cause: the JSON library's decoder recurses for every chunk, item and level, throws for large counts although it is told not to, and its values are copied, encoded and destroyed by recursion as well. So the depth of a stranger's bytes decided how much stack was used. Class: input used before it was checked.

Fix: all bodies (users, reports, answers of commands, store, cloud, the simulation) pass cbor::decode(). It checks that they are exactly one well-formed item with valid UTF-8 and keeps its open containers in a vector: 32 bytes each, at most one for a byte of input. Counts beyond the input are refused before anything is built. Values below 64 levels are checked and not kept, so no input makes later copies deep, and a sound submission with a deep unknown field isn't refused.

Messages between controllers (varint codec) have no nesting; all counts in them are bounded by the bytes that are there.

--- a/src/protocol/cbor.cpp
+++ b/src/protocol/cbor.cpp
@@ -4,11 +4,17 @@
 
 namespace damsonport {
 
-Json decode_map(const std::string& body) {
-  constexpr bool whole_input = true;
-  constexpr bool throws = false;
-  auto value = Json::from_cbor(body, whole_input, throws);
-  return value.is_object() ? value : Json();
+Json decode_map(std::string_view body, cbor::DecodeError& error) {
+  Json value;
+  error = cbor::decode(body, value);
+  if (error == cbor::DecodeError::none && !value.is_object()) error = cbor::DecodeError::not_a_map;
+  if (error != cbor::DecodeError::none) return {};
+  return value;
+}
+
+Json decode_map(std::string_view body) {
+  cbor::DecodeError ignored = cbor::DecodeError::none;
+  return decode_map(body, ignored);
 }
 
 std::string encode(const Json& value) {
--- a/src/protocol/cbor.hpp
+++ b/src/protocol/cbor.hpp
@@ -7,12 +7,17 @@
 #include <string_view>
 #include <vector>
 
+#include "protocol/cbor_decoder.hpp"
+
 namespace damsonport {
 
 using Json = nlohmann::json;
 
-/// Decodes a CBOR map. Returns null if `body` is not exactly one complete CBOR map.
-Json decode_map(const std::string& body);
+/// Decodes a CBOR map, see cbor::decode(). Returns null if `body` is not exactly one well-formed
+/// CBOR map whose text is valid UTF-8, and then sets `error` to the reason.
+Json decode_map(std::string_view body, cbor::DecodeError& error);
+/// The same without the reason.
+Json decode_map(std::string_view body);
 /// Encodes a value as CBOR.
 std::string encode(const Json& value);
 
