--- a/src/storage/record_cache.cpp
+++ b/src/storage/record_cache.cpp
@@ -43,11 +43,22 @@
 
 void RecordCache::apply(const KeyValue& key_value) {
   if (removed_keys_.is_stale_write(key_value.key, key_value.version)) return;
-  if (const auto key = parse_record_key(key_value.key)) apply_record(*key, key_value);
+  if (const auto key = parse_record_key(key_value.key)) apply_readable_record(*key, key_value);
   if (key_value.value.is_null() && key_value.version)
     removed_keys_.record_removal(key_value.key, key_value.version);
 }
 
+// A record that can't be decoded stays as it is in the store: the cache doesn't know its version,
+// so no transaction that depends on the version replaces it.
+void RecordCache::apply_readable_record(const RecordKey& key, const KeyValue& key_value) {
+  try {
+    apply_record(key, key_value);
+  } catch (const Json::exception& e) {
+    spdlog::error("a record of kind {} at revision {} can't be read and is ignored: {}",
+                  static_cast<int>(key.kind), key_value.version, e.what());
+  }
+}
+
 void RecordCache::apply_record(const RecordKey& key, const KeyValue& key_value) {
   switch (key.kind) {
     case RecordKind::shard_table:
--- a/src/storage/record_cache.hpp
+++ b/src/storage/record_cache.hpp
@@ -124,6 +124,7 @@
   const std::map<std::string, StoredQuota>& quotas() const { return quotas_; }
 
  private:
+  void apply_readable_record(const RecordKey& key, const KeyValue& key_value);
   void apply_record(const RecordKey& key, const KeyValue& key_value);
   void apply_shard_table(const KeyValue& key_value);
   void apply_leader(const KeyValue& key_value);
