Malformed requests are counted by path and reason, and logged at a bounded rate

In the incident the logs had nothing of the malformed requests that came all the time, except for "request failed" and the store's refusals. Reports with a missing field no longer put the machine's name into the reason.

--- a/src/coordination/api/responses.cpp
+++ b/src/coordination/api/responses.cpp
@@ -10,7 +10,13 @@
 std::string error_body(const std::string& reason) { return encode({{"error", reason}}); }
 }  // namespace
 
-HttpResponse bad_request(const std::string& reason) { return {400, error_body(reason), 0}; }
+HttpResponse bad_request(const std::string& reason) {
+  return {400, error_body(reason), 0, false, reason};
+}
+
+HttpResponse undecodable(const char* detail) {
+  return {400, error_body("the body is not a CBOR map"), 0, false, detail};
+}
 
 HttpResponse not_found() { return {404, {}, 0}; }
 
--- a/src/coordination/api/responses.hpp
+++ b/src/coordination/api/responses.hpp
@@ -9,6 +9,8 @@
 /// 400: the request is malformed, and clients do not repeat it. `reason` is the `error` of the
 /// body.
 HttpResponse bad_request(const std::string& reason);
+/// 400: the body can't be decoded. `detail` is for the log.
+HttpResponse undecodable(const char* detail);
 /// 404: the job or the path doesn't exist.
 HttpResponse not_found();
 /// 405: the path does not support the method.
--- a/src/coordination/api/routes.cpp
+++ b/src/coordination/api/routes.cpp
@@ -21,6 +21,24 @@
 
 }  // namespace
 
+const char* describe(Resource resource) {
+  switch (resource) {
+    case Resource::worker_heartbeat:
+      return "POST /hello";
+    case Resource::health:
+      return "GET /healthz";
+    case Resource::job_collection:
+      return "POST /api/jobs";
+    case Resource::job:
+      return "GET /api/jobs/ID";
+    case Resource::job_cancellation:
+      return "POST /api/jobs/ID/cancel";
+    case Resource::unknown:
+      break;
+  }
+  return "another path";
+}
+
 Route match_route(std::string_view path) {
   if (path == worker_heartbeat_path) return {Resource::worker_heartbeat, Method::post, {}};
   if (path == health_path) return {Resource::health, Method::get, {}};
--- a/src/coordination/api/routes.hpp
+++ b/src/coordination/api/routes.hpp
@@ -18,6 +18,9 @@
   job_cancellation,  ///< POST /api/jobs/ID/cancel
 };
 
+/// Method and path of the resource, for the log.
+const char* describe(Resource resource);
+
 /// Result of match_route().
 struct Route {
   Resource resource = Resource::unknown;
--- a/src/coordination/api/user_api.cpp
+++ b/src/coordination/api/user_api.cpp
@@ -74,8 +74,9 @@
 }
 
 Task<HttpResponse> UserApi::submit(std::string body) {
-  const auto message = decode_map(body);
-  if (!message.is_object()) co_return bad_request("the body is not a CBOR map");
+  auto error = cbor::DecodeError::none;
+  const auto message = decode_map(body, error);
+  if (error != cbor::DecodeError::none) co_return undecodable(describe(error));
   auto spec = decode_submission(message);
   if (!spec) co_return bad_request(spec.error());
   if (!cache_.loaded() || !catalog_.loaded()) co_return unavailable();
--- a/src/coordination/controller.cpp
+++ b/src/coordination/controller.cpp
@@ -6,7 +6,6 @@
 #include <cmath>
 #include <utility>
 
-#include "coordination/api/routes.hpp"
 #include "coordination/leadership/connection_policy.hpp"
 
 namespace damsonport {
@@ -90,6 +89,8 @@
   return is_leading ? leader_share : (1 - leader_share) / (controllers - 1);
 }
 
+constexpr int status_malformed = 400;
+
 Requester requester_of(std::string_view path) {
   if (is_user_path(path)) return Requester::user;
   if (is_worker_path(path)) return Requester::worker;
@@ -290,17 +291,21 @@
 
 Task<HttpResponse> Controller::handle(HttpRequest request) {
   const auto requester = requester_of(request.path);
-  auto response = co_await dispatch(std::move(request));
+  Route route = match_route(request.path);
+  const Resource resource = route.resource;
+  const size_t body_bytes = request.body.size();
+  auto response = co_await dispatch(std::move(request), std::move(route));
+  if (response.status == status_malformed)
+    malformed_requests_.record(resource, response.refusal_reason, body_bytes, loop_.now());
   response.close = closes_after_answer(
       requester,
       {server_->open_connections(), max_connections(settings_), shard_leader_.fleet_size()});
   co_return response;
 }
 
-Task<HttpResponse> Controller::dispatch(HttpRequest request) {
+Task<HttpResponse> Controller::dispatch(HttpRequest request, Route route) {
   if (request.body.size() > max_body_bytes)
     co_return bad_request("the body is longer than " + std::to_string(max_body_bytes) + " bytes");
-  Route route = match_route(request.path);
   if (route.resource == Resource::unknown) co_return not_found();
   if (request.method != route.method) co_return method_not_allowed();
   switch (route.resource) {
--- a/src/coordination/controller.hpp
+++ b/src/coordination/controller.hpp
@@ -1,5 +1,7 @@
 /// A controller of the fleet: its components, its HTTP request handling and its background tasks.
 #pragma once
+#include "coordination/api/malformed_requests.hpp"
+#include "coordination/api/routes.hpp"
 #include "coordination/api/user_api.hpp"
 #include "coordination/shard_leader/shard_leader.hpp"
 #include "storage/record_watcher.hpp"
@@ -35,7 +37,7 @@
   bool listen();
   void start_background_tasks();
   Task<HttpResponse> handle(HttpRequest request);
-  Task<HttpResponse> dispatch(HttpRequest request);
+  Task<HttpResponse> dispatch(HttpRequest request, Route route);
   HttpResponse health() const;
   size_t max_idle_connections() const;
   double wanted_writes() const;
@@ -66,6 +68,7 @@
   Election election_;
   ShardLeader shard_leader_;
   UserApi api_;
+  MalformedRequests malformed_requests_;
   std::unique_ptr<HttpServer> server_;
 };
 
--- a/src/coordination/shard_leader/shard_leader.cpp
+++ b/src/coordination/shard_leader/shard_leader.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <limits>
 
+#include "coordination/api/responses.hpp"
 #include "coordination/machines/machine_capacity.hpp"
 
 namespace damsonport {
@@ -347,8 +348,11 @@
 
 HttpResponse ShardLeader::on_heartbeat(const HttpRequest& request) {
   if (auto answer = answer_repeated_heartbeat(request)) return *answer;
-  const auto heartbeat = decode_heartbeat(decode_map(request.body));
-  if (!heartbeat) return {400, encode({{"error", heartbeat.error()}}), 0};
+  auto error = cbor::DecodeError::none;
+  const Json message = decode_map(request.body, error);
+  if (error != cbor::DecodeError::none) return undecodable(describe(error));
+  const auto heartbeat = decode_heartbeat(message);
+  if (!heartbeat) return bad_request(heartbeat.error());
   return on_decoded_heartbeat(*heartbeat, request);
 }
 
--- a/src/protocol/worker_messages.cpp
+++ b/src/protocol/worker_messages.cpp
@@ -69,7 +69,7 @@
       !cbor::read(map, wire::zone, out.zone) || !cbor::read_optional(map, wire::spot, out.spot) ||
       !cbor::read(map, wire::agent_epoch, out.agent_epoch) ||
       !cbor::read(map, wire::sequence, out.sequence))
-    return Error{"report of " + out.machine + " lacks a field"};
+    return Error{"a field of the report is missing or invalid"};
   if (!cbor::read_optional(map, wire::fencing_token, out.fencing_token))
     return Error{wire::fencing_token};
   double notice_s = 0;
@@ -80,7 +80,7 @@
   out.tasks.reserve(tasks->size());
   for (const auto& task : *tasks) {
     if (!decode_task_status(task, out.tasks.emplace_back()))
-      return Error{"a task of " + out.machine + " lacks a field"};
+      return Error{"a field of a task is missing or invalid"};
   }
   return out;
 }
--- a/src/transport/http.hpp
+++ b/src/transport/http.hpp
@@ -42,6 +42,18 @@
   std::string body;          ///< CBOR, or empty
   double retry_after_s = 0;  ///< header Retry-After, sent rounded up to whole seconds; 0: none
   bool close = false;        ///< whether to close the connection after the response
+  /// Why the request was refused with 400, for the log; not sent, and without the sender's bytes.
+  std::string refusal_reason = {};
+};
+
+/// Limits of an HTTP server.
+struct HttpServerLimits {
+  size_t max_body = 0;  ///< bytes; requests with a longer body are not passed to the handler
+  /// Connections beyond this number are not accepted until others close, or replace those that
+  /// have sent no whole request, the oldest of them first.
+  size_t max_connections = 0;
+  double idle_s = 0;     ///< a connection without a request is closed after this time
+  double request_s = 0;  ///< maximum time from the first to the last byte of a request
 };
 
 /// An HTTP server.
