A record that the store refuses as malformed refuses no other submission

Cause: SubmissionBatcher::commit took the refusal of a transaction for the answer to each of its parties. The simulated store could not show it: it ended by itself on such text.

Fix: a transaction that is refused as malformed is divided until the refused record is alone. That one gets 400, unless its job is known: then the job's state, since a repeat of an accepted job must not be refused. The others are committed. The simulated store answers malformed transactions with 400, as the protocol says (keys, conditions, values, text), and can be told to refuse a key.

Other places where several parties share a message: confirmations of statuses (ids are checked before, so no condition is malformed), the shard leader's commits and forwarded exits (texts of reports pass the decoder), peer heartbeats.

--- a/simulation/key_value_store.cpp
+++ b/simulation/key_value_store.cpp
@@ -7,6 +7,7 @@
 namespace {
 constexpr size_t max_kept_changes = 10000;
 constexpr size_t max_transaction_bytes = size_t{64} * 1024;
+constexpr size_t max_key_bytes = 200;
 constexpr size_t default_list_limit = 1000;
 constexpr double min_late_apply_s = 2;  // bounds of the delay of a transaction that is applied late
 constexpr double max_late_apply_s = 12;
@@ -22,8 +23,52 @@
 uint64_t lease_id_of(const Json& write) {
   return write.contains("permit") ? write["permit"].get<uint64_t>() : 0;
 }
+
+bool is_key(const Json& value) {
+  if (!value.is_string()) return false;
+  const auto& key = value.get_ref<const std::string&>();
+  return !key.empty() && key.size() <= max_key_bytes && key.find(' ') == std::string::npos;
+}
+
+bool is_count(const Json& map, const char* field) {
+  return map.contains(field) && map[field].is_number_unsigned();
+}
+
+// Whether the value consists only of what the protocol's bodies may have.
+bool is_storable(const Json& value) {
+  if (value.is_discarded()) return false;
+  return !value.is_structured() || std::all_of(value.begin(), value.end(), is_storable);
+}
+
+bool is_condition(const Json& condition) {
+  return condition.is_object() && condition.contains("path") && is_key(condition["path"]) &&
+         is_count(condition, "stamp");
+}
+
+bool is_write(const Json& write) {
+  if (!write.is_object()) return false;
+  if (!write.contains("set")) return write.contains("remove") && is_key(write["remove"]);
+  return is_key(write["set"]) && write.contains("data") && is_storable(write["data"]) &&
+         (!write.contains("permit") || is_count(write, "permit"));
+}
+
+bool is_list_of(const Json& map, const char* field, bool (*is_element)(const Json&)) {
+  if (!map.contains(field)) return true;
+  return map[field].is_array() && std::all_of(map[field].begin(), map[field].end(), is_element);
+}
 }  // namespace
 
+bool KeyValueStore::is_well_formed(const Json& transaction) const {
+  if (!transaction.is_object() || !is_list_of(transaction, "if", is_condition) ||
+      !is_list_of(transaction, "writes", is_write))
+    return false;
+  if (!transaction.contains("writes")) return true;
+  return std::none_of(
+      transaction["writes"].begin(), transaction["writes"].end(), [this](const Json& write) {
+        return write.contains("set") && malformed_keys_.contains(write["set"].get<std::string>());
+      });
+}
+
 KeyValueStore::KeyValueStore(World& world, const std::string& host, const StateLimits& limits)
     : world_(world),
       limits_(limits),
@@ -216,8 +261,9 @@
 }
 
 HttpClientResponse KeyValueStore::grant_lease(const Json& request) {
+  if (!request.is_object() || !is_count(request, "life_ms")) return {400, {}};
   const uint64_t id = next_lease_id_++;
-  leases_[id].duration_s = request.value("life_ms", 1000) / 1000.0;
+  leases_[id].duration_s = request["life_ms"].get<double>() / 1000.0;
   renew_lease(id);
   return {200, encode({{"permit", id}})};
 }
@@ -235,7 +281,10 @@
 void KeyValueStore::transact(const std::string& from, const std::string& body,
                              const World::ResponseHandler& respond) {
   const Json transaction = decode_map(body);
-  if (!transaction.is_object()) return respond({400, {}});
+  if (!is_well_formed(transaction)) {
+    ++refused_as_malformed_;
+    return respond({400, encode({{"error", "malformed"}})});
+  }
   const int writes =
       transaction.contains("writes") ? static_cast<int>(transaction["writes"].size()) : 0;
   if (!try_consume_request(writes)) return respond({429, {}});
--- a/simulation/key_value_store.hpp
+++ b/simulation/key_value_store.hpp
@@ -36,6 +36,8 @@
   enum class TransactionFault : uint8_t { none, applied_late, response_lost };
   /// Sets the fault of transactions from `host`, or from all hosts if `host` is empty.
   void set_transaction_fault(TransactionFault fault, std::string host);
+  /// From now on a transaction that writes this key gets the response of a malformed one.
+  void take_for_malformed(const std::string& key) { malformed_keys_.insert(key); }
   /// Sets the mean time, in seconds, between the arrival of a request and its execution.
   void set_delay(double seconds) { delay_s_ = seconds; }
 
@@ -61,6 +63,8 @@
   /// The number of requests refused because of the rate limits, and because of the limits on sizes.
   size_t refused_for_rate() const { return refused_for_rate_; }
   size_t refused_for_size() const { return refused_for_size_; }
+  /// The number of transactions refused as malformed.
+  size_t refused_as_malformed() const { return refused_as_malformed_; }
 
  private:
   using Query = std::map<std::string, std::string>;
@@ -93,6 +97,8 @@
   HttpClientResponse change_lease(Method method, uint64_t id);
   void transact(const std::string& from, const std::string& body,
                 const World::ResponseHandler& respond);
+  /// Whether the transaction has the form that the protocol describes.
+  bool is_well_formed(const Json& transaction) const;
   HttpClientResponse apply(const Json& transaction);
   bool exceeds_limits(const Json& transaction, const Json& conditions, const Json& writes) const;
   /// Returns an error response, or nothing if the write is allowed.
@@ -136,6 +142,8 @@
   double rate_counted_at_ = 0;
   size_t refused_for_rate_ = 0;
   size_t refused_for_size_ = 0;
+  size_t refused_as_malformed_ = 0;
+  std::set<std::string> malformed_keys_;
 };
 
 }  // namespace damsonport::simulation
--- a/src/coordination/api/submission_batcher.cpp
+++ b/src/coordination/api/submission_batcher.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace damsonport {
 
@@ -80,36 +81,72 @@
   return transaction;
 }
 
+void SubmissionBatcher::apply_committed(const Batch& batch, const std::vector<Write>& writes,
+                                        uint64_t revision) {
+  cache_.apply_writes(writes, revision);
+  for (auto* entry : batch) {
+    const JobSpec& spec = entry->request;
+    spdlog::debug("accepted {}: {} tasks", spec.id, spec.tasks);
+  }
+}
+
+// Removes the entries whose preconditions failed; all of them if the result names none of them.
+SubmissionBatcher::Batch SubmissionBatcher::take_known(Batch& batch,
+                                                       const TransactionResult& result) {
+  const auto first_known =
+      std::stable_partition(batch.begin(), batch.end(), [&](const Queue::Entry* entry) {
+        return !is_precondition_failed(result, entry->request.id);
+      });
+  Batch known(first_known, batch.end());
+  batch.erase(first_known, batch.end());
+  if (known.empty()) std::swap(known, batch);
+  return known;
+}
+
+SubmissionBatcher::Batch SubmissionBatcher::take_second_half(Batch& batch) {
+  const auto middle = batch.begin() + static_cast<std::ptrdiff_t>(batch.size() / 2);
+  Batch second_half(middle, batch.end());
+  batch.erase(middle, batch.end());
+  return second_half;
+}
+
+// Sends one transaction for the batch and resolves the entries that its result decides. The other
+// entries stay in the batch or are returned, for transactions of their own.
+Task<SubmissionBatcher::Batch> SubmissionBatcher::commit_or_divide(Batch& batch) {
+  Transaction transaction = transaction_for(batch);
+  const auto writes = transaction.writes;
+  const auto result =
+      co_await store_.compare_and_swap(std::move(transaction), RequestPriority::accepting);
+  if (result.outcome == TransactionOutcome::conflict && !result.failed_keys.empty()) {
+    resolve_all(take_known(batch, result), SubmissionOutcome::already_known);
+    co_return Batch{};
+  }
+  const bool is_malformed = result.outcome == TransactionOutcome::invalid;
+  if (is_malformed && batch.size() > 1) co_return take_second_half(batch);
+  // After an indefinite result the users don't have to wait for another attempt: they may submit
+  // the same id again.
+  auto outcome = SubmissionOutcome::unavailable;
+  if (is_malformed) outcome = SubmissionOutcome::malformed;
+  if (result.outcome == TransactionOutcome::committed) {
+    apply_committed(batch, writes, result.revision);
+    outcome = SubmissionOutcome::accepted;
+  }
+  resolve_all(std::exchange(batch, {}), outcome);
+  co_return Batch{};
+}
+
+// A transaction that the store refuses as malformed is divided until the malformed record is alone,
+// so that it doesn't refuse the submissions of other users.
 Task<void> SubmissionBatcher::commit(Batch batch) {
-  while (!batch.empty()) {
-    Transaction transaction = transaction_for(batch);
-    auto writes = transaction.writes;
-    auto result =
-        co_await store_.compare_and_swap(std::move(transaction), RequestPriority::accepting);
-    if (result.outcome == TransactionOutcome::conflict && !result.failed_keys.empty()) {
-      // The jobs whose preconditions failed are already known; the other jobs are retried.
-      const auto first_known =
-          std::stable_partition(batch.begin(), batch.end(), [&](const Queue::Entry* entry) {
-            return !is_precondition_failed(result, entry->request.id);
-          });
-      Batch known(first_known, batch.end());
-      batch.erase(first_known, batch.end());
-      if (known.empty()) std::swap(known, batch);
-      resolve_all(known, SubmissionOutcome::already_known);
-      continue;
-    }
-    // After an indefinite result the users don't have to wait for another attempt: they may submit
-    // the same id again.
-    const bool committed = result.outcome == TransactionOutcome::committed;
-    if (committed) {
-      cache_.apply_writes(writes, result.revision);
-      for (auto* entry : batch) {
-        const JobSpec& spec = entry->request;
-        spdlog::debug("accepted {}: {} x {} of {}", spec.id, spec.tasks, spec.job_class, spec.team);
-      }
+  std::vector<Batch> pending;
+  pending.push_back(std::move(batch));
+  while (!pending.empty()) {
+    Batch current = std::move(pending.back());
+    pending.pop_back();
+    while (!current.empty()) {
+      Batch divided = co_await commit_or_divide(current);
+      if (!divided.empty()) pending.push_back(std::move(divided));
     }
-    resolve_all(batch, committed ? SubmissionOutcome::accepted : SubmissionOutcome::unavailable);
-    co_return;
   }
 }
 
--- a/src/coordination/api/submission_batcher.hpp
+++ b/src/coordination/api/submission_batcher.hpp
@@ -14,6 +14,7 @@
   unavailable,
   accepted,       ///< this submission created the job's record
   already_known,  ///< the job was recorded before or has already ended
+  malformed,  ///< the key-value store refuses the job's record as malformed, whenever it is sent
 };
 
 /// Batches submissions that arrive close together into shared transactions.
@@ -40,6 +41,10 @@
   Batch take_batch();
   Transaction transaction_for(const Batch& batch) const;
   Task<void> commit(Batch batch);
+  Task<Batch> commit_or_divide(Batch& batch);
+  void apply_committed(const Batch& batch, const std::vector<Write>& writes, uint64_t revision);
+  static Batch take_known(Batch& batch, const TransactionResult& result);
+  static Batch take_second_half(Batch& batch);
   static void resolve_all(const Batch& batch, SubmissionOutcome outcome);
 
   const Settings& settings_;
--- a/src/coordination/api/user_api.cpp
+++ b/src/coordination/api/user_api.cpp
@@ -87,7 +87,7 @@
   settings_.replicas.apply_to(*spec);
   const AdmissionResult admission = check_admission(*spec, settings_, catalog_.types());
   if (admission != AdmissionResult::admitted)
-    co_return co_await reject(spec->id, rejection_reason(admission));
+    co_return co_await reject(spec->id, unprocessable(rejection_reason(admission)));
   if (!controllers_support(*spec)) co_return unavailable();
   demand_.note_arrival(loop_.now());
   if (const auto retry_after_s = overload_retry_after()) {
@@ -101,10 +101,10 @@
   co_return co_await record(std::move(*spec));
 }
 
-// A job that was accepted earlier stays accepted, even if the admission check would reject it now.
-Task<HttpResponse> UserApi::reject(std::string id, std::string reason) {
+// A job that was accepted earlier stays accepted, even if this submission of it is rejected.
+Task<HttpResponse> UserApi::reject(std::string id, HttpResponse rejection) {
   const JobStatus status = co_await statuses_.read(id);
-  if (status.state == JobStatus::State::unknown) co_return unprocessable(reason);
+  if (status.state == JobStatus::State::unknown) co_return rejection;
   co_return to_response(id, status);
 }
 
@@ -132,6 +132,8 @@
       co_return HttpResponse{201, encode_job_status(id, "queued"), 0};
     case SubmissionOutcome::already_known:
       co_return co_await status_response(id);
+    case SubmissionOutcome::malformed:
+      co_return co_await reject(id, bad_request("the key-value store refuses the job's record"));
     case SubmissionOutcome::unavailable:
       break;
   }
--- a/src/coordination/api/user_api.hpp
+++ b/src/coordination/api/user_api.hpp
@@ -45,7 +45,7 @@
 
  private:
   Task<HttpResponse> status_response(std::string id);
-  Task<HttpResponse> reject(std::string id, std::string reason);
+  Task<HttpResponse> reject(std::string id, HttpResponse rejection);
   Task<HttpResponse> record(JobSpec spec);
   bool controllers_support(const JobSpec& spec) const;
   std::optional<double> overload_retry_after() const;
