A process that ends by a fault leaves a line, and no controller goes on without a task

- An exception that ends one of the controller's background tasks was logged, and the controller went on without the task, a leader as leader.
It ends the process now, with the line: all thirteen tasks hold state between their steps that an exception may leave half changed, so none is restarted by itself; the store has the truth, and another controller takes over at once.
Requests still get 500, and only they.

--- a/src/coordination/controller.cpp
+++ b/src/coordination/controller.cpp
@@ -204,21 +204,22 @@
 void Controller::start_background_tasks() {
   namespace names = background_task;
   const auto stop_token = loop_.stop_token();
-  loop_.spawn(names::record_cache, record_watcher_.run(stop_token));
-  loop_.spawn(names::machine_type_catalog, catalog_.refresh_periodically(stop_token));
-  loop_.spawn(names::peer_heartbeats,
-              peer_network_.send_heartbeats([this] { return next_heartbeat(); }, stop_token));
-  loop_.spawn(names::region_exchange,
-              regions_.run([this] { return shard_leader_.fencing_token(); }, stop_token));
-  loop_.spawn(names::version_announcement, versions_.announce(stop_token));
-  loop_.spawn(names::exit_forwarder, exit_forwarder_.run(stop_token));
-  loop_.spawn(names::election, election_.run(stop_token));
-  loop_.spawn(names::shard_leader, shard_leader_.run(stop_token));
-  loop_.spawn(names::machine_maintenance, shard_leader_.run_maintenance(stop_token));
-  loop_.spawn(names::machine_list, shard_leader_.follow_machine_list(stop_token));
-  loop_.spawn(names::submissions, api_.run_submissions(stop_token));
-  loop_.spawn(names::confirmations, api_.run_confirmations(stop_token));
-  loop_.spawn(names::housekeeping, run_housekeeping(stop_token));
+  loop_.spawn_essential(names::record_cache, record_watcher_.run(stop_token));
+  loop_.spawn_essential(names::machine_type_catalog, catalog_.refresh_periodically(stop_token));
+  loop_.spawn_essential(
+      names::peer_heartbeats,
+      peer_network_.send_heartbeats([this] { return next_heartbeat(); }, stop_token));
+  loop_.spawn_essential(names::region_exchange,
+                        regions_.run([this] { return shard_leader_.fencing_token(); }, stop_token));
+  loop_.spawn_essential(names::version_announcement, versions_.announce(stop_token));
+  loop_.spawn_essential(names::exit_forwarder, exit_forwarder_.run(stop_token));
+  loop_.spawn_essential(names::election, election_.run(stop_token));
+  loop_.spawn_essential(names::shard_leader, shard_leader_.run(stop_token));
+  loop_.spawn_essential(names::machine_maintenance, shard_leader_.run_maintenance(stop_token));
+  loop_.spawn_essential(names::machine_list, shard_leader_.follow_machine_list(stop_token));
+  loop_.spawn_essential(names::submissions, api_.run_submissions(stop_token));
+  loop_.spawn_essential(names::confirmations, api_.run_confirmations(stop_token));
+  loop_.spawn_essential(names::housekeeping, run_housekeeping(stop_token));
 }
 
 PeerHeartbeat Controller::next_heartbeat() {
--- a/src/coordination/leadership/shard_lease_keeper.cpp
+++ b/src/coordination/leadership/shard_lease_keeper.cpp
@@ -2,6 +2,8 @@
 
 #include <spdlog/spdlog.h>
 
+#include "transport/crash_report.hpp"
+
 namespace damsonport {
 
 namespace {
@@ -43,6 +45,7 @@
 
 void ShardLeaseKeeper::note_acquired() {
   tokens_ = {own_lease()->first_fencing_token(), own_lease()->fencing_token};
+  crash_report::set_fencing_token(tokens_.newest);
   requested_token_.reset();
   required_revision_ = deps_.cache.shard_table_version();
   acquired_at_ = deps_.loop.now();
@@ -52,6 +55,7 @@
 
 void ShardLeaseKeeper::note_raised() {
   tokens_.newest = own_lease()->fencing_token;
+  crash_report::set_fencing_token(tokens_.newest);
   requested_token_.reset();
   spdlog::debug("fencing token raised from {} to {}, which rests on revision {} of the shard table",
                 tokens_.first, tokens_.newest, deps_.cache.shard_table_version());
@@ -114,6 +118,7 @@
     spdlog::info("shard lease with fencing tokens {} to {} lost to another controller",
                  tokens_.first, tokens_.newest);
     tokens_ = {};
+    crash_report::set_fencing_token(0);
     callbacks_.on_lost();
   }
   if (!deps_.election.is_leading())
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -15,6 +15,7 @@
 
 #include "coordination/controller.hpp"
 #include "coordination/quotas/initial_units.hpp"
+#include "transport/crash_report.hpp"
 #include "transport/event_network.hpp"
 #include "transport/open_file_limit.hpp"
 
@@ -140,6 +141,7 @@
 int run_controller(const Configuration& configuration) {
   const Settings& settings = configuration.settings;
   raise_open_file_limit(settings.max_sockets);
+  damsonport::crash_report::install();
   EventLoop loop;
   damsonport::EventNetwork network(loop);
   damsonport::Controller controller(loop, network, settings,
--- a/src/transport/event_http_server.cpp
+++ b/src/transport/event_http_server.cpp
@@ -12,6 +12,7 @@
 #include <cmath>
 #include <stdexcept>
 
+#include "transport/crash_report.hpp"
 #include "transport/event_http.hpp"
 
 namespace damsonport {
@@ -35,6 +36,27 @@
   }
 }
 
+std::string_view name_of(Method method) {
+  switch (method) {
+    case Method::get:
+      return "GET";
+    case Method::post:
+      return "POST";
+    case Method::del:
+      return "DELETE";
+    case Method::other:
+      break;
+  }
+  return "another method";
+}
+
+std::string sender_of(evhttp_connection* connection) {
+  char* address = nullptr;
+  uint16_t port = 0;
+  evhttp_connection_get_peer(connection, &address, &port);
+  return std::string(address ? address : "") + ":" + std::to_string(port);
+}
+
 void add_headers(evkeyvalq* headers, const HttpResponse& response) {
   if (!response.body.empty()) evhttp_add_header(headers, "Content-Type", "application/cbor");
   if (response.retry_after_s > 0) {
@@ -180,6 +202,9 @@
   Connection& connection = connections_[evhttp_request_get_connection(http_request)];
   connection.exchange = exchange;
   request.previous_response_at = connection.responded_at;
+  const std::string sender = sender_of(evhttp_request_get_connection(http_request));
+  const crash_report::RequestInProgress in_progress(
+      {name_of(request.method), request.path, sender, request.body});
   loop_.spawn("request", respond(std::move(exchange), std::move(request)));
 }
 
--- a/src/transport/loop.cpp
+++ b/src/transport/loop.cpp
@@ -2,6 +2,8 @@
 
 #include <spdlog/spdlog.h>
 
+#include <cstdlib>
+
 namespace damsonport {
 
 double Loop::uniform(double lo, double hi) {
@@ -25,19 +27,25 @@
   };
 };
 
-Loop::Detached Loop::run_detached(Loop* loop, std::string name, Task<void> task) {
+Loop::Detached Loop::run_detached(Loop* loop, std::string name, Task<void> task,
+                                  OnException policy) {
   ++loop->running_tasks_;
   try {
     co_await task;
   } catch (const std::exception& e) {
-    spdlog::error("background task {} ended: {}", name, e.what());
+    spdlog::error("background task {} ended by an exception: {}", name, e.what());
+    if (policy == OnException::end_process) std::abort();
   }
   --loop->running_tasks_;
   if (loop->running_tasks_ == 0 && loop->stop_.stop_requested()) loop->on_tasks_ended();
 }
 
 void Loop::spawn(std::string name, Task<void> task) {
-  run_detached(this, std::move(name), std::move(task));
+  run_detached(this, std::move(name), std::move(task), OnException::end_task);
+}
+
+void Loop::spawn_essential(std::string name, Task<void> task) {
+  run_detached(this, std::move(name), std::move(task), OnException::end_process);
 }
 
 void Sleep::await_suspend(std::coroutine_handle<> h) {
--- a/src/transport/loop.hpp
+++ b/src/transport/loop.hpp
@@ -53,6 +53,10 @@
   /// Starts a background task, which runs at once up to its first suspension. An exception that the
   /// task doesn't catch ends the task and is logged with `name`.
   void spawn(std::string name, Task<void> task);
+  /// Starts a background task without which the controller can't do its work. An exception that the
+  /// task doesn't catch is logged with `name` and ends the process: a controller that went on would
+  /// keep its leadership, and another one can take over at once.
+  void spawn_essential(std::string name, Task<void> task);
 
  protected:
   /// Number of background tasks that have not ended.
@@ -62,7 +66,8 @@
 
  private:
   struct Detached;
-  static Detached run_detached(Loop* loop, std::string name, Task<void> task);
+  enum class OnException : uint8_t { end_task, end_process };
+  static Detached run_detached(Loop* loop, std::string name, Task<void> task, OnException policy);
   std::mt19937_64 random_;
   std::stop_source stop_;
   int running_tasks_ = 0;
