A request has a time, and half-sent requests don't use up the connections

What callers saw: while 700 clients kept half of a request each, with a byte every two seconds, a controller with 600 sockets answered no health check for as long as it lasted. evhttp closes a connection only when nothing arrives for 45 s, and the server stopped accepting at its limit, whoever held the connections.

Fix: from its first to its last byte a request has a quarter of a worker's lease. At the limit of connections a new one replaces the one that has been without a whole request for longest, if that is more than a twentieth of that time; connections that have sent a whole request (idle workers) stay. Bodies of incomplete requests together take at most 64 of the largest ones (16 MiB), then the oldest incomplete ones are closed. The limits of a server are one structure now.

Also: a request line in absolute form (POST http://host/api/jobs), which HTTP/1.1 demands of servers, got 404.

SlowRequest.*, HalfSentRequests.* and RequestLineInAbsoluteForm_PathAndQueryServed look at real sockets.

--- a/simulation/virtual_network.cpp
+++ b/simulation/virtual_network.cpp
@@ -208,9 +208,9 @@
   return std::make_unique<VirtualClient>(loop_, host_, alive_);
 }
 
-std::unique_ptr<HttpServer> VirtualNetwork::server(size_t max_body, size_t, double,
+std::unique_ptr<HttpServer> VirtualNetwork::server(const HttpServerLimits& limits,
                                                    HttpServer::Handler handler) {
-  return std::make_unique<VirtualServer>(loop_, host_, max_body, std::move(handler), alive_);
+  return std::make_unique<VirtualServer>(loop_, host_, limits.max_body, std::move(handler), alive_);
 }
 
 std::unique_ptr<StreamLink> VirtualNetwork::link(const Endpoint& to) {
--- a/simulation/virtual_network.hpp
+++ b/simulation/virtual_network.hpp
@@ -51,7 +51,7 @@
   /// Closes all sockets. The destructor calls it too.
   void end();
   std::unique_ptr<HttpClient> client() override;
-  std::unique_ptr<HttpServer> server(size_t max_body, size_t max_connections, double idle_s,
+  std::unique_ptr<HttpServer> server(const HttpServerLimits& limits,
                                      HttpServer::Handler handler) override;
   std::unique_ptr<StreamLink> link(const Endpoint& to) override;
   std::unique_ptr<StreamListener> listener(const Endpoint& at, size_t max_streams,
--- a/src/coordination/controller.cpp
+++ b/src/coordination/controller.cpp
@@ -24,6 +24,8 @@
 constexpr size_t min_idle_connections = reserved_sockets / 4;
 /// Time without a request after which a connection is closed, in seconds.
 constexpr double idle_connection_s = 45;
+/// Share of a worker's lease that may pass from the first to the last byte of a request.
+constexpr double request_lease_share = 0.25;
 /// Number of housekeeping runs per heartbeat interval.
 constexpr double housekeeping_runs_per_heartbeat = 3;
 /// Maximum age of the last contact with the key-value store that is reported to the other
@@ -121,7 +123,8 @@
                      cancellations_, election_, versions_, exit_forwarder_, quotas_, regions_,
                      changed_, incarnation_}),
       api_(loop, settings, store_, cache_, catalog_, versions_),
-      server_(network.server(max_read_bytes, max_connections(settings), idle_connection_s,
+      server_(network.server({max_read_bytes, max_connections(settings), idle_connection_s,
+                              settings.lease_s * request_lease_share},
                              [this](HttpRequest request) { return handle(std::move(request)); })) {
   connect_callbacks();
 }
--- a/src/transport/event_http.hpp
+++ b/src/transport/event_http.hpp
@@ -8,6 +8,9 @@
 #include "transport/event_loop.hpp"
 #include "transport/http.hpp"
 
+struct bufferevent;
+struct evbuffer;
+struct evbuffer_cb_info;
 struct evhttp;
 struct evhttp_request;
 struct evhttp_connection;
@@ -17,47 +20,51 @@
 
 /// HTTP server that handles each request in a separate background task.
 ///
-/// While the number of connections is at its limit, the server doesn't accept new connections: they
-/// wait in the backlog of the listening socket. The server owns the evhttp object, which owns the
-/// connections.
+/// While the number of connections is at its limit, a new connection replaces the one that has been
+/// without a whole request for longest. Without such a connection the server doesn't accept new
+/// ones: they wait in the backlog of the listening socket. The server owns the evhttp object, which
+/// owns the connections.
 class EventHttpServer : public HttpServer {
  public:
-  EventHttpServer(EventLoop& loop, size_t max_body, size_t max_connections, double idle_s,
-                  Handler handler);
+  EventHttpServer(EventLoop& loop, const HttpServerLimits& limits, Handler handler);
   ~EventHttpServer() override;
   EventHttpServer(const EventHttpServer&) = delete;
   EventHttpServer& operator=(const EventHttpServer&) = delete;
   bool bind(const Endpoint& at) override;
   uint16_t port() const override;
   void resume_accepting() override { pause_or_resume_accepting(); }
-  size_t open_connections() const override {
-    return connections_.size() + awaiting_first_request_.size();
-  }
+  size_t open_connections() const override { return connections_.size(); }
 
  private:
   struct Exchange;
-  struct Connection {
-    std::shared_ptr<Exchange> exchange;  // null between requests
-    double responded_at = 0;             // time of the last response, 0: none
-  };
+  struct Connection;
   static HttpRequest read_request(evhttp_request* http_request);
   static void on_close(evhttp_connection* connection, void* server);
+  static void on_input(evbuffer* input, const evbuffer_cb_info* change, void* connection);
   void on_request(evhttp_request* http_request);
-  void on_accept();
-  void track_connection(evhttp_connection* connection);
+  bufferevent* on_accept();
+  void on_sweep();
+  void drop(Connection& connection);
+  void begin_request(Connection& connection);
+  void end_request(Connection& connection);
+  void note_received(Connection& connection, size_t bytes);
+  bool close_oldest_incomplete();
+  bool is_overdue(const Connection& connection) const;
+  bool has_replaceable_connection() const;
   void pause_or_resume_accepting();
   Task<void> respond(std::shared_ptr<Exchange> exchange, HttpRequest request);
 
   EventLoop& loop_;
-  size_t max_connections_;
-  double idle_s_;
+  HttpServerLimits limits_;
   Handler handler_;
   evhttp* http_;
   evhttp_bound_socket* socket_ = nullptr;
-  // Times at which the connections without any request so far were accepted. evhttp makes a
-  // connection accessible only with its first request.
-  std::deque<double> awaiting_first_request_;
-  std::unordered_map<evhttp_connection*, Connection> connections_;
+  std::unique_ptr<Timer> sweep_timer_;
+  std::unordered_map<bufferevent*, std::unique_ptr<Connection>> connections_;
+  // The connections on which a request has begun, or on which none has arrived yet, in this order
+  // of time.
+  std::list<Connection*> incomplete_;
+  size_t incomplete_bytes_ = 0;  // received of the requests that are incomplete
 };
 
 /// HTTP client that keeps a connection open after a response, for the next request to the same
--- a/src/transport/event_http_server.cpp
+++ b/src/transport/event_http_server.cpp
@@ -11,6 +11,8 @@
 #include <charconv>
 #include <cmath>
 #include <stdexcept>
+#include <utility>
+#include <vector>
 
 #include "transport/crash_report.hpp"
 #include "transport/event_http.hpp"
@@ -20,8 +22,11 @@
 namespace {
 
 constexpr int max_header_bytes = 8192;
-// Time for which a connection without a request still counts as open after evhttp's idle timeout.
-constexpr double close_grace_s = 1;
+/// Number of longest bodies that incomplete requests may take in memory together.
+constexpr size_t max_incomplete_bodies = 64;
+/// A connection can be replaced by a new one if it has been without a whole request for this share
+/// of the time that a request may take.
+constexpr double replaceable_share = 0.05;
 
 Method method_of(evhttp_cmd_type command) {
   switch (command) {
@@ -36,6 +41,15 @@
   }
 }
 
+// A request line may name the whole URI, as for a proxy (RFC 9112, section 3.2.2).
+std::string_view path_and_query(std::string_view target) {
+  constexpr std::string_view scheme_end = "://";
+  const auto scheme = target.find(scheme_end);
+  if (target.starts_with('/') || scheme == std::string_view::npos) return target;
+  const auto path = target.find('/', scheme + scheme_end.size());
+  return path == std::string_view::npos ? "/" : target.substr(path);
+}
+
 std::string_view name_of(Method method) {
   switch (method) {
     case Method::get:
@@ -88,17 +102,41 @@
   evhttp_request* request;
 };
 
-EventHttpServer::EventHttpServer(EventLoop& loop, size_t max_body, size_t max_connections,
-                                 double idle_s, Handler handler)
+// An open connection. evhttp makes its own object accessible only with the first whole request, so
+// the connection is known by its stream, to which it holds a reference.
+struct EventHttpServer::Connection {
+  Connection(EventHttpServer* owner, bufferevent* known_by, double accepted_at)
+      : server(owner), stream(known_by), incomplete_since(accepted_at) {}
+
+  EventHttpServer* server;
+  bufferevent* stream;
+  double incomplete_since;    // time of the accept, or of the first byte of a later request
+  double first_byte_at = 0;   // of an incomplete request; 0: none
+  size_t received_bytes = 0;  // of an incomplete request
+  bool is_incomplete = true;  // whether it is in `incomplete_`
+  std::list<Connection*>::iterator position{};  // in `incomplete_`
+  std::shared_ptr<Exchange> exchange;           // null between requests
+  double responded_at = 0;                      // time of the last response, 0: none
+
+  // Whether evhttp has closed the connection: it removes its callbacks then.
+  bool is_closed() const {
+    bufferevent_event_cb on_event = nullptr;
+    bufferevent_getcb(stream, nullptr, nullptr, &on_event, nullptr);
+    return on_event == nullptr;
+  }
+};
+
+EventHttpServer::EventHttpServer(EventLoop& loop, const HttpServerLimits& limits, Handler handler)
     : loop_(loop),
-      max_connections_(max_connections),
-      idle_s_(idle_s),
+      limits_(limits),
       handler_(std::move(handler)),
-      http_(evhttp_new(loop.base())) {
+      http_(evhttp_new(loop.base())),
+      sweep_timer_(
+          loop.timer([](void* self) { static_cast<EventHttpServer*>(self)->on_sweep(); }, this)) {
   if (!http_) throw std::runtime_error("cannot create the HTTP server");
-  evhttp_set_max_body_size(http_, static_cast<ev_ssize_t>(max_body));
+  evhttp_set_max_body_size(http_, static_cast<ev_ssize_t>(limits.max_body));
   evhttp_set_max_headers_size(http_, max_header_bytes);
-  evhttp_set_timeout(http_, std::max(1, static_cast<int>(idle_s)));
+  evhttp_set_timeout(http_, std::max(1, static_cast<int>(limits.idle_s)));
   // All methods are passed to the handler, so that an unsupported method gets the status 405 and
   // not evhttp's 501.
   evhttp_set_allowed_methods(http_, EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD |
@@ -111,44 +149,117 @@
   // evhttp calls this callback for every accepted connection.
   evhttp_set_bevcb(
       http_,
-      [](event_base* base, void* self) {
-        static_cast<EventHttpServer*>(self)->on_accept();
-        return bufferevent_socket_new(base, -1, 0);
-      },
+      [](event_base*, void* self) { return static_cast<EventHttpServer*>(self)->on_accept(); },
       this);
+  sweep_timer_->arm(limits_.request_s * replaceable_share);
 }
 
-// evhttp closes a connection on which no request arrives within the idle timeout.
-void EventHttpServer::on_accept() {
-  awaiting_first_request_.push_back(loop_.now());
+bufferevent* EventHttpServer::on_accept() {
+  if (connections_.size() >= limits_.max_connections && has_replaceable_connection())
+    close_oldest_incomplete();
+  bufferevent* stream = bufferevent_socket_new(loop_.base(), -1, 0);
+  if (!stream) return nullptr;
+  bufferevent_incref(stream);
+  auto connection = std::make_unique<Connection>(this, stream, loop_.now());
+  connection->position = incomplete_.insert(incomplete_.end(), connection.get());
+  evbuffer_add_cb(bufferevent_get_input(stream), &EventHttpServer::on_input, connection.get());
+  connections_.emplace(stream, std::move(connection));
   pause_or_resume_accepting();
+  return stream;
+}
+
+void EventHttpServer::drop(Connection& connection) {
+  if (connection.exchange) connection.exchange->request = nullptr;
+  if (connection.is_incomplete) end_request(connection);
+  bufferevent* stream = connection.stream;
+  evbuffer_remove_cb(bufferevent_get_input(stream), &EventHttpServer::on_input, &connection);
+  connections_.erase(stream);
+  bufferevent_decref(stream);
+}
+
+void EventHttpServer::on_input(evbuffer*, const evbuffer_cb_info* change, void* connection) {
+  if (change->n_added == 0) return;
+  auto* receiver = static_cast<Connection*>(connection);
+  receiver->server->note_received(*receiver, change->n_added);
+}
+
+void EventHttpServer::note_received(Connection& connection, size_t bytes) {
+  if (connection.exchange) return;  // requests are not pipelined
+  if (!connection.is_incomplete) begin_request(connection);
+  if (connection.first_byte_at == 0) connection.first_byte_at = loop_.now();
+  connection.received_bytes += bytes;
+  incomplete_bytes_ += bytes;
+  // This is called by the stream, so it must not be closed here.
+  if (incomplete_bytes_ > max_incomplete_bodies * limits_.max_body) sweep_timer_->arm(0);
+}
+
+void EventHttpServer::begin_request(Connection& connection) {
+  connection.is_incomplete = true;
+  connection.incomplete_since = loop_.now();
+  connection.position = incomplete_.insert(incomplete_.end(), &connection);
+}
+
+void EventHttpServer::end_request(Connection& connection) {
+  incomplete_.erase(connection.position);
+  incomplete_bytes_ -= std::exchange(connection.received_bytes, 0);
+  connection.first_byte_at = 0;
+  connection.is_incomplete = false;
+}
+
+// Returns false if all connections have sent whole requests.
+bool EventHttpServer::close_oldest_incomplete() {
+  if (incomplete_.empty()) return false;
+  Connection& oldest = *incomplete_.front();
+  // evhttp closes a connection on which a read has timed out. It reports only the end of those that
+  // have sent a whole request.
+  bufferevent* stream = oldest.stream;
+  if (!oldest.is_closed())
+    bufferevent_trigger_event(stream, BEV_EVENT_TIMEOUT | BEV_EVENT_READING, 0);
+  if (auto it = connections_.find(stream); it != connections_.end()) drop(*it->second);
+  return true;
+}
+
+bool EventHttpServer::is_overdue(const Connection& connection) const {
+  return connection.first_byte_at != 0 &&
+         loop_.now() - connection.first_byte_at > limits_.request_s;
+}
+
+// Closes the connections whose requests take too long or too much memory, and forgets those that
+// evhttp has closed.
+void EventHttpServer::on_sweep() {
+  const size_t max_bytes = max_incomplete_bodies * limits_.max_body;
+  std::vector<Connection*> finished;
+  for (Connection* connection : incomplete_)
+    if (connection->is_closed() || is_overdue(*connection)) finished.push_back(connection);
+  for (Connection* connection : finished) {
+    incomplete_.splice(incomplete_.begin(), incomplete_, connection->position);
+    close_oldest_incomplete();
+  }
+  while (incomplete_bytes_ > max_bytes) close_oldest_incomplete();
+  pause_or_resume_accepting();
+  sweep_timer_->arm(limits_.request_s * replaceable_share);
+}
+
+bool EventHttpServer::has_replaceable_connection() const {
+  if (incomplete_.empty()) return false;
+  const double age_s = loop_.now() - incomplete_.front()->incomplete_since;
+  return age_s > limits_.request_s * replaceable_share;
 }
 
 void EventHttpServer::pause_or_resume_accepting() {
   if (!socket_) return;
-  const double now = loop_.now();
-  std::erase_if(awaiting_first_request_,
-                [&](double accepted_at) { return now - accepted_at > idle_s_ + close_grace_s; });
   auto* listener = evhttp_bound_socket_get_listener(socket_);
-  if (open_connections() >= max_connections_) {
-    evconnlistener_disable(listener);
-  } else {
+  if (connections_.size() < limits_.max_connections || has_replaceable_connection()) {
     evconnlistener_enable(listener);
+  } else {
+    evconnlistener_disable(listener);
   }
 }
 
-void EventHttpServer::track_connection(evhttp_connection* connection) {
-  if (!connections_.emplace(connection, Connection{}).second) return;
-  if (!awaiting_first_request_.empty()) awaiting_first_request_.pop_front();
-  evhttp_connection_set_closecb(connection, &EventHttpServer::on_close, this);
-}
-
 void EventHttpServer::on_close(evhttp_connection* connection, void* server) {
   auto* self = static_cast<EventHttpServer*>(server);
-  if (auto it = self->connections_.find(connection); it != self->connections_.end()) {
-    if (it->second.exchange) it->second.exchange->request = nullptr;
-    self->connections_.erase(it);
-  }
+  auto it = self->connections_.find(evhttp_connection_get_bufferevent(connection));
+  if (it != self->connections_.end()) self->drop(*it->second);
   self->pause_or_resume_accepting();
 }
 
@@ -157,6 +268,7 @@
   // use the socket any more.
   socket_ = nullptr;
   evhttp_free(http_);
+  while (!connections_.empty()) drop(*connections_.begin()->second);
 }
 
 bool EventHttpServer::bind(const Endpoint& at) {
@@ -168,7 +280,8 @@
   auto* listener = evconnlistener_new_bind(
       loop_.base(), nullptr, nullptr, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
       // The workers of the whole fleet may connect at the same time.
-      static_cast<int>(max_connections_), reinterpret_cast<sockaddr*>(&address), sizeof address);
+      static_cast<int>(limits_.max_connections), reinterpret_cast<sockaddr*>(&address),
+      sizeof address);
   if (!listener) return false;
   socket_ = evhttp_bind_listener(http_, listener);
   return socket_ != nullptr;
@@ -184,7 +297,7 @@
 HttpRequest EventHttpServer::read_request(evhttp_request* http_request) {
   HttpRequest request;
   request.method = method_of(evhttp_request_get_command(http_request));
-  const std::string_view uri = evhttp_request_get_uri(http_request);
+  const std::string_view uri = path_and_query(evhttp_request_get_uri(http_request));
   const auto question_mark = uri.find('?');
   request.path = std::string(uri.substr(0, question_mark));
   if (question_mark != std::string_view::npos)
@@ -197,12 +310,14 @@
 
 void EventHttpServer::on_request(evhttp_request* http_request) {
   HttpRequest request = read_request(http_request);
-  track_connection(evhttp_request_get_connection(http_request));
+  evhttp_connection* http_connection = evhttp_request_get_connection(http_request);
+  Connection& connection = *connections_.at(evhttp_connection_get_bufferevent(http_connection));
+  evhttp_connection_set_closecb(http_connection, &EventHttpServer::on_close, this);
+  if (connection.is_incomplete) end_request(connection);
   auto exchange = std::make_shared<Exchange>(Exchange{http_request});
-  Connection& connection = connections_[evhttp_request_get_connection(http_request)];
   connection.exchange = exchange;
   request.previous_response_at = connection.responded_at;
-  const std::string sender = sender_of(evhttp_request_get_connection(http_request));
+  const std::string sender = sender_of(http_connection);
   const crash_report::RequestInProgress in_progress(
       {name_of(request.method), request.path, sender, request.body});
   loop_.spawn("request", respond(std::move(exchange), std::move(request)));
@@ -218,7 +333,10 @@
   }
   evhttp_request* to = exchange->request;
   if (!to) co_return;
-  connections_[evhttp_request_get_connection(to)] = {nullptr, loop_.now()};
+  evhttp_connection* http_connection = evhttp_request_get_connection(to);
+  Connection& connection = *connections_.at(evhttp_connection_get_bufferevent(http_connection));
+  connection.exchange = nullptr;
+  connection.responded_at = loop_.now();
   add_headers(evhttp_request_get_output_headers(to), response);
   evbuffer_add(evhttp_request_get_output_buffer(to), response.body.data(), response.body.size());
   evhttp_send_reply(to, response.status, nullptr, nullptr);
--- a/src/transport/event_network.cpp
+++ b/src/transport/event_network.cpp
@@ -9,10 +9,9 @@
   return std::make_unique<EventHttpClient>(loop_);
 }
 
-std::unique_ptr<HttpServer> EventNetwork::server(size_t max_body, size_t max_connections,
-                                                 double idle_s, HttpServer::Handler handler) {
-  return std::make_unique<EventHttpServer>(loop_, max_body, max_connections, idle_s,
-                                           std::move(handler));
+std::unique_ptr<HttpServer> EventNetwork::server(const HttpServerLimits& limits,
+                                                 HttpServer::Handler handler) {
+  return std::make_unique<EventHttpServer>(loop_, limits, std::move(handler));
 }
 
 std::unique_ptr<StreamLink> EventNetwork::link(const Endpoint& to) {
--- a/src/transport/network.hpp
+++ b/src/transport/network.hpp
@@ -14,11 +14,8 @@
   virtual ~Network() = default;
   /// Creates an HTTP client.
   virtual std::unique_ptr<HttpClient> client() = 0;
-  /// Creates an HTTP server, which doesn't listen before HttpServer::bind(). Requests with a body
-  /// of more than `max_body` bytes are not passed to the handler. Connections beyond
-  /// `max_connections` are not accepted until other connections close. Connections that are idle
-  /// for `idle_s` seconds are closed.
-  virtual std::unique_ptr<HttpServer> server(size_t max_body, size_t max_connections, double idle_s,
+  /// Creates an HTTP server, which doesn't listen before HttpServer::bind().
+  virtual std::unique_ptr<HttpServer> server(const HttpServerLimits& limits,
                                              HttpServer::Handler handler) = 0;
   /// Creates an outgoing stream to another controller. It connects with the first message.
   virtual std::unique_ptr<StreamLink> link(const Endpoint& to) = 0;
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -1,5 +1,9 @@
 // HTTP server and client, and streams, over real loopback sockets on a free port.
+#include <arpa/inet.h>
 #include <gtest/gtest.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <limits>
 
@@ -17,7 +21,7 @@
   EventHttpServer server;
   Endpoint endpoint;
   HttpFixture()
-      : server(loop, 1000, 16, 10, [](HttpRequest r) -> Task<HttpResponse> {
+      : server(loop, {1000, 16, 10, 10}, [](HttpRequest r) -> Task<HttpResponse> {
           HttpResponse out{r.method == Method::post ? 200 : 405, r.body, 0};
           out.close = r.path == "/last";
           if (r.path == "/busy") out.status = 503, out.retry_after_s = 1;
@@ -59,7 +63,7 @@
 // limit, the least recently used connection must be closed first.
 TEST(Http, IdleConnectionsOverTheLimit_OldestClosed) {
   HttpFixture f;
-  EventHttpServer other_server(f.loop, 1000, 16, 10,
+  EventHttpServer other_server(f.loop, {1000, 16, 10, 10},
                                [](HttpRequest) -> Task<HttpResponse> { co_return HttpResponse{}; });
   ASSERT_TRUE(other_server.bind({"127.0.0.1", 0}));
   size_t limit = 2;
@@ -88,7 +92,7 @@
 TEST(Http, ConnectionReused_RequestCarriesThePreviousResponseTime) {
   EventLoop loop;
   std::vector<double> previous, answered;
-  EventHttpServer server(loop, 1000, 16, 10, [&](HttpRequest r) -> Task<HttpResponse> {
+  EventHttpServer server(loop, {1000, 16, 10, 10}, [&](HttpRequest r) -> Task<HttpResponse> {
     previous.push_back(r.previous_response_at);
     answered.push_back(loop.now());
     co_return HttpResponse{200, {}, 0, r.path == "/last"};
@@ -123,7 +127,7 @@
   constexpr size_t connections = 4, workers = 24;
   EventLoop loop;
   EventHttpServer* running_server = nullptr;
-  EventHttpServer server(loop, 1000, connections, 60, [&](HttpRequest) -> Task<HttpResponse> {
+  EventHttpServer server(loop, {1000, connections, 60, 10}, [&](HttpRequest) -> Task<HttpResponse> {
     HttpResponse out;
     out.close = closes_after_answer(Requester::worker,
                                     {running_server->open_connections(), connections, workers});
@@ -147,6 +151,181 @@
   EXPECT_EQ(answered, workers);
 }
 
+// A client that sends bytes as they are, on a connection of its own.
+class RawClient {
+ public:
+  explicit RawClient(const Endpoint& to) : fd_(socket(AF_INET, SOCK_STREAM, 0)) {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(to.port);
+    inet_pton(AF_INET, to.host.c_str(), &address.sin_addr);
+    const int result = connect(fd_, reinterpret_cast<sockaddr*>(&address), sizeof address);
+    EXPECT_EQ(result, 0);
+  }
+  ~RawClient() { close(fd_); }
+  RawClient(RawClient&& other) noexcept : fd_(std::exchange(other.fd_, -1)) {}
+  RawClient& operator=(RawClient&&) = delete;
+  void send(const std::string& bytes) const {
+    EXPECT_GE(::send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL), 0);
+  }
+  // Whether the server has closed the connection.
+  bool is_closed() const {
+    char byte = 0;
+    return recv(fd_, &byte, 1, MSG_DONTWAIT | MSG_PEEK) == 0;
+  }
+  std::string received() const {
+    std::string out(1024, 0);
+    const ssize_t size = recv(fd_, out.data(), out.size(), MSG_DONTWAIT);
+    out.resize(size < 0 ? 0 : static_cast<size_t>(size));
+    return out;
+  }
+
+ private:
+  int fd_;
+};
+
+constexpr double request_s = 1;
+constexpr size_t max_body = 1000;
+
+struct LimitedServer {
+  EventLoop loop;
+  EventHttpServer server;
+  EventHttpClient client{loop};
+  Endpoint endpoint;
+  explicit LimitedServer(size_t max_connections)
+      : server(loop, {max_body, max_connections, 60, request_s},
+               [](HttpRequest r) -> Task<HttpResponse> {
+                 co_return HttpResponse{200, r.path, 0};
+               }) {
+    EXPECT_TRUE(server.bind({"127.0.0.1", 0}));
+    endpoint = {"127.0.0.1", server.port()};
+  }
+  // Each step runs in the loop, then the loop goes on for a time.
+  Task<void> wait(double seconds) { co_await Sleep(loop, seconds, loop.stop_token()); }
+  void run(Task<void> task) {
+    auto run_and_stop = [](Task<void> inner, EventLoop& stopped) -> Task<void> {
+      co_await inner;
+      stopped.stop();
+    };
+    loop.spawn("test", run_and_stop(std::move(task), loop));
+    loop.run();
+  }
+};
+
+TEST(SlowRequest, ByteByByteBeyondItsTime_Closed) {
+  LimitedServer f(16);
+  std::vector<RawClient> clients;
+  auto steps = [&]() -> Task<void> {
+    clients.emplace_back(f.endpoint).send("POST /a HTTP/1.1\r\nContent-Length: 500\r\n\r\n");
+    clients.emplace_back(f.endpoint).send("PO");
+    for (int i = 0; i < 6; ++i) {
+      co_await f.wait(request_s / 8);
+      for (auto& client : clients) client.send("x");
+    }
+    EXPECT_FALSE(clients[0].is_closed() || clients[1].is_closed());
+    co_await f.wait(request_s / 2);
+    EXPECT_TRUE(clients[0].is_closed() && clients[1].is_closed());
+    EXPECT_EQ(f.server.open_connections(), 0u);
+  };
+  f.run(steps());
+}
+
+TEST(SlowRequest, SecondOnTheSameConnection_Closed) {
+  LimitedServer f(16);
+  auto steps = [&]() -> Task<void> {
+    RawClient client(f.endpoint);
+    client.send("GET /a HTTP/1.1\r\n\r\n");
+    co_await f.wait(request_s * 2);
+    EXPECT_NE(client.received().find("200"), std::string::npos);
+    EXPECT_FALSE(client.is_closed()) << "an idle connection stays open";
+    client.send("GET /b");
+    co_await f.wait(request_s * 1.5);
+    EXPECT_TRUE(client.is_closed());
+  };
+  f.run(steps());
+}
+
+TEST(HalfSentRequests, MoreThanConnections_WholeRequestsAnsweredWithinASecond) {
+  constexpr size_t max_connections = 20;
+  LimitedServer f(max_connections);
+  auto steps = [&]() -> Task<void> {
+    RawClient idle(f.endpoint);
+    idle.send("GET /idle HTTP/1.1\r\n\r\n");
+    co_await f.wait(0.1);
+    std::vector<RawClient> half_sent;
+    for (size_t i = 0; i < 2 * max_connections; ++i) {
+      half_sent.emplace_back(f.endpoint).send("POST /a HTTP/1.1\r\nContent-Length: 9\r\n\r\nx");
+      if (half_sent.size() % 10 == 0) co_await f.wait(0.06);
+    }
+    const double asked_at = f.loop.now();
+    const auto reply = co_await f.client.request(f.endpoint, Method::get, "/healthz", {}, 5);
+    EXPECT_EQ(reply.status, 200);
+    EXPECT_LT(f.loop.now() - asked_at, 1.0);
+    EXPECT_LE(f.server.open_connections(), max_connections + 1);
+    EXPECT_NE(idle.received().find("200"), std::string::npos);
+    EXPECT_FALSE(idle.is_closed()) << "it has sent a whole request";
+  };
+  f.run(steps());
+}
+
+TEST(HalfSentRequests, BodiesTogetherOverTheLimit_MemoryBounded) {
+  LimitedServer f(400);
+  auto steps = [&]() -> Task<void> {
+    std::vector<RawClient> clients;
+    constexpr size_t sent_bytes = 900;
+    for (int i = 0; i < 200; ++i)
+      clients.emplace_back(f.endpoint)
+          .send("POST /a HTTP/1.1\r\nContent-Length: 999\r\n\r\n" + std::string(sent_bytes, 'x'));
+    co_await f.wait(request_s / 4);
+    constexpr size_t max_incomplete_bytes = 64 * max_body;
+    EXPECT_LE(f.server.open_connections() * sent_bytes, max_incomplete_bytes);
+    EXPECT_GT(f.server.open_connections() * sent_bytes, max_incomplete_bytes / 2);
+  };
+  f.run(steps());
+}
+
+TEST(Http, RequestLineInAbsoluteForm_PathAndQueryServed) {
+  LimitedServer f(16);
+  auto steps = [&]() -> Task<void> {
+    RawClient client(f.endpoint);
+    client.send("GET http://10.0.0.1:80/api/jobs?x=1 HTTP/1.1\r\nHost: 10.0.0.1\r\n\r\n");
+    co_await f.wait(0.2);
+    const std::string reply = client.received();
+    EXPECT_NE(reply.find("200"), std::string::npos) << reply;
+    EXPECT_TRUE(reply.ends_with("/api/jobs")) << reply;
+  };
+  f.run(steps());
+}
+
+TEST(Http, MalformedHalfSentResetAndPipelinedRequests_SoundOnesAnswered) {
+  LimitedServer f(64);
+  auto steps = [&]() -> Task<void> {
+    const std::string requests[] = {
+        std::string("\x16\x03\x01\x00\xff", 5),
+        "GET\r\n\r\n",
+        "POST /a HTTP/1.1\r\nContent-Length: -1\r\n\r\n",
+        "POST /a HTTP/1.1\r\nContent-Length: 99999999999999999999\r\n\r\n",
+        "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+        "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nffffffffffffffff\r\n",
+        "GET /a HTTP/1.1\r\n" + std::string(20000, 'h') + ": 1\r\n\r\n",
+        "GET /a HTTP/1.1\r\n\r\nGET /b HTTP/1.1\r\n\r\nGET /c HT"};
+    for (int round = 0; round < 3; ++round) {
+      std::vector<RawClient> clients;
+      for (const std::string& request : requests) {
+        clients.emplace_back(f.endpoint).send(request);
+        RawClient reset(f.endpoint);
+        reset.send(request.substr(0, request.size() / 2));
+      }
+      const auto reply = co_await f.client.request(f.endpoint, Method::get, "/x", {}, 1);
+      EXPECT_EQ(reply.status, 200);
+      co_await f.wait(0.05);
+    }
+    co_await f.wait(request_s * 1.5);
+    EXPECT_LE(f.server.open_connections(), 1u) << "only the connection that sent whole requests";
+  };
+  f.run(steps());
+}
+
 TEST(ConnectionPolicy, FleetFitsTheConnections_WorkersKept) {
   EXPECT_FALSE(closes_after_answer(Requester::worker, {600, 600, 64}));
   EXPECT_TRUE(closes_after_answer(Requester::worker, {600, 600, 4000}));
--- a/tools/loadtest/real_time_world.cpp
+++ b/tools/loadtest/real_time_world.cpp
@@ -78,7 +78,7 @@
   auto& server = servers_[host];
   if (server) return;
   server = std::make_unique<EventHttpServer>(
-      loop_, max_body, max_connections, idle_timeout_s,
+      loop_, HttpServerLimits{max_body, max_connections, idle_timeout_s, request_timeout_s},
       [this, host](HttpRequest request) { return answer_request(host, std::move(request)); });
   if (!server->bind(endpoint(host))) spdlog::error("cannot listen on {}", endpoint(host).text());
 }
