Load tool: malformed clients, and a lost emulator ends the run

- `malformed_clients = true` in a plan: a process sends malformed, half-sent, slow and reset requests to all controllers, and asks each for its health four times a second; an answer that takes more than a second is a broken rule.
- A process of the tool that ends by itself stops the run at once and counts as a broken rule.
Before, the stand-in of the store could end and the run went on for minutes.
- A controller that ends by itself gives the exit status 4.

--- a/tools/loadtest/child_process.cpp
+++ b/tools/loadtest/child_process.cpp
@@ -92,6 +92,11 @@
   return take_lines(buffer_);
 }
 
+bool ChildProcess::has_ended() {
+  if (pid_ != 0 && waitpid(pid_, nullptr, WNOHANG) == pid_) pid_ = 0;
+  return pid_ == 0;
+}
+
 void ChildProcess::kill() {
   if (pid_ == 0) return;
   ::kill(pid_, SIGKILL);
--- a/tools/loadtest/child_process.hpp
+++ b/tools/loadtest/child_process.hpp
@@ -46,6 +46,8 @@
   void send(const Json& command) const;
   /// The complete messages that have arrived since the last call. Doesn't block.
   std::vector<Json> messages();
+  /// Whether the child has ended by itself since it was started.
+  bool has_ended();
   /// Kills the child and waits for its end. Does nothing if the child was killed before.
   void kill();
 
--- a/tools/loadtest/experiment_plan.cpp
+++ b/tools/loadtest/experiment_plan.cpp
@@ -226,8 +226,10 @@
 int ExperimentPlan::process_count() const {
   const size_t all = std::accumulate(controllers.begin(), controllers.end(), size_t{0});
   // The tool itself, two for each region (workers with cloud and users, key-value store), the
-  // controllers, and one for the links if there are several regions.
-  return static_cast<int>(1 + 2 * regions + all + (regions > 1 ? 1 : 0));
+  // controllers, one for the links if there are several regions, and those that send malformed
+  // requests.
+  const size_t clients = malformed_clients ? regions : 0;
+  return static_cast<int>(1 + 2 * regions + all + clients + (regions > 1 ? 1 : 0));
 }
 
 double ExperimentPlan::estimated_memory_mb() const {
@@ -256,6 +258,7 @@
   read_machines(r, root, out);
   read_loads(r, root, out);
   read_faults(r, root, out);
+  out.malformed_clients = (*root.values)["malformed_clients"].value_or(false);
   read_replicas(r, root, out);
   if (r.ok()) check_resource_limits(r, out);
   if (!r.ok()) return r.error();
--- a/tools/loadtest/experiment_plan.hpp
+++ b/tools/loadtest/experiment_plan.hpp
@@ -63,6 +63,8 @@
   std::vector<double> polls_per_s;  // of random accepted jobs, by region
   double link_delay_s = 0.04;       // one way, between regions
   bool divide_limits = true;
+  /// Whether clients send malformed and half-sent requests for the whole run.
+  bool malformed_clients = false;
 
   /// The settings that all controllers share; addresses and names are added for each controller.
   Settings settings;
--- a/tools/loadtest/experiment_run.cpp
+++ b/tools/loadtest/experiment_run.cpp
@@ -9,6 +9,7 @@
 
 #include "addresses.hpp"
 #include "emulator_processes.hpp"
+#include "malformed_clients.hpp"
 
 namespace damsonport::loadtest {
 
@@ -51,9 +52,34 @@
     region_processes_.push_back(std::make_unique<ChildProcess>(
         fmt::format("site {}", r),
         [this, r](ParentChannel& parent) { run_region(plan_, r, team_usage_, parent); }));
+  if (plan_.malformed_clients)
+    for (size_t r = 0; r < plan_.regions; ++r)
+      malformed_clients_.push_back(std::make_unique<ChildProcess>(
+          fmt::format("malformed clients {}", r),
+          [this, r](ParentChannel& parent) { run_malformed_clients(plan_, r, parent); }));
   for (auto& process : controllers_->all()) controllers_->start(process);
 }
 
+std::vector<ChildProcess*> ExperimentRun::emulators() const {
+  std::vector<ChildProcess*> out;
+  for (auto& child : key_value_stores_) out.push_back(child.get());
+  for (auto& child : region_processes_) out.push_back(child.get());
+  for (auto& child : malformed_clients_) out.push_back(child.get());
+  if (region_links_) out.push_back(region_links_.get());
+  return out;
+}
+
+// Without one of its emulators, what a run measures means nothing.
+bool ExperimentRun::has_lost_emulator() {
+  bool is_lost = false;
+  for (ChildProcess* child : emulators()) {
+    if (!child->has_ended()) continue;
+    results_.rule_violations.push_back(child->name() + " ended by itself");
+    is_lost = true;
+  }
+  return is_lost;
+}
+
 // --- faults
 
 std::string ExperimentRun::describe(const Fault& fault) const {
@@ -176,10 +202,22 @@
       }
     }
   }
+  for (auto& clients : malformed_clients_)
+    for (auto& message : clients->messages()) read_health_checks(message);
   if (!region_links_) return;
   for (auto& message : region_links_->messages()) results_.link_bytes = message.at("bytes");
 }
 
+void ExperimentRun::read_health_checks(const Json& message) {
+  ++final_messages_;
+  results_.malformed_requests += message.at("requests").get<uint64_t>();
+  results_.health_checks += message.at("health_checks").get<uint64_t>();
+  const auto late = message.at("late_health_checks").get<uint64_t>();
+  if (late == 0) return;
+  results_.rule_violations.push_back(
+      fmt::format("{} health checks were not answered within a second", late));
+}
+
 void ExperimentRun::sample_process(pid_t pid, double previous_runs_cpu_s, const std::string& key,
                                    const std::string& role, size_t region, bool measured,
                                    double& memory_mb) {
@@ -258,11 +296,11 @@
 }
 
 void ExperimentRun::finish() {
-  for (auto& child : key_value_stores_) child->send({{"do", "finish"}});
-  for (auto& child : region_processes_) child->send({{"do", "finish"}});
-  if (region_links_) region_links_->send({{"do", "finish"}});
-  const double until = steady_now() + final_message_timeout_s;
-  while (final_messages_ < 2 * plan_.regions && steady_now() < until) {
+  for (ChildProcess* child : emulators()) child->send({{"do", "finish"}});
+  const double until = steady_now() + (lost_emulator_ ? 0 : final_message_timeout_s);
+  const size_t expected_messages =
+      key_value_stores_.size() + region_processes_.size() + malformed_clients_.size();
+  while (final_messages_ < expected_messages && steady_now() < until) {
     usleep(20000);
     read_messages();
   }
@@ -288,10 +326,11 @@
   schedule_faults();
   start_all();
   double next_sample = 1, next_progress = progress_interval_s;
-  while (elapsed() < plan_.seconds && !stop) {
+  while (elapsed() < plan_.seconds && !stop && !lost_emulator_) {
     usleep(static_cast<useconds_t>(poll_interval_s * 1e6));
     read_messages();
     results_.unexpected_exits += controllers_->restart_exited(elapsed());
+    lost_emulator_ = has_lost_emulator();
     // By index, because an action may append further ones, such as the end of a fault.
     for (size_t i = 0; i < scheduled_actions_.size(); ++i) {
       if (scheduled_actions_[i].at_s > elapsed()) continue;
--- a/tools/loadtest/experiment_run.hpp
+++ b/tools/loadtest/experiment_run.hpp
@@ -36,6 +36,12 @@
     std::function<void()> action;
   };
   void start_all();
+  // The child processes that stand for what the controllers talk to.
+  std::vector<ChildProcess*> emulators() const;
+  // Whether an emulator has ended by itself; reports it as a broken rule.
+  bool has_lost_emulator();
+  // Takes the final message of the clients that send malformed requests.
+  void read_health_checks(const Json& message);
   void schedule_faults();
   // Starts the fault now, records it in the results, and schedules its end.
   void inject_fault(const Fault& fault);
@@ -61,7 +67,8 @@
   const ExperimentPlan& plan_;
   std::ostream& progress_;
   TeamUsage team_usage_;
-  std::vector<std::unique_ptr<ChildProcess>> key_value_stores_, region_processes_;
+  std::vector<std::unique_ptr<ChildProcess>> key_value_stores_, region_processes_,
+      malformed_clients_;
   std::unique_ptr<ChildProcess> region_links_;
   std::unique_ptr<ControllerProcesses> controllers_;
   double started_at_ = 0;                   // CLOCK_MONOTONIC, seconds
@@ -75,6 +82,7 @@
   std::map<size_t, size_t> unresolved_faults_;
   double last_starts_ = 0;
   size_t final_messages_ = 0;
+  bool lost_emulator_ = false;
   Results results_;
 };
 
--- a/tools/loadtest/main.cpp
+++ b/tools/loadtest/main.cpp
@@ -14,7 +14,7 @@
 
 namespace {
 
-constexpr int exit_bad_plan = 2, exit_rule_broken = 3;
+constexpr int exit_bad_plan = 2, exit_rule_broken = 3, exit_controller_ended = 4;
 
 volatile bool stop_requested = false;
 
@@ -79,5 +79,6 @@
   damsonport::loadtest::print_table(std::cout, *plan, results);
   if (!results_file.empty())
     std::ofstream(results_file) << results_json(*plan, results).dump(1) << "\n";
-  return results.rule_violations.empty() ? 0 : exit_rule_broken;
+  if (!results.rule_violations.empty()) return exit_rule_broken;
+  return results.unexpected_exits == 0 ? 0 : exit_controller_ended;
 }
--- a/tools/loadtest/results.cpp
+++ b/tools/loadtest/results.cpp
@@ -269,6 +269,10 @@
   if (plan.regions > 1) print_row("budgets", all["budgets"].dump());
   print_row("memory of all processes, at the most",
             fmt::format("{:.0f} MB", results.peak_memory_mb));
+  if (plan.malformed_clients) {
+    print_row("malformed and half-sent requests", std::to_string(results.malformed_requests));
+    print_row("health checks beside them", std::to_string(results.health_checks));
+  }
   print_row("controllers that ended by themselves", std::to_string(results.unexpected_exits));
   print_row("rules broken", std::to_string(results.rule_violations.size()));
   for (size_t i = 0; i < std::min<size_t>(results.rule_violations.size(), 10); ++i)
--- a/tools/loadtest/results.hpp
+++ b/tools/loadtest/results.hpp
@@ -64,6 +64,8 @@
   std::vector<Json> region_reports, key_value_store_reports;  // final messages
   uint64_t link_bytes = 0;                                    // between regions
   int unexpected_exits = 0;                                   // of controllers
+  uint64_t malformed_requests = 0;  // sent by the clients that the plan asks for
+  uint64_t health_checks = 0;       // of these clients
   std::vector<std::string> rule_violations;
 };
 
