--- a/tests/scenarios/scenario_checks.cpp
+++ b/tests/scenarios/scenario_checks.cpp
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <map>
 
 namespace damsonport::simulation {
@@ -17,6 +18,7 @@
       {"gone", &ScenarioChecks::check_gone},
       {"kept", &ScenarioChecks::check_progress_kept},
       {"late_starts", &ScenarioChecks::check_late_starts},
+      {"recorded", &ScenarioChecks::check_recorded},
       {"refused_for_size", &ScenarioChecks::check_refused_for_size},
       {"rented", &ScenarioChecks::check_machines_rented},
       {"replicas_ready", &ScenarioChecks::check_replicas_ready},
@@ -31,6 +33,7 @@
       {"starts", &ScenarioChecks::check_starts},
       {"told", &ScenarioChecks::check_told},
       {"unaccepted", &ScenarioChecks::check_unaccepted},
+      {"unused", &ScenarioChecks::check_unused},
       {"writes", &ScenarioChecks::check_writes},
   };
   auto it = handlers.find(verb);
@@ -73,6 +76,23 @@
   }
 }
 
+// recorded MACHINES: the records place each task that is on the machines there
+void ScenarioChecks::check_recorded(const ScenarioEvent& event) {
+  for (auto* worker : deployment_.select_machines(event.target))
+    for (auto& [attempt, running] : worker->tasks())
+      if (occupies_machine(running.report) && !deployment_.is_recorded(attempt, worker->id))
+        add_mismatch(event, attempt.task.text() + " on " + worker->id + " is not");
+}
+
+// unused MACHINES most=N: bounds the number of machines without a task
+void ScenarioChecks::check_unused(const ScenarioEvent& event) {
+  const auto machines = deployment_.select_machines(event.target);
+  const auto unused = std::count_if(machines.begin(), machines.end(),
+                                    [](const Worker* worker) { return worker->tasks().empty(); });
+  if (unused > event.options.integer("most"))
+    add_mismatch(event, event.target + ": " + std::to_string(unused) + " machines");
+}
+
 // reports MACHINES most=BYTES: bounds the size of each worker's largest heartbeat
 void ScenarioChecks::check_reports(const ScenarioEvent& event) {
   for (auto* worker : deployment_.select_machines(event.target)) {
--- a/tests/scenarios/scenario_checks.hpp
+++ b/tests/scenarios/scenario_checks.hpp
@@ -31,6 +31,8 @@
   void check_machines_rented(const ScenarioEvent& event);
   void check_reports(const ScenarioEvent& event);
   void check_sessions(const ScenarioEvent& event);
+  void check_recorded(const ScenarioEvent& event);
+  void check_unused(const ScenarioEvent& event);
   void check_writes(const ScenarioEvent& event);
   void check_refused_for_size(const ScenarioEvent& event);
   // Jobs.
--- a/tests/scenarios/scenario_deployment.cpp
+++ b/tests/scenarios/scenario_deployment.cpp
@@ -103,6 +103,16 @@
   return writes;
 }
 
+bool ScenarioDeployment::is_recorded(const TaskAttempt& attempt, const std::string& machine) const {
+  const Json entry = {attempt.task.index, attempt.number, machine};
+  const std::string prefix = keys::chunks_of(attempt.task.job);
+  return std::any_of(store_->all().begin(), store_->all().end(), [&](const auto& stored) {
+    if (!stored.first.starts_with(prefix)) return false;
+    const Json live = stored.second.value.value(fields::live_tasks, Json::array());
+    return std::find(live.begin(), live.end(), entry) != live.end();
+  });
+}
+
 std::string ScenarioDeployment::leader() const {
   auto* record = store_->value("d/l");
   return record ? record->value("node", std::string()) : std::string();
--- a/tests/scenarios/scenario_deployment.hpp
+++ b/tests/scenarios/scenario_deployment.hpp
@@ -49,6 +49,8 @@
   TaskCounts count_tasks(const std::string& job) const;
   /// The number of changes of the job's records in the key-value store so far.
   int record_writes(const std::string& job) const;
+  /// Whether the records in the key-value store place this attempt on the machine.
+  bool is_recorded(const TaskAttempt& attempt, const std::string& machine) const;
 
   /// The next `times` changes of records with this key prefix crash the shard leader after
   /// `after_s` seconds, for `down_s` seconds.
