--- a/tests/api/hostile_input_test.cpp
+++ b/tests/api/hostile_input_test.cpp
@@ -1,6 +1,7 @@
 /// What malformed, odd and refused input does to the users of a whole controller, on virtual time.
 #include <gtest/gtest.h>
 
+#include "api/single_controller.hpp"
 #include "coordination/api/malformed_requests.hpp"
 #include "simulation/key_value_store.hpp"
 #include "simulation/simulated_fleet.hpp"
@@ -13,17 +14,9 @@
 constexpr double start_s = 8;  // the controller leads and has read the machine types by then
 
 Settings controller_settings() {
-  Settings s;
-  s.controller_name = "n0", s.zone = "a", s.zones = {"a"}, s.controller_count = 1;
-  s.listen = {"10.0.0.1", 8080}, s.peer_listen = {"10.0.0.1", 8081};
-  s.cloud = {"10.2.0.2", 8443}, s.state = {"10.2.0.1", 2379};
-  s.heartbeat_interval_s = 1.5, s.lease_s = 12, s.cancel_s = 42, s.gang_wait_s = 40,
-  s.gang_peer_s = 6;
-  const StateLimits limits{150, 50, 16, 12};
-  s.state_limits = {limits, limits};
-  s.cloud_rps = 5, s.list_lag_s = 4, s.max_sockets = 600;
-  s.teams.push_back({"t", 0, 0, 0, 0});
-  return s;
+  Settings settings = single_controller_settings();
+  settings.teams.push_back({"t", 0, 0, 0, 0});
+  return settings;
 }
 
 MachineType machine_type() {
--- a/tests/api/request_handling_test.cpp
+++ b/tests/api/request_handling_test.cpp
@@ -2,6 +2,7 @@
 /// estimate of the write demand and of the limiter of repeated warnings.
 #include <gtest/gtest.h>
 
+#include "api/single_controller.hpp"
 #include "coordination/api/routes.hpp"
 #include "coordination/api/write_demand.hpp"
 #include "simulation/virtual_controller.hpp"
@@ -10,19 +11,6 @@
 namespace damsonport::simulation {
 namespace {
 
-Settings single_controller_settings() {
-  Settings s;
-  s.controller_name = "n0", s.zone = "a", s.zones = {"a"}, s.controller_count = 1;
-  s.listen = {"10.0.0.1", 8080}, s.peer_listen = {"10.0.0.1", 8081};
-  s.cloud = {"10.2.0.2", 8443}, s.state = {"10.2.0.1", 2379};
-  s.heartbeat_interval_s = 1.5, s.lease_s = 12, s.cancel_s = 42, s.gang_wait_s = 40,
-  s.gang_peer_s = 6;
-  const StateLimits limits{150, 50, 16, 12};
-  s.state_limits = {limits, limits};
-  s.cloud_rps = 5, s.list_lag_s = 4, s.max_sockets = 600;
-  return s;
-}
-
 HttpClientResponse submit(const std::string& body) {
   World world(1);
   VirtualNetwork::Streams streams;
