Drawn scenarios with malformed and oddly written submissions

Malformed bodies come to the paths of users and workers (each must get 400), and sound submissions are written in other forms of CBOR: fields in another order, other widths and lengths, unknown fields of any content and up to 3,000 levels.

--- a/tests/fault_scenario_test.cpp
+++ b/tests/fault_scenario_test.cpp
@@ -108,6 +108,24 @@
 
 INSTANTIATE_TEST_SUITE_P(Suite, RegressionSeeds, testing::Values(5862, 7204, 7392));
 
+// Malformed bodies come all the time, and sound submissions are written in different forms.
+std::vector<std::string> random_scenario_with_malformed_requests(uint64_t seed,
+                                                                 RepeatedRequests copies) {
+  auto lines = random_scenario(seed, copies);
+  lines.emplace_back("varied_writing");
+  lines.emplace_back("at 3 malformed every=0.3 for=120");
+  return lines;
+}
+
+class RandomMalformedScenarios : public testing::TestWithParam<uint64_t> {};
+
+TEST_P(RandomMalformedScenarios, KeepProtocolRules) {
+  play_group(GetParam(), random_scenario_with_malformed_requests);
+}
+
+INSTANTIATE_TEST_SUITE_P(Suite, RandomMalformedScenarios,
+                         testing::Range(uint64_t{0}, random_groups));
+
 class RandomReplicaScenarios : public testing::TestWithParam<uint64_t> {};
 
 TEST_P(RandomReplicaScenarios, KeepProtocolRules) {
--- a/tests/scenarios/scenario_actions.cpp
+++ b/tests/scenarios/scenario_actions.cpp
@@ -36,6 +36,7 @@
       {"late_report", &ScenarioActions::redeliver_kept_heartbeat},
       {"lower_limits", &ScenarioActions::lower_limits},
       {"lose_requests", &ScenarioActions::drop_requests},
+      {"malformed", &ScenarioActions::send_malformed_requests},
       {"mute", &ScenarioActions::drop_heartbeats},
       {"odd", &ScenarioActions::send_invalid_requests},
       {"old_version", &ScenarioActions::write_old_version},
@@ -102,12 +103,23 @@
       });
 }
 
-// odd [every=S] for=S: sends requests without a field, and jobs that can never run
-void ScenarioActions::send_invalid_requests(const ScenarioEvent& event) {
+// Calls `request` at the interval `every`, during `for`.
+void ScenarioActions::repeat_at_interval(const ScenarioEvent& event,
+                                         const std::function<void()>& request) {
   const double duration_s = duration_of(event);
   const double interval_s = event.options.number("every", 1);
   for (double delay_s = 0; delay_s <= duration_s; delay_s += interval_s)
-    world_.in(delay_s, [this] { users_.send_invalid_request(); });
+    world_.in(delay_s, request);
+}
+
+// odd [every=S] for=S: sends requests without a field, and jobs that can never run
+void ScenarioActions::send_invalid_requests(const ScenarioEvent& event) {
+  repeat_at_interval(event, [this] { users_.send_invalid_request(); });
+}
+
+// malformed [every=S] for=S: sends malformed bodies
+void ScenarioActions::send_malformed_requests(const ScenarioEvent& event) {
+  repeat_at_interval(event, [this] { users_.send_malformed_request(); });
 }
 
 // refuse CONTROLLERS [for=S]: the key-value store refuses the requests of these controllers
--- a/tests/scenarios/scenario_actions.hpp
+++ b/tests/scenarios/scenario_actions.hpp
@@ -29,6 +29,7 @@
   void cancel(const ScenarioEvent& event);
   void poll(const ScenarioEvent& event);
   void send_invalid_requests(const ScenarioEvent& event);
+  void send_malformed_requests(const ScenarioEvent& event);
   // Faults of the key-value store.
   void refuse(const ScenarioEvent& event);
   void store_outage(const ScenarioEvent& event);
@@ -59,6 +60,7 @@
   void redeliver_kept_heartbeat(const ScenarioEvent& event);
 
   /// Calls `request` for each job that the event names, at intervals of `every` seconds.
+  void repeat_at_interval(const ScenarioEvent& event, const std::function<void()>& request);
   void for_each_job_at_interval(const ScenarioEvent& event,
                                 const std::function<void(const std::string& job)>& request);
 
--- a/tests/scenarios/scenario_parser.cpp
+++ b/tests/scenarios/scenario_parser.cpp
@@ -77,6 +77,7 @@
       {"team", &ScenarioParser::parse_team},
       {"tuning", &ScenarioParser::parse_tuning_entries},
       {"type", &ScenarioParser::parse_machine_type},
+      {"varied_writing", &ScenarioParser::parse_varied_writing},
       {"until", &ScenarioParser::parse_end},
       {"workers", &ScenarioParser::parse_workers},
   };
@@ -223,6 +224,12 @@
   return {};
 }
 
+// varied_writing: users write their submissions in different forms of CBOR
+ScenarioParser::Error ScenarioParser::parse_varied_writing(std::istringstream&) {
+  plan_.users_vary_writing = true;
+  return {};
+}
+
 // close_looks: users query all controllers right after each change
 ScenarioParser::Error ScenarioParser::parse_query_after_changes(std::istringstream&) {
   plan_.users_query_after_changes = true;
@@ -263,7 +270,7 @@
 
 void ScenarioParser::add_event(ScenarioEvent event, std::istringstream& line) {
   static const std::set<std::string> verbs_without_target = {
-      "cloud_outage", "lower_limits", "odd", "outage", "served", "slow"};
+      "cloud_outage", "lower_limits", "malformed", "odd", "outage", "served", "slow"};
   if (!verbs_without_target.contains(event.verb)) line >> event.target;
   event.options = Options::read(line);
   plan_.events.push_back(std::move(event));
--- a/tests/scenarios/scenario_parser.hpp
+++ b/tests/scenarios/scenario_parser.hpp
@@ -33,6 +33,7 @@
   Error parse_jobs(std::istringstream& line);
   Error parse_stored_records(std::istringstream& line);
   Error parse_quiet(std::istringstream& line);
+  Error parse_varied_writing(std::istringstream& line);
   Error parse_query_after_changes(std::istringstream& line);
   Error parse_end(std::istringstream& line);
   Error parse_action(std::istringstream& line);
--- a/tests/scenarios/scenario_plan.hpp
+++ b/tests/scenarios/scenario_plan.hpp
@@ -49,6 +49,7 @@
   std::map<std::string, double> run_time_s;  // by job
   std::set<std::string> broken_jobs;         // jobs with tasks that fail on every machine
   bool users_poll = true;                    // users poll their jobs periodically
+  bool users_vary_writing = false;           // users write submissions in different forms of CBOR
   bool users_query_after_changes = false;    // users query all controllers right after each change
 
   std::vector<ScenarioEvent> events;
--- a/tests/scenarios/scenario_users.cpp
+++ b/tests/scenarios/scenario_users.cpp
@@ -1,7 +1,5 @@
 #include "scenarios/scenario_users.hpp"
 
-#include "simulation/submission.hpp"
-
 namespace damsonport::simulation {
 
 namespace {
@@ -68,7 +66,7 @@
                            Retry retry) {
   const JobSpec& spec = plan_.jobs.at(job);
   deployment_.fleet().rules().on_submission(spec);
-  send_request(controller, Method::post, "/api/jobs", encode(submission_of(spec)), submit_timeout_s,
+  send_request(controller, Method::post, "/api/jobs", written(spec), submit_timeout_s,
                [this, job, controller, started_at, retry](const HttpClientResponse& reply,
                                                           double requested_at) {
                  on_job_response(job, reply, requested_at);
@@ -128,6 +126,27 @@
       });
 }
 
+Draw ScenarioUsers::draw() {
+  return [this](uint64_t bound) { return bound == 0 ? 0 : world_.random64() % bound; };
+}
+
+std::string ScenarioUsers::written(const JobSpec& spec) {
+  const Json submission = submission_of(spec);
+  return plan_.users_vary_writing ? written_in_another_way(submission, draw()) : encode(submission);
+}
+
+void ScenarioUsers::send_malformed_request() {
+  const size_t controller = world_.random64() % deployment_.controllers().size();
+  const char* path = world_.random64() % 2 == 0 ? "/api/jobs" : "/hello";
+  const std::string body = malformed_body(submission_of(plan_.jobs.begin()->second), draw());
+  send_request(controller, Method::post, path, body, submit_timeout_s,
+               [this](const HttpClientResponse& reply, double) {
+                 if (reply.status != 400 && reply.answered())
+                   deployment_.fleet().rules().report_violation(
+                       "malformed request", "answered " + std::to_string(reply.status));
+               });
+}
+
 void ScenarioUsers::on_job_response(const std::string& job, const HttpClientResponse& reply,
                                     double requested_at) {
   const Json response = decode_map(reply.body);
--- a/tests/scenarios/scenario_users.hpp
+++ b/tests/scenarios/scenario_users.hpp
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "scenarios/scenario_deployment.hpp"
+#include "simulation/submission.hpp"
 
 namespace damsonport::simulation {
 
@@ -27,6 +28,8 @@
   void begin_polling(const std::string& job);
   /// Sends a random invalid request: a submission without a field, or a job that can never run.
   void send_invalid_request();
+  /// Sends a random malformed body to the path of submissions or to that of heartbeats.
+  void send_malformed_request();
   /// Requests the job's status and number of running tasks from a controller now, and calls `then`
   /// with the response.
   void request_status(const std::string& job, size_t controller,
@@ -40,6 +43,9 @@
   void send_request(size_t controller, Method method, const std::string& path,
                     const std::string& body, double timeout_s, OnResponse then);
   size_t next_controller(size_t controller) const;
+  Draw draw();
+  /// The body of the job's submission.
+  std::string written(const JobSpec& spec);
   void on_job_response(const std::string& job, const HttpClientResponse& reply,
                        double requested_at);
   void query_all_controllers(const std::string& job);
