A server that is behind doesn't take its own delay for slow clients

After a pause of the process, or while it has too little processor time, bytes wait to be read. Found by reading the change; a request whose rest arrived during a pause is answered (RestArrivedWhileTheProcessWasPaused_Answered, which held before as well: the loop reads before it runs timers).

--- a/src/transport/event_http.hpp
+++ b/src/transport/event_http.hpp
@@ -49,6 +49,7 @@
   void end_request(Connection& connection);
   void note_received(Connection& connection, size_t bytes);
   bool close_oldest_incomplete();
+  double sweep_interval_s() const;
   bool is_overdue(const Connection& connection) const;
   bool has_replaceable_connection() const;
   void pause_or_resume_accepting();
@@ -65,6 +66,8 @@
   // of time.
   std::list<Connection*> incomplete_;
   size_t incomplete_bytes_ = 0;  // received of the requests that are incomplete
+  double last_sweep_at_;
+  bool is_behind_ = false;  // whether the last sweep was late, so that bytes may wait to be read
 };
 
 /// HTTP client that keeps a connection open after a response, for the next request to the same
--- a/src/transport/event_http_server.cpp
+++ b/src/transport/event_http_server.cpp
@@ -27,6 +27,10 @@
 /// A connection can be replaced by a new one if it has been without a whole request for this share
 /// of the time that a request may take.
 constexpr double replaceable_share = 0.05;
+/// The process is behind if a sweep is late by more than this number of its intervals.
+constexpr double max_sweep_delay_intervals = 2;
+/// A request may take this many times as long if the process is behind.
+constexpr double time_factor_if_behind = 2;
 
 Method method_of(evhttp_cmd_type command) {
   switch (command) {
@@ -132,7 +136,8 @@
       handler_(std::move(handler)),
       http_(evhttp_new(loop.base())),
       sweep_timer_(
-          loop.timer([](void* self) { static_cast<EventHttpServer*>(self)->on_sweep(); }, this)) {
+          loop.timer([](void* self) { static_cast<EventHttpServer*>(self)->on_sweep(); }, this)),
+      last_sweep_at_(loop.now()) {
   if (!http_) throw std::runtime_error("cannot create the HTTP server");
   evhttp_set_max_body_size(http_, static_cast<ev_ssize_t>(limits.max_body));
   evhttp_set_max_headers_size(http_, max_header_bytes);
@@ -151,9 +156,11 @@
       http_,
       [](event_base*, void* self) { return static_cast<EventHttpServer*>(self)->on_accept(); },
       this);
-  sweep_timer_->arm(limits_.request_s * replaceable_share);
+  sweep_timer_->arm(sweep_interval_s());
 }
 
+double EventHttpServer::sweep_interval_s() const { return limits_.request_s * replaceable_share; }
+
 bufferevent* EventHttpServer::on_accept() {
   if (connections_.size() >= limits_.max_connections && has_replaceable_connection())
     close_oldest_incomplete();
@@ -220,14 +227,16 @@
 }
 
 bool EventHttpServer::is_overdue(const Connection& connection) const {
-  return connection.first_byte_at != 0 &&
-         loop_.now() - connection.first_byte_at > limits_.request_s;
+  const double time_s = limits_.request_s * (is_behind_ ? time_factor_if_behind : 1);
+  return connection.first_byte_at != 0 && loop_.now() - connection.first_byte_at > time_s;
 }
 
 // Closes the connections whose requests take too long or too much memory, and forgets those that
 // evhttp has closed.
 void EventHttpServer::on_sweep() {
   const size_t max_bytes = max_incomplete_bodies * limits_.max_body;
+  const double sweep_gap_s = loop_.now() - std::exchange(last_sweep_at_, loop_.now());
+  is_behind_ = sweep_gap_s > (1 + max_sweep_delay_intervals) * sweep_interval_s();
   std::vector<Connection*> finished;
   for (Connection* connection : incomplete_)
     if (connection->is_closed() || is_overdue(*connection)) finished.push_back(connection);
@@ -237,11 +246,11 @@
   }
   while (incomplete_bytes_ > max_bytes) close_oldest_incomplete();
   pause_or_resume_accepting();
-  sweep_timer_->arm(limits_.request_s * replaceable_share);
+  sweep_timer_->arm(sweep_interval_s());
 }
 
 bool EventHttpServer::has_replaceable_connection() const {
-  if (incomplete_.empty()) return false;
+  if (incomplete_.empty() || is_behind_) return false;
   const double age_s = loop_.now() - incomplete_.front()->incomplete_since;
   return age_s > limits_.request_s * replaceable_share;
 }
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -230,6 +230,20 @@
   f.run(steps());
 }
 
+TEST(SlowRequest, RestArrivedWhileTheProcessWasPaused_Answered) {
+  LimitedServer f(16);
+  auto steps = [&]() -> Task<void> {
+    RawClient client(f.endpoint);
+    client.send("POST /a HTTP/1.1\r\nContent-Length: 2\r\n\r\nx");
+    co_await f.wait(0.2);
+    client.send("y");
+    usleep(static_cast<useconds_t>(request_s * 1.3 * 1e6));
+    co_await f.wait(request_s * 1.5);  // counts from before the pause
+    EXPECT_NE(client.received().find("200"), std::string::npos);
+  };
+  f.run(steps());
+}
+
 TEST(SlowRequest, SecondOnTheSameConnection_Closed) {
   LimitedServer f(16);
   auto steps = [&]() -> Task<void> {
